--- /dev/null
+++ b/crates/core/src/base/mod.rs
@@ -0,0 +1,14 @@
+//! Types that every module shares: names, token amounts, time and holder identities.
+
+mod amount;
+mod holder;
+mod name;
+mod time;
+
+pub use amount::TokenCount;
+pub use holder::{HolderId, ParseHolderError};
+pub use name::{
+    BudgetName, CustomerName, DomainName, EnvironmentName, InstanceName, ModelName, ServiceName,
+    UpstreamName,
+};
+pub use time::MonotonicTime;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder summary, replaced as the crate grows.
+//! Decision logic of the cornelarch router fleet.
+//!
+//! Every module is a pure state machine: an event and the current time go in, new state and
+//! effects come out. No module does I/O, reads a clock or owns a global random source, so the
+//! same code serves production, fault tests, model checking and measurement.
+
+pub mod base;
+pub mod error;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder summary, replaced as the crate grows.
+//! Client of the platform's object API.
+//!
+//! The trait [`ObjectStore`] is the edge between the router processes and the platform. The
+//! daemon uses an HTTP client; tests and measurements use small fakes.
+
+pub mod store;
+
+pub use store::{InstanceEntry, InstanceState, ObjectStore, StoreError, VersionedValue};
--- /dev/null
+++ b/crates/wire/idl/peer.thrift
@@ -0,0 +1,117 @@
+// Messages between router instances. Regenerate with:
+//   thrift --gen rs -out crates/wire/src/generated crates/wire/idl/peer.thrift
+
+namespace rs peer
+
+// One incarnation of a router process.
+struct WireHolder {
+  1: required string instance
+  2: required i64 epoch
+}
+
+enum WireMemberState {
+  ALIVE = 1
+  SUSPECT = 2
+  DEAD = 3
+  LEAVING = 4
+}
+
+// One entry of a member table, sent with pings.
+struct WireMember {
+  1: required WireHolder holder
+  2: required string domain
+  3: required string address
+  4: required i64 incarnation
+  5: required WireMemberState state
+}
+
+// Checks that a peer is alive. Carries member updates and the configuration version.
+struct WirePing {
+  1: required i64 nonce
+  2: required WireMember sender
+  3: required i64 config_version
+  4: required i32 load_permille
+  5: required list<WireMember> updates
+}
+
+struct WireAck {
+  1: required i64 nonce
+  2: required WireMember sender
+  3: required i64 config_version
+  4: required i32 load_permille
+  5: required list<WireMember> updates
+}
+
+// Asks a third instance to ping the target.
+struct WirePingRequest {
+  1: required i64 nonce
+  2: required WireHolder target
+}
+
+struct WireBorrowRequest {
+  1: required string budget
+  2: required i64 amount
+}
+
+struct WireTransfer {
+  1: required i64 sequence
+  2: required string budget
+  3: required i64 amount
+}
+
+struct WireTransferAck {
+  1: required i64 sequence
+}
+
+struct WireReturnIdle {
+  1: required string budget
+}
+
+struct WireConfigRequest {
+  1: required i64 from_version
+}
+
+// Deltas as JSON, in ascending order of versions, or a full document as a snapshot.
+struct WireConfigChanges {
+  1: required i64 from_version
+  2: required i64 to_version
+  3: optional list<string> deltas
+  4: optional string snapshot
+}
+
+struct WireCrashReport {
+  1: required string fingerprint
+  2: required string upstream
+  3: required i32 losses
+}
+
+struct WireUnblock {
+  1: required string fingerprint
+}
+
+struct WireLeaving {
+  1: required i64 incarnation
+}
+
+union WireBody {
+  1: WirePing ping
+  2: WireAck ack
+  3: WirePingRequest ping_request
+  4: WireBorrowRequest borrow_request
+  5: WireTransfer transfer
+  6: WireTransferAck transfer_ack
+  7: WireReturnIdle return_idle
+  8: WireConfigRequest config_request
+  9: WireConfigChanges config_changes
+  10: WireCrashReport crash_report
+  11: WireUnblock unblock
+  12: WireLeaving leaving
+}
+
+// One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
+// incarnation, because a transfer to that incarnation is not its property.
+struct WireEnvelope {
+  1: required WireHolder sender
+  2: optional WireHolder recipient
+  3: required WireBody body
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder summary, replaced as the crate grows.
+//! Messages between router instances: thrift compact protocol in length-prefixed frames.
+
+#[allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::all,
+    clippy::missing_errors_doc,
+    clippy::missing_panics_doc
+)]
+#[path = "generated/peer.rs"]
+pub mod peer;
