--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -75,6 +75,8 @@
     UnknownKey => "unknown_key", 401, NotRun, false;
     /// The request cannot be parsed or has invalid fields.
     MalformedRequest => "malformed_request", 400, NotRun, false;
+    /// A call that may not be repeated has no idempotency key.
+    IdempotencyKeyRequired => "idempotency_key_required", 400, NotRun, false;
     /// The body is larger than the limit.
     BodyTooLarge => "body_too_large", 413, NotRun, false;
     /// The model is not in the document.
