Frame peer messages with a bounded thrift reader

Cause: peer links need a codec, and the generated code allocates the size that a list header claims, so a damaged frame of a few bytes could exhaust the memory. Change: FrameCodec (LengthDelimitedCodec + thrift compact) and a protocol wrapper that limits claimed sizes to the frame and 4,096 elements. Conclusion: frames are safe to read from a damaged connection.

--- /dev/null
+++ b/crates/wire/src/connection/bounded.rs
@@ -0,0 +1,133 @@
+//! Input protocol that limits the sizes that a peer claims.
+
+use thrift::{
+    Error, ProtocolError, ProtocolErrorKind, Result,
+    protocol::{
+        TFieldIdentifier, TInputProtocol, TListIdentifier, TMapIdentifier, TMessageIdentifier,
+        TSetIdentifier, TStructIdentifier,
+    },
+};
+
+/// Most elements of a list in one message; a configuration answer has at most 64 deltas.
+const MAX_ELEMENTS: usize = 4_096;
+
+/// Refuses a list that claims more elements than its frame can hold.
+///
+/// The generated code allocates room for the claimed size before it reads the elements, so a
+/// damaged frame of a few bytes could otherwise exhaust the memory.
+pub(super) struct BoundedInput<P> {
+    inner: P,
+    max_elements: usize,
+}
+
+impl<P: TInputProtocol> BoundedInput<P> {
+    /// Wraps `inner`, which reads a frame of `frame_bytes`.
+    pub(super) fn new(inner: P, frame_bytes: usize) -> Self {
+        Self {
+            inner,
+            max_elements: frame_bytes.min(MAX_ELEMENTS),
+        }
+    }
+
+    fn check_size(&self, size: i32) -> Result<()> {
+        match usize::try_from(size) {
+            Ok(elements) if elements <= self.max_elements => Ok(()),
+            _ => Err(Error::Protocol(ProtocolError {
+                kind: ProtocolErrorKind::SizeLimit,
+                message: format!("list of {size} elements exceeds {}", self.max_elements),
+            })),
+        }
+    }
+}
+
+impl<P: TInputProtocol> TInputProtocol for BoundedInput<P> {
+    fn read_message_begin(&mut self) -> Result<TMessageIdentifier> {
+        self.inner.read_message_begin()
+    }
+
+    fn read_message_end(&mut self) -> Result<()> {
+        self.inner.read_message_end()
+    }
+
+    fn read_struct_begin(&mut self) -> Result<Option<TStructIdentifier>> {
+        self.inner.read_struct_begin()
+    }
+
+    fn read_struct_end(&mut self) -> Result<()> {
+        self.inner.read_struct_end()
+    }
+
+    fn read_field_begin(&mut self) -> Result<TFieldIdentifier> {
+        self.inner.read_field_begin()
+    }
+
+    fn read_field_end(&mut self) -> Result<()> {
+        self.inner.read_field_end()
+    }
+
+    fn read_bool(&mut self) -> Result<bool> {
+        self.inner.read_bool()
+    }
+
+    fn read_bytes(&mut self) -> Result<Vec<u8>> {
+        self.inner.read_bytes()
+    }
+
+    fn read_i8(&mut self) -> Result<i8> {
+        self.inner.read_i8()
+    }
+
+    fn read_i16(&mut self) -> Result<i16> {
+        self.inner.read_i16()
+    }
+
+    fn read_i32(&mut self) -> Result<i32> {
+        self.inner.read_i32()
+    }
+
+    fn read_i64(&mut self) -> Result<i64> {
+        self.inner.read_i64()
+    }
+
+    fn read_double(&mut self) -> Result<f64> {
+        self.inner.read_double()
+    }
+
+    fn read_string(&mut self) -> Result<String> {
+        self.inner.read_string()
+    }
+
+    fn read_list_end(&mut self) -> Result<()> {
+        self.inner.read_list_end()
+    }
+
+    fn read_set_end(&mut self) -> Result<()> {
+        self.inner.read_set_end()
+    }
+
+    fn read_map_end(&mut self) -> Result<()> {
+        self.inner.read_map_end()
+    }
+
+    fn read_byte(&mut self) -> Result<u8> {
+        self.inner.read_byte()
+    }
+
+    fn read_list_begin(&mut self) -> Result<TListIdentifier> {
+        let identifier = self.inner.read_list_begin()?;
+        self.check_size(identifier.size)?;
+        Ok(identifier)
+    }
+
+    fn read_set_begin(&mut self) -> Result<TSetIdentifier> {
+        let identifier = self.inner.read_set_begin()?;
+        self.check_size(identifier.size)?;
+        Ok(identifier)
+    }
+
+    fn read_map_begin(&mut self) -> Result<TMapIdentifier> {
+        let identifier = self.inner.read_map_begin()?;
+        self.check_size(identifier.size)?;
+        Ok(identifier)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/connection/mod.rs
@@ -0,0 +1,107 @@
+//! Framing of peer messages on a TCP connection.
+
+mod bounded;
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use cornelarch_core::base::{HolderId, InstanceName};
+use snafu::{ResultExt, Snafu};
+use thrift::protocol::{TCompactInputProtocol, TCompactOutputProtocol, TSerializable};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use self::bounded::BoundedInput;
+use crate::peer::{WireEnvelope, WireHolder};
+
+/// Largest frame, in bytes. A configuration snapshot of the target size is about 12 MB.
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Reports a frame that cannot be read or written.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// The connection failed, or a frame is larger than [`MAX_FRAME_BYTES`].
+    #[snafu(display("peer connection failed: {source}"))]
+    Connection {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The frame does not contain a valid message.
+    #[snafu(display("peer frame is malformed: {source}"))]
+    Malformed {
+        /// The cause.
+        source: thrift::Error,
+    },
+}
+
+impl From<io::Error> for FrameError {
+    fn from(source: io::Error) -> Self {
+        Self::Connection { source }
+    }
+}
+
+/// Encodes and decodes envelopes in frames with a length prefix of four bytes.
+#[derive(Debug)]
+pub struct FrameCodec {
+    inner: LengthDelimitedCodec,
+}
+
+impl FrameCodec {
+    /// Creates a codec for one connection.
+    #[must_use]
+    pub fn new() -> Self {
+        let inner = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self { inner }
+    }
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = WireEnvelope;
+    type Error = FrameError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<WireEnvelope>, FrameError> {
+        let Some(frame) = self.inner.decode(buffer)? else {
+            return Ok(None);
+        };
+        let mut protocol = BoundedInput::new(TCompactInputProtocol::new(&frame[..]), frame.len());
+        let envelope =
+            WireEnvelope::read_from_in_protocol(&mut protocol).context(MalformedSnafu)?;
+        Ok(Some(envelope))
+    }
+}
+
+impl Encoder<&WireEnvelope> for FrameCodec {
+    type Error = FrameError;
+
+    fn encode(&mut self, envelope: &WireEnvelope, buffer: &mut BytesMut) -> Result<(), FrameError> {
+        let mut frame = Vec::with_capacity(256);
+        let mut protocol = TCompactOutputProtocol::new(&mut frame);
+        envelope
+            .write_to_out_protocol(&mut protocol)
+            .context(MalformedSnafu)?;
+        self.inner.encode(Bytes::from(frame), buffer)?;
+        Ok(())
+    }
+}
+
+impl From<&HolderId> for WireHolder {
+    fn from(holder: &HolderId) -> Self {
+        Self::new(holder.instance.to_string(), holder.epoch.cast_signed())
+    }
+}
+
+impl From<&WireHolder> for HolderId {
+    fn from(holder: &WireHolder) -> Self {
+        Self::new(
+            InstanceName::new(&holder.instance),
+            holder.epoch.cast_unsigned(),
+        )
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between router instances: thrift compact protocol in length-prefixed frames.
 
+pub mod connection;
 #[allow(
     missing_docs,
     unreachable_pub,
@@ -9,3 +10,5 @@
 )]
 #[path = "generated/peer.rs"]
 pub mod peer;
+
+pub use connection::{FrameCodec, FrameError, MAX_FRAME_BYTES};
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,57 @@
+//! Guards against peer frames that are misread, and against damaged frames that exhaust memory.
+
+use bytes::{BufMut, BytesMut};
+use cornelarch_wire::{
+    FrameCodec, FrameError,
+    peer::{WireBody, WireEnvelope, WireHolder, WireTransfer},
+};
+use tokio_util::codec::{Decoder, Encoder};
+
+fn transfer() -> WireEnvelope {
+    WireEnvelope::new(
+        WireHolder::new("r1".to_owned(), -7),
+        WireHolder::new("r2".to_owned(), i64::MAX),
+        WireBody::Transfer(WireTransfer::new(3, "acme".to_owned(), 5_000)),
+    )
+}
+
+/// Guards against a reader that loses its place when a frame arrives in pieces.
+#[test]
+fn frame_in_pieces_is_read_once() {
+    let mut bytes = BytesMut::new();
+    FrameCodec::new().encode(&transfer(), &mut bytes).unwrap();
+    let (mut codec, mut input) = (FrameCodec::new(), BytesMut::new());
+    let mut envelopes = Vec::new();
+    for byte in bytes {
+        input.put_u8(byte);
+        envelopes.extend(codec.decode(&mut input).unwrap());
+    }
+    assert_eq!(envelopes, [transfer()]);
+}
+
+/// Guards against an allocation of the size that a damaged list header claims.
+#[test]
+fn claimed_list_size_is_limited() {
+    // Field 3 (struct), field 9 (struct), field 3 (list of 2^31 - 1 strings).
+    let frame = [0x3c, 0x9c, 0x39, 0xf8, 0xff, 0xff, 0xff, 0xff, 0x07];
+    let mut bytes = BytesMut::new();
+    bytes.put_u32(frame.len() as u32);
+    bytes.put_slice(&frame);
+    let error = FrameCodec::new().decode(&mut bytes).unwrap_err();
+    let FrameError::Malformed {
+        source: thrift::Error::Protocol(cause),
+    } = error
+    else {
+        panic!("{error}");
+    };
+    assert_eq!(cause.kind, thrift::ProtocolErrorKind::SizeLimit);
+    assert!(cause.message.contains("2147483647"), "{}", cause.message);
+}
+
+/// Guards against a length prefix that makes the reader wait for gigabytes.
+#[test]
+fn oversized_frame_ends_the_connection() {
+    let mut bytes = BytesMut::from(&[0xff, 0xff, 0xff, 0xff][..]);
+    let error = FrameCodec::new().decode(&mut bytes).unwrap_err();
+    assert!(matches!(error, FrameError::Connection { .. }), "{error}");
+}
