--- /dev/null
+++ b/crates/router/src/connection/mod.rs
@@ -0,0 +1,7 @@
+//! Connections between routers.
+
+mod inbound;
+mod link;
+
+pub(crate) use inbound::serve_peers;
+pub(crate) use link::PeerLinks;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder summary, replaced as the crate grows.
+//! Router between callers and upstreams, with prepaid token budgets.
+//!
+//! [`Router::bind`] starts one instance and returns its running handle. Several instances can run
+//! in one process.
+
+mod connection;
+mod process;
+mod request;
+mod version;
+
+pub use process::{LogEvent, Router, RouterAddresses, RouterError, RouterSettings, SecretText,
+    SettingsError, SettingsFault};
--- /dev/null
+++ b/crates/router/src/request/chat_body.rs
@@ -0,0 +1,147 @@
+//! The part of a chat request that a router reads, and the body that it sends on.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use cornelarch_core::{
+    base::{ModelName, TokenCount},
+    error::ErrorKind,
+};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::request::RequestRefusal;
+
+/// Bytes per prompt token that are assumed if an engine did not count.
+const PROMPT_BYTES_PER_TOKEN: u64 = 4;
+
+/// Fields of a chat request that a router needs.
+#[derive(Deserialize)]
+struct ChatFields<'a> {
+    model: String,
+    #[serde(borrow)]
+    messages: &'a RawValue,
+    #[serde(borrow, default)]
+    tools: Option<&'a RawValue>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    n: Option<u64>,
+    #[serde(borrow, default)]
+    x_resume_from: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    x_resume_text: Option<&'a RawValue>,
+}
+
+/// Describes a parsed chat request.
+#[derive(Clone, Debug)]
+pub(crate) struct ChatBody {
+    /// The model.
+    pub(crate) model: ModelName,
+    /// Whether the caller wants a stream.
+    pub(crate) stream: bool,
+    /// The prompt length in bytes, an upper bound on prompt tokens.
+    pub(crate) prompt_bytes: u64,
+    /// The limit on generated tokens that the caller gave.
+    max_tokens: Option<u64>,
+    /// Whether the upstream body carries `max_tokens` already.
+    has_max_tokens: bool,
+    /// The body as received, a JSON object.
+    body: Bytes,
+}
+
+impl ChatBody {
+    /// Reads a chat request.
+    ///
+    /// # Errors
+    ///
+    /// Returns `malformed_request` with the reason.
+    pub(crate) fn parse(body: Bytes) -> Result<Self, RequestRefusal> {
+        let fields: ChatFields = serde_json::from_slice(&body)
+            .map_err(|error| refuse(format!("body is not a chat request: {error}")))?;
+        if fields.x_resume_from.is_some() || fields.x_resume_text.is_some() {
+            return Err(refuse("x_resume_from and x_resume_text are reserved"));
+        }
+        if fields.n.is_some_and(|choices| choices != 1) {
+            return Err(refuse("n must be 1"));
+        }
+        let messages = fields.messages.get();
+        if !messages.starts_with('[') || messages[1..].trim_start().starts_with(']') {
+            return Err(refuse("messages must be a list with at least one message"));
+        }
+        if fields.model.is_empty() {
+            return Err(refuse("model must not be empty"));
+        }
+        let max_tokens = fields.max_tokens.or(fields.max_completion_tokens);
+        if max_tokens == Some(0) {
+            return Err(refuse("max_tokens must be above 0"));
+        }
+        let tools = fields.tools.map_or(0, |tools| tools.get().len());
+        Ok(Self {
+            model: ModelName::from(fields.model),
+            stream: fields.stream.unwrap_or(false),
+            prompt_bytes: (messages.len() + tools) as u64,
+            max_tokens,
+            has_max_tokens: fields.max_tokens.is_some(),
+            body,
+        })
+    }
+
+    /// Returns the limit on generated tokens; `model_limit` applies if the caller gave none.
+    ///
+    /// # Errors
+    ///
+    /// Returns `malformed_request` if the caller's limit exceeds the model's.
+    pub(crate) fn max_tokens(&self, model_limit: u64) -> Result<u64, RequestRefusal> {
+        match self.max_tokens {
+            Some(limit) if limit > model_limit => Err(refuse(format!(
+                "max_tokens {limit} exceeds the model's limit {model_limit}"
+            ))),
+            Some(limit) => Ok(limit),
+            None => Ok(model_limit),
+        }
+    }
+
+    /// Returns the highest possible cost of the request.
+    pub(crate) fn highest_cost(&self, max_tokens: u64) -> TokenCount {
+        TokenCount::new(self.prompt_bytes).saturating_add(TokenCount::new(max_tokens))
+    }
+
+    /// Returns the prompt tokens to bill if no engine counted them.
+    pub(crate) fn estimated_prompt_tokens(&self) -> u64 {
+        self.prompt_bytes.div_ceil(PROMPT_BYTES_PER_TOKEN)
+    }
+
+    /// Returns the received body.
+    pub(crate) fn received(&self) -> &Bytes {
+        &self.body
+    }
+
+    /// Returns the body for an upstream; fields are inserted only where the caller's are missing.
+    pub(crate) fn upstream_body(&self, max_tokens: u64, resume: Option<(u64, &[u8])>) -> Bytes {
+        if self.has_max_tokens && resume.is_none() {
+            return self.body.clone();
+        }
+        let text = resume.map_or(0, |(_, text)| text.len());
+        let mut body = BytesMut::with_capacity(self.body.len() + text + 96);
+        body.put_u8(b'{');
+        if !self.has_max_tokens {
+            body.put_slice(format!("\"max_tokens\":{max_tokens},").as_bytes());
+        }
+        if let Some((sequence, text)) = resume {
+            body.put_slice(format!("\"x_resume_from\":{sequence},\"x_resume_text\":\"").as_bytes());
+            // The text was taken from JSON strings and is still escaped.
+            body.put_slice(text);
+            body.put_slice(b"\",");
+        }
+        let rest = self.body.trim_ascii_start();
+        body.put_slice(rest.strip_prefix(b"{").unwrap_or(rest));
+        body.freeze()
+    }
+}
+
+fn refuse(message: impl Into<String>) -> RequestRefusal {
+    RequestRefusal::new(ErrorKind::MalformedRequest, message)
+}
--- /dev/null
+++ b/crates/router/src/request/sse.rs
@@ -0,0 +1,112 @@
+//! Server-sent events: splitting a byte stream and reading single fields.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event, in bytes; a longer one ends the stream.
+pub(crate) const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Payload of the event that ends a stream.
+const DONE_PAYLOAD: &[u8] = b"[DONE]";
+
+/// Splits a byte stream at blank lines without copying events that arrive in one piece.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    partial: BytesMut,
+    current: Bytes,
+}
+
+impl EventSplitter {
+    /// Adds received bytes; every event must be taken before the next call.
+    pub(crate) fn push(&mut self, chunk: Bytes) {
+        if self.partial.is_empty() {
+            self.current = chunk;
+        } else {
+            self.partial.extend_from_slice(&chunk);
+            self.current = self.partial.split().freeze();
+        }
+    }
+
+    /// Returns the next complete event with its blank line.
+    pub(crate) fn next_event(&mut self) -> Option<Bytes> {
+        if let Some(end) = find_event_end(&self.current) {
+            return Some(self.current.split_to(end));
+        }
+        if !self.current.is_empty() {
+            self.partial.extend_from_slice(&self.current);
+            self.current = Bytes::new();
+        }
+        None
+    }
+
+    /// Returns whether the unfinished event exceeds [`MAX_EVENT_BYTES`].
+    pub(crate) fn is_oversized(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+}
+
+/// Returns the position after the first blank line.
+fn find_event_end(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(offset) = bytes[start..].iter().position(|byte| *byte == b'\n') {
+        let next = start + offset + 1;
+        match bytes.get(next..) {
+            Some([b'\n', ..]) => return Some(next + 1),
+            Some([b'\r', b'\n', ..]) => return Some(next + 2),
+            _ => start = next,
+        }
+    }
+    None
+}
+
+/// Returns the payload of an event whose data is on one line, as engines send it.
+pub(crate) fn event_payload(event: &[u8]) -> Option<&[u8]> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let data = lines.find_map(|line| line.strip_prefix(b"data:"))?;
+    Some(data.trim_ascii())
+}
+
+/// Returns whether a payload ends the stream.
+pub(crate) fn is_done(payload: &[u8]) -> bool {
+    payload == DONE_PAYLOAD
+}
+
+/// Returns the bytes after the first `"name":`, without leading spaces.
+///
+/// Quotes inside JSON strings are escaped, so the pattern only matches a key.
+fn find_field<'a>(payload: &'a [u8], name: &str) -> Option<&'a [u8]> {
+    let name = name.as_bytes();
+    let mut start = 0;
+    while let Some(offset) = payload[start..].iter().position(|byte| *byte == b'"') {
+        let key = &payload[start + offset + 1..];
+        if let Some(rest) = key.strip_prefix(name)
+            && let Some(rest) = rest.strip_prefix(b"\"")
+            && let Some(value) = rest.trim_ascii_start().strip_prefix(b":")
+            && (start + offset == 0 || payload[start + offset - 1] != b'\\')
+        {
+            return Some(value.trim_ascii_start());
+        }
+        start += offset + 1;
+    }
+    None
+}
+
+/// Returns the value of the first field `name` that holds a non-negative integer.
+pub(crate) fn find_number(payload: &[u8], name: &str) -> Option<u64> {
+    let value = find_field(payload, name)?;
+    let length = value.iter().take_while(|byte| byte.is_ascii_digit()).count();
+    std::str::from_utf8(&value[..length]).ok()?.parse().ok()
+}
+
+/// Returns the escaped text of the first string field `name`, without its quotes.
+pub(crate) fn find_text<'a>(payload: &'a [u8], name: &str) -> Option<&'a [u8]> {
+    let text = find_field(payload, name)?.strip_prefix(b"\"")?;
+    let mut escaped = false;
+    for (index, byte) in text.iter().enumerate() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' => escaped = true,
+            b'"' => return Some(&text[..index]),
+            _ => {}
+        }
+    }
+    None
+}
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -53,10 +53,13 @@
   2: required i64 amount
 }
 
+// Moves tokens to the recipient. `spent` is the amount that the recipient reports to the platform
+// instead of the sender.
 struct WireTransfer {
   1: required i64 sequence
   2: required string budget
   3: required i64 amount
+  4: required i64 spent
 }
 
 struct WireTransferAck {
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -11,7 +11,7 @@
     WireEnvelope::new(
         WireHolder::new("r1".to_owned(), -7),
         WireHolder::new("r2".to_owned(), i64::MAX),
-        WireBody::Transfer(WireTransfer::new(3, "acme".to_owned(), 5_000)),
+        WireBody::Transfer(WireTransfer::new(3, "acme".to_owned(), 5_000, 120)),
     )
 }
 
