Add the interface of the budget ledger

Cause: the daemon needs the types of the budget ledger before its protocol is complete. Change: add the shard value with the operators' operations, rows, messages, options, policies, transfers, and a ledger that reserves, settles and cancels against its balance. Conclusion: the interface can be built upon; behaviour follows.

--- /dev/null
+++ b/crates/core/src/budget/mod.rs
@@ -0,0 +1,26 @@
+//! Prepaid token budgets: ledger shards at the platform and the local ledger of an instance.
+//!
+//! A grant transfers ownership of tokens and is not a lease, so spend stays within the paid amount
+//! without any clock, lease or instance list. See `docs/budgets.md`.
+
+mod forecast;
+mod ledger;
+mod message;
+mod options;
+mod policy;
+mod row;
+mod shard;
+mod snapshot;
+mod transfer;
+
+pub use forecast::BurnForecast;
+pub use ledger::{BudgetKey, BudgetLedger, ReservationKey, ReserveError, SettleError, Settlement};
+pub use message::{BudgetMessage, DomainPeer, LedgerEffect, LedgerEvent};
+pub use options::{BudgetWeight, LedgerOptions, LedgerRule};
+pub use policy::DrawPolicy;
+pub use row::{FoldedRows, HolderRow};
+pub use shard::{
+    BudgetEntry, BudgetTotals, OperationKind, OperationRecord, ShardError, ShardNumber, ShardValue,
+};
+pub use snapshot::{AccountSnapshot, LedgerSnapshot, TransferSnapshot};
+pub use transfer::TransferTable;
--- /dev/null
+++ b/crates/core/src/budget/options.rs
@@ -0,0 +1,126 @@
+//! Settings of the budget ledger.
+
+use std::time::Duration;
+
+use crate::{
+    base::{DomainName, EnvironmentName},
+    budget::DrawPolicy,
+};
+
+/// Tells which of the two budget metrics matters more. It never weakens the paid limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum BudgetWeight {
+    /// Hold more tokens, so that fewer requests are refused falsely.
+    #[default]
+    FalseRefusals,
+    /// Hold fewer tokens, so that less is lost with a failed instance.
+    HeldMoney,
+}
+
+/// Selects a rule set. All but [`LedgerRule::Sound`] are wrong on purpose and exist only so that
+/// the model check can show that it finds the fault.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum LedgerRule {
+    /// The rules of the design.
+    #[default]
+    Sound,
+    /// Adds a drawn amount to the balance before the write is confirmed.
+    SpendUnconfirmed,
+    /// Applies a repeated transfer again.
+    ApplyTransferTwice,
+    /// Gives up a write whose answer was lost while an attempt may still arrive.
+    ForgetLostWrite,
+    /// Reclaims a transfer that was not acknowledged.
+    ReclaimTransfer,
+    /// Accepts transfers to an earlier incarnation.
+    AcceptOldIncarnation,
+}
+
+/// Configures a [`BudgetLedger`](crate::budget::BudgetLedger).
+#[derive(Clone, Debug, PartialEq)]
+pub struct LedgerOptions {
+    /// The environment, part of the key of a shard object.
+    pub environment: EnvironmentName,
+    /// The number of ledger shards of the environment.
+    pub shards: u32,
+    /// The failure domain of this instance.
+    pub domain: DomainName,
+    /// The number of failure domains.
+    pub domains: u32,
+    /// How the amount of a draw is chosen.
+    pub policy: DrawPolicy,
+    /// Which budget metric matters more.
+    pub weight: BudgetWeight,
+    /// The time for which the balance of a shard owner should last.
+    pub horizon: Duration,
+    /// The time for which the balance of an instance that borrows should last.
+    pub borrow_horizon: Duration,
+    /// The additional time that held tokens should last when the platform is away.
+    pub outage_reserve: Duration,
+    /// The largest part of the reachable tokens that one holder targets, before division by the
+    /// number of domains.
+    pub hold_cap: f64,
+    /// How long a request that does not fit waits; the daemon enforces it.
+    pub end_wait: Duration,
+    /// The most reads of an instance, in reads per second. Zero stands for no limit.
+    pub read_rate: f64,
+    /// The least time between writes of one shard.
+    pub flush_period: Duration,
+    /// The least time between writes of one shard while a request waits.
+    pub urgent_period: Duration,
+    /// The time after which spent tokens are reported without a draw.
+    pub idle_flush: Duration,
+    /// The time for which a surplus is kept before it is returned.
+    pub idle_return: Duration,
+    /// The age up to which a shard value is used for a write without a new read.
+    pub cache_age: Duration,
+    /// The least time between reads of a shard whose budget is exhausted.
+    pub reread_period: Duration,
+    /// The time after which an instance stops waiting for the shard owner.
+    pub borrow_timeout: Duration,
+    /// The time after which a transfer is sent again; doubles up to `resend_max`.
+    pub resend_first: Duration,
+    /// The longest time between two sendings of a transfer.
+    pub resend_max: Duration,
+    /// The time after which the platform is tried again; doubles up to `platform_retry_max`.
+    pub platform_retry: Duration,
+    /// The longest time between two attempts at a platform that is away.
+    pub platform_retry_max: Duration,
+    /// The time after which an unanswered platform call counts as lost.
+    pub call_timeout: Duration,
+    /// The rule set; anything but the default is for tests of the model check.
+    pub rule: LedgerRule,
+}
+
+impl Default for LedgerOptions {
+    fn default() -> Self {
+        Self {
+            environment: EnvironmentName::new("trial"),
+            shards: 8,
+            domain: DomainName::new("a"),
+            domains: 1,
+            policy: DrawPolicy::Predictive,
+            weight: BudgetWeight::FalseRefusals,
+            horizon: Duration::from_secs(60),
+            borrow_horizon: Duration::from_secs(10),
+            outage_reserve: Duration::from_secs(3_900),
+            hold_cap: 1.0,
+            end_wait: Duration::from_millis(250),
+            read_rate: 5.0,
+            flush_period: Duration::from_secs(1),
+            urgent_period: Duration::from_millis(50),
+            idle_flush: Duration::from_secs(1_200),
+            idle_return: Duration::from_secs(60),
+            cache_age: Duration::from_secs(1),
+            reread_period: Duration::from_secs(1),
+            borrow_timeout: Duration::from_millis(60),
+            resend_first: Duration::from_millis(200),
+            resend_max: Duration::from_secs(30),
+            platform_retry: Duration::from_millis(500),
+            platform_retry_max: Duration::from_secs(5),
+            call_timeout: Duration::from_secs(10),
+            rule: LedgerRule::Sound,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/row.rs
@@ -0,0 +1,71 @@
+//! Rows of a budget entry: what one holder was granted, returned and spent.
+
+use serde::{Deserialize, Serialize};
+
+use crate::base::{HolderId, TokenCount};
+
+/// Holds the cumulative counters of one holder for one budget, in tokens.
+///
+/// Only the holder changes its row. An operator may seal it; a sealed row is never written again.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct HolderRow {
+    /// The process that owns the row.
+    pub holder: HolderId,
+    /// Counts the rows of this holder; rises after the row was sealed or closed.
+    pub generation: u32,
+    /// Rises with every different content of the row, so that a lost write answer can be resolved.
+    pub sequence: u64,
+    /// The tokens that the holder drew.
+    pub granted: TokenCount,
+    /// The tokens that the holder gave back.
+    pub returned: TokenCount,
+    /// The tokens that the holder reported as spent.
+    pub spent: TokenCount,
+    /// Whether an operator closed the row.
+    pub sealed: bool,
+}
+
+impl HolderRow {
+    /// Creates an empty row that was never written.
+    #[must_use]
+    pub const fn empty(holder: HolderId, generation: u32) -> Self {
+        Self {
+            holder,
+            generation,
+            sequence: 0,
+            granted: TokenCount::ZERO,
+            returned: TokenCount::ZERO,
+            spent: TokenCount::ZERO,
+            sealed: false,
+        }
+    }
+
+    /// Returns the tokens of this row that are neither returned nor spent, or zero if the holder
+    /// spent or returned borrowed tokens as well.
+    #[must_use]
+    pub const fn remainder(&self) -> TokenCount {
+        self.granted
+            .saturating_sub(self.returned)
+            .saturating_sub(self.spent)
+    }
+}
+
+/// Aggregates the rows of closed holders, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FoldedRows {
+    /// The tokens that the closed holders drew.
+    pub granted: TokenCount,
+    /// The tokens that the closed holders gave back.
+    pub returned: TokenCount,
+    /// The tokens that the closed holders reported as spent.
+    pub spent: TokenCount,
+}
+
+impl FoldedRows {
+    /// Adds the counters of a row that will not be written again.
+    pub fn add(&mut self, row: &HolderRow) {
+        self.granted = self.granted.saturating_add(row.granted);
+        self.returned = self.returned.saturating_add(row.returned);
+        self.spent = self.spent.saturating_add(row.spent);
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/shard.rs
@@ -0,0 +1,335 @@
+//! Ledger shard: the object at the platform that stores the entries of several budgets.
+
+use std::{collections::BTreeMap, fmt};
+
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, Snafu};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    base::{BudgetName, EnvironmentName, HolderId, TokenCount},
+    budget::{FoldedRows, HolderRow},
+};
+
+/// Number of operation ids that an entry keeps, besides those of initial amounts.
+const MAX_OPERATIONS: usize = 64;
+
+/// Prefix of the operation ids of initial amounts. They are never removed, because a configuration
+/// change may apply the initial amount of a budget again at any time.
+const INITIAL_PREFIX: &str = "initial/";
+
+/// Identifies a ledger shard of an environment.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ShardNumber(pub u32);
+
+impl ShardNumber {
+    /// Returns the shard of a budget, for a ledger of `shards` shards.
+    ///
+    /// The number of shards of an environment cannot change once budgets have entries.
+    #[must_use]
+    pub fn of_budget(budget: &BudgetName, shards: u32) -> Self {
+        let hash = xxh3_64(budget.as_bytes());
+        Self((hash % u64::from(shards.max(1))) as u32)
+    }
+
+    /// Returns the key of the shard object at the platform.
+    #[must_use]
+    pub fn object_key(self, environment: &EnvironmentName) -> String {
+        format!("ledger/{environment}/{self}")
+    }
+}
+
+impl fmt::Display for ShardNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+/// Lists the reasons why an operation on a shard fails.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ShardError {
+    /// The budget has no entry.
+    #[snafu(display("budget {budget} has no entry in its ledger shard"))]
+    UnknownBudget {
+        /// The budget that was named.
+        budget: BudgetName,
+    },
+    /// The holder has no open row.
+    #[snafu(display("holder {holder} has no open row for budget {budget}"))]
+    UnknownHolder {
+        /// The budget that was named.
+        budget: BudgetName,
+        /// The holder that was named.
+        holder: HolderId,
+    },
+    /// The paid amount would exceed the largest token count.
+    #[snafu(display("paid amount of budget {budget} would overflow"))]
+    Overflow {
+        /// The budget that was named.
+        budget: BudgetName,
+    },
+    /// The operation id was used for an operation with another amount or of another kind.
+    #[snafu(display("operation id {operation_id:?} was used for another operation"))]
+    OperationReused {
+        /// The operation id.
+        operation_id: String,
+    },
+}
+
+/// Records an operation, so that its repetition is recognised.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct OperationRecord {
+    /// The id that the operator chose.
+    pub id: String,
+    /// What was done.
+    pub kind: OperationKind,
+    /// The tokens that were paid or written off.
+    pub amount: TokenCount,
+}
+
+/// Lists the kinds of operations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OperationKind {
+    /// A payment.
+    TopUp,
+    /// A row was sealed.
+    Release,
+    /// A row was sealed and its remainder was paid again.
+    ReleaseWithCredit,
+}
+
+/// Describes the state of one budget, in tokens. `paid = spent + held + available` always holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BudgetTotals {
+    /// The sum of payments.
+    pub paid: TokenCount,
+    /// The tokens reported as spent.
+    pub spent: TokenCount,
+    /// The tokens that holders own, or spent without having reported it yet.
+    pub held: TokenCount,
+    /// The tokens that can be drawn.
+    pub available: TokenCount,
+    /// The part of `held` that an operator gave up.
+    pub written_off: TokenCount,
+}
+
+/// Stores the payments and rows of one budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BudgetEntry {
+    /// The sum of payments, in tokens.
+    pub paid: TokenCount,
+    /// The recent operations, oldest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub operations: Vec<OperationRecord>,
+    /// The sum of the rows of closed holders.
+    #[serde(default)]
+    pub folded: FoldedRows,
+    /// The rows of holders that are not closed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rows: Vec<HolderRow>,
+    /// The sum of the remainders of sealed rows when they were sealed, in tokens.
+    #[serde(default)]
+    pub written_off: TokenCount,
+}
+
+impl BudgetEntry {
+    /// Returns the totals over all rows.
+    #[must_use]
+    pub fn totals(&self) -> BudgetTotals {
+        let mut sum = self.folded;
+        self.rows.iter().for_each(|row| sum.add(row));
+        let unavailable = sum.granted.saturating_sub(sum.returned);
+        let held = unavailable.saturating_sub(sum.spent);
+        BudgetTotals {
+            paid: self.paid,
+            spent: sum.spent,
+            held,
+            available: self.paid.saturating_sub(unavailable),
+            written_off: self.written_off.min(held),
+        }
+    }
+
+    /// Returns the row of a holder with the given generation.
+    #[must_use]
+    pub fn row(&self, holder: &HolderId, generation: u32) -> Option<&HolderRow> {
+        self.rows
+            .iter()
+            .find(|row| row.generation == generation && row.holder == *holder)
+    }
+
+    /// Adds the row, or replaces the row of the same holder and generation.
+    pub fn put_row(&mut self, row: HolderRow) {
+        let place = self
+            .rows
+            .iter_mut()
+            .find(|other| other.generation == row.generation && other.holder == row.holder);
+        match place {
+            Some(place) => *place = row,
+            None => self.rows.push(row),
+        }
+    }
+
+    /// Adds the counters of the row to the folded rows and removes its entry.
+    pub fn close_row(&mut self, row: &HolderRow) {
+        self.folded.add(row);
+        self.rows
+            .retain(|other| other.generation != row.generation || other.holder != row.holder);
+    }
+
+    fn find_operation(
+        &self,
+        id: &str,
+        kind: OperationKind,
+    ) -> Result<Option<TokenCount>, ShardError> {
+        match self.operations.iter().find(|record| record.id == id) {
+            Some(record) if record.kind == kind => Ok(Some(record.amount)),
+            Some(_) => OperationReusedSnafu { operation_id: id }.fail(),
+            None => Ok(None),
+        }
+    }
+
+    fn record_operation(&mut self, id: &str, kind: OperationKind, amount: TokenCount) {
+        self.operations.push(OperationRecord {
+            id: id.to_owned(),
+            kind,
+            amount,
+        });
+        let is_removable = |record: &OperationRecord| !record.id.starts_with(INITIAL_PREFIX);
+        let recent = self.operations.iter().filter(|r| is_removable(r)).count();
+        if recent > MAX_OPERATIONS
+            && let Some(oldest) = self.operations.iter().position(is_removable)
+        {
+            self.operations.remove(oldest);
+        }
+    }
+}
+
+/// Stores the entries of the budgets of one shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ShardValue {
+    /// The entries by budget.
+    pub budgets: BTreeMap<BudgetName, BudgetEntry>,
+}
+
+impl ShardValue {
+    /// Adds a payment of `amount` tokens, once per `operation_id`. Returns whether the value
+    /// changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ShardError::Overflow`] if the paid amount is too large, and
+    /// [`ShardError::OperationReused`] if the id stands for another operation.
+    pub fn top_up(
+        &mut self,
+        budget: &BudgetName,
+        amount: TokenCount,
+        operation_id: &str,
+    ) -> Result<bool, ShardError> {
+        let entry = self.budgets.entry(budget.clone()).or_default();
+        match entry.find_operation(operation_id, OperationKind::TopUp)? {
+            Some(earlier) if earlier == amount => return Ok(false),
+            Some(_) => return OperationReusedSnafu { operation_id }.fail(),
+            None => {}
+        }
+        entry.paid = entry.paid.checked_add(amount).context(OverflowSnafu {
+            budget: budget.clone(),
+        })?;
+        entry.record_operation(operation_id, OperationKind::TopUp, amount);
+        Ok(true)
+    }
+
+    /// Adds the initial amount of a budget once. A later call with any amount changes nothing.
+    /// Returns whether the value changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ShardError::Overflow`] if the paid amount is too large.
+    pub fn set_initial_paid(
+        &mut self,
+        budget: &BudgetName,
+        amount: TokenCount,
+    ) -> Result<bool, ShardError> {
+        let operation_id = format!("{INITIAL_PREFIX}{budget}");
+        match self.top_up(budget, amount, &operation_id) {
+            Err(ShardError::OperationReused { .. }) => Ok(false),
+            result => result,
+        }
+    }
+
+    /// Seals the rows of a holder, once per `operation_id`, and labels their remainder as written
+    /// off. With `credit` the same amount is paid again. Returns the amount in tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ShardError::UnknownBudget`], [`ShardError::UnknownHolder`],
+    /// [`ShardError::Overflow`] or [`ShardError::OperationReused`].
+    pub fn release(
+        &mut self,
+        budget: &BudgetName,
+        holder: &HolderId,
+        operation_id: &str,
+        credit: bool,
+    ) -> Result<TokenCount, ShardError> {
+        let kind = match credit {
+            true => OperationKind::ReleaseWithCredit,
+            false => OperationKind::Release,
+        };
+        let entry = self.budgets.get_mut(budget).context(UnknownBudgetSnafu {
+            budget: budget.clone(),
+        })?;
+        if let Some(amount) = entry.find_operation(operation_id, kind)? {
+            return Ok(amount);
+        }
+        let is_open = |row: &HolderRow| row.holder == *holder && !row.sealed;
+        if !entry.rows.iter().any(is_open) {
+            return UnknownHolderSnafu {
+                budget: budget.clone(),
+                holder: holder.clone(),
+            }
+            .fail();
+        }
+        let rows = entry.rows.iter().filter(|row| is_open(row));
+        let remainder: TokenCount = rows.map(HolderRow::remainder).sum();
+        // A lender's remainder includes tokens that others hold or have spent already.
+        let totals = entry.totals();
+        let amount = remainder.min(totals.held.saturating_sub(totals.written_off));
+        if credit {
+            entry.paid = entry.paid.checked_add(amount).context(OverflowSnafu {
+                budget: budget.clone(),
+            })?;
+        }
+        for row in entry.rows.iter_mut().filter(|row| is_open(row)) {
+            row.sealed = true;
+        }
+        entry.written_off = totals.written_off.saturating_add(amount);
+        entry.record_operation(operation_id, kind, amount);
+        Ok(amount)
+    }
+
+    /// Adds the sealed rows of a holder to the folded rows, which shortens the object. Returns
+    /// whether the value changed.
+    ///
+    /// If the holder is alive after all, it gives up a draw whose result it does not know.
+    pub fn fold_sealed(&mut self, budget: &BudgetName, holder: &HolderId) -> bool {
+        let Some(entry) = self.budgets.get_mut(budget) else {
+            return false;
+        };
+        let is_sealed = |row: &&HolderRow| row.holder == *holder && row.sealed;
+        let rows: Vec<HolderRow> = entry.rows.iter().filter(is_sealed).cloned().collect();
+        rows.iter().for_each(|row| entry.close_row(row));
+        !rows.is_empty()
+    }
+
+    /// Returns the totals of a budget; they are zero if the budget has no entry.
+    #[must_use]
+    pub fn totals(&self, budget: &BudgetName) -> BudgetTotals {
+        self.budgets
+            .get(budget)
+            .map(BudgetEntry::totals)
+            .unwrap_or_default()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,4 +5,5 @@
 //! same code serves production, fault tests, model checking and measurement.
 
 pub mod base;
+pub mod budget;
 pub mod error;
