Add the object API client and the platform stand-in

Cause: the daemon needs a client of the platform's object API and something to run against.

Change: HttpStore implements ObjectStore over reqwest. A write without an answer is Unknown; a refused connection and 503 are Unavailable, because they prove that nothing was written. The platform stand-in serves versioned objects, conditional update and delete, watch as long poll, list and the instance list over axum, with the rate limit, 1 MB values and call counts. Its listener can refuse connections and cut open ones, so faults below HTTP are real. Versions come from one counter, so that a recreated object never repeats a version.

Conclusion: the daemon can be built on the client and the stand-in.

--- /dev/null
+++ b/crates/platform/src/client/mod.rs
@@ -0,0 +1,264 @@
+//! HTTP client of the object API.
+
+mod answer;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use reqwest::{Client, RequestBuilder, Response, StatusCode, Url, redirect::Policy};
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    client::answer::{ConflictAnswer, InstancesAnswer, ListAnswer, ObjectAnswer, VersionAnswer},
+    store::{InstanceEntry, MAX_VALUE_BYTES, ObjectStore, Result, StoreError, VersionedValue},
+};
+
+/// Configures the client of the object API.
+#[derive(Clone, Debug)]
+pub struct ClientOptions {
+    /// The base address, such as `http://127.0.0.1:7000`.
+    pub address: String,
+    /// The longest time for opening a connection.
+    pub connect_timeout: Duration,
+    /// The longest time from sending a call to the end of its answer; a watch adds its own wait.
+    pub call_timeout: Duration,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self {
+            address: "http://127.0.0.1:7000".to_owned(),
+            connect_timeout: Duration::from_millis(500),
+            call_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Reports that the client cannot be set up.
+#[derive(Debug, Snafu)]
+pub enum ClientError {
+    /// The base address is not an `http` URL.
+    #[snafu(display("platform address {address:?} is not an http URL"))]
+    Address {
+        /// The address as configured.
+        address: String,
+    },
+    /// The HTTP client cannot be built.
+    #[snafu(display("HTTP client of the platform cannot be built"))]
+    Build {
+        /// The cause.
+        source: reqwest::Error,
+    },
+}
+
+/// Implements [`ObjectStore`] over HTTP; clones share one connection pool.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    client: Client,
+    base: Url,
+    call_timeout: Duration,
+}
+
+impl HttpStore {
+    /// Creates a client; no connection is opened yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the address is not an `http` URL or the HTTP client cannot be
+    /// built.
+    pub fn new(options: &ClientOptions) -> Result<Self, ClientError> {
+        let base = parse_base(&options.address)?;
+        let client = Client::builder()
+            .connect_timeout(options.connect_timeout)
+            .redirect(Policy::none())
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()
+            .context(BuildSnafu)?;
+        Ok(Self {
+            client,
+            base,
+            call_timeout: options.call_timeout,
+        })
+    }
+
+    /// Returns the URL of an API path, with every segment of `key` and the query escaped.
+    fn build_url(&self, path: &str, key: &str, query: &[(&str, &str)]) -> Url {
+        let mut url = self.base.clone();
+        if let Ok(mut segments) = url.path_segments_mut() {
+            segments.pop_if_empty().push("v1").push(path);
+            if !key.is_empty() {
+                segments.extend(key.split('/'));
+            }
+        }
+        if !query.is_empty() {
+            url.query_pairs_mut().extend_pairs(query);
+        }
+        url
+    }
+
+    /// Sends a read. Whatever goes wrong, nothing was changed, so the error is `Unavailable`.
+    async fn send_read(&self, request: RequestBuilder, timeout: Duration) -> Result<Response> {
+        request
+            .timeout(timeout)
+            .send()
+            .await
+            .map_err(|error| unavailable(describe(&error)))
+    }
+
+    /// Sends a write. Only a failure to connect proves that the write was not carried out.
+    async fn send_write(&self, request: RequestBuilder, key: &str) -> Result<Response> {
+        let result = request.timeout(self.call_timeout).send().await;
+        let response = result.map_err(|error| match error.is_connect() {
+            true => unavailable(describe(&error)),
+            false => unknown(key, describe(&error)),
+        })?;
+        match response.status() {
+            status if status.is_success() => Ok(response),
+            StatusCode::NOT_FOUND => Err(not_found(key)),
+            StatusCode::CONFLICT => Err(read_conflict(response, key).await),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
+            StatusCode::SERVICE_UNAVAILABLE => Err(unavailable("answer 503".to_owned())),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge {
+                key: key.to_owned(),
+                bytes: MAX_VALUE_BYTES + 1,
+            }),
+            status => Err(unknown(key, format!("answer {status}"))),
+        }
+    }
+}
+
+impl ObjectStore for HttpStore {
+    async fn get(&self, key: &str) -> Result<VersionedValue> {
+        let request = self.client.get(self.build_url("objects", key, &[]));
+        let response = self.send_read(request, self.call_timeout).await?;
+        match response.status() {
+            StatusCode::OK => Ok(read_json::<ObjectAnswer>(response).await?.into()),
+            StatusCode::NOT_FOUND => Err(not_found(key)),
+            status => Err(map_read_status(status)),
+        }
+    }
+
+    async fn put(&self, key: &str, expected_version: u64, value: Bytes) -> Result<u64> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(StoreError::TooLarge {
+                key: key.to_owned(),
+                bytes: value.len(),
+            });
+        }
+        let version = expected_version.to_string();
+        let request = self
+            .client
+            .put(self.build_url("objects", key, &[("if_version", &version)]))
+            .header("content-type", "application/json")
+            .body(value);
+        let response = self.send_write(request, key).await?;
+        match response.json::<VersionAnswer>().await {
+            Ok(answer) => Ok(answer.version),
+            Err(error) => Err(unknown(key, describe(&error))),
+        }
+    }
+
+    async fn delete(&self, key: &str, expected_version: u64) -> Result<()> {
+        let version = expected_version.to_string();
+        let url = self.build_url("objects", key, &[("if_version", &version)]);
+        let request = self.client.delete(url);
+        self.send_write(request, key).await.map(|_| ())
+    }
+
+    async fn list(&self, prefix: &str, after: &str) -> Result<Vec<(String, u64)>> {
+        let url = self.build_url("list", "", &[("prefix", prefix), ("after", after)]);
+        let request = self.client.get(url);
+        let response = self.send_read(request, self.call_timeout).await?;
+        match response.status() {
+            StatusCode::OK => Ok(read_json::<ListAnswer>(response).await?.into()),
+            status => Err(map_read_status(status)),
+        }
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after_version: u64,
+        timeout: Duration,
+    ) -> Result<Option<VersionedValue>> {
+        let wait_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        let (after, wait) = (after_version.to_string(), wait_ms.to_string());
+        let query = [("after", after.as_str()), ("timeout_ms", wait.as_str())];
+        let request = self.client.get(self.build_url("watch", key, &query));
+        let limit = timeout.saturating_add(self.call_timeout);
+        let response = self.send_read(request, limit).await?;
+        match response.status() {
+            StatusCode::OK => Ok(Some(read_json::<ObjectAnswer>(response).await?.into())),
+            StatusCode::NO_CONTENT => Ok(None),
+            status => Err(map_read_status(status)),
+        }
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceEntry>> {
+        let request = self.client.get(self.build_url("instances", "", &[]));
+        let response = self.send_read(request, self.call_timeout).await?;
+        match response.status() {
+            StatusCode::OK => Ok(read_json::<InstancesAnswer>(response).await?.instances),
+            status => Err(map_read_status(status)),
+        }
+    }
+}
+
+fn parse_base(address: &str) -> Result<Url, ClientError> {
+    match Url::parse(address) {
+        Ok(url) if url.scheme() == "http" && !url.cannot_be_a_base() => Ok(url),
+        _ => Err(ClientError::Address {
+            address: address.to_owned(),
+        }),
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(response: Response) -> Result<T> {
+    let result = response.json().await;
+    result.map_err(|error| unavailable(describe(&error)))
+}
+
+async fn read_conflict(response: Response, key: &str) -> StoreError {
+    // The status alone proves that the write was refused, so a lost body is no reason for
+    // `Unknown`; the version is a hint and a reader fetches the object anyway.
+    let answer = response.json::<ConflictAnswer>().await.unwrap_or_default();
+    StoreError::Conflict {
+        key: key.to_owned(),
+        current: answer.version,
+    }
+}
+
+fn map_read_status(status: StatusCode) -> StoreError {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => StoreError::RateLimited,
+        status => unavailable(format!("answer {status}")),
+    }
+}
+
+fn not_found(key: &str) -> StoreError {
+    StoreError::NotFound {
+        key: key.to_owned(),
+    }
+}
+
+fn unavailable(reason: String) -> StoreError {
+    StoreError::Unavailable { reason }
+}
+
+fn unknown(key: &str, reason: String) -> StoreError {
+    StoreError::Unknown {
+        key: key.to_owned(),
+        reason,
+    }
+}
+
+/// Returns the innermost cause, because the outer texts of the HTTP client name only the URL.
+fn describe(error: &reqwest::Error) -> String {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/standin/src/connection/stream.rs
@@ -0,0 +1,105 @@
+//! TCP stream that can be cut at any moment.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use axum::{extract::connect_info::Connected, serve::IncomingStream};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+
+use crate::connection::GateListener;
+
+/// Carries a connection until it is cut.
+pub struct CutStream {
+    inner: TcpStream,
+    token: CancellationToken,
+    cut: Pin<Box<WaitForCancellationFutureOwned>>,
+}
+
+impl CutStream {
+    pub(crate) fn new(inner: TcpStream, token: CancellationToken) -> Self {
+        let cut = Box::pin(token.clone().cancelled_owned());
+        Self { inner, token, cut }
+    }
+
+    /// Fails once the connection was cut, and registers the task to be woken by the cut.
+    fn check_cut(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        match self.token.is_cancelled() || self.cut.as_mut().poll(context).is_ready() {
+            true => Err(io::ErrorKind::ConnectionReset.into()),
+            false => Ok(()),
+        }
+    }
+}
+
+impl AsyncRead for CutStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.check_cut(context)?;
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CutStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.check_cut(context)?;
+        Pin::new(&mut self.inner).poll_write(context, buffer)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check_cut(context)?;
+        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check_cut(context)?;
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
+
+/// Cuts the connection of the request that it was extracted from.
+#[derive(Clone, Debug)]
+pub struct StreamCutter(CancellationToken);
+
+impl StreamCutter {
+    /// Cuts the connection and never returns; the handler ends with its connection.
+    pub async fn cut(&self) -> ! {
+        self.0.cancel();
+        std::future::pending().await
+    }
+
+    /// Cuts the connection and returns, for use inside a response body.
+    pub fn cut_now(&self) {
+        self.0.cancel();
+    }
+}
+
+impl Connected<IncomingStream<'_, GateListener>> for StreamCutter {
+    fn connect_info(stream: IncomingStream<'_, GateListener>) -> Self {
+        Self(stream.io().token.clone())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/state.rs
@@ -0,0 +1,201 @@
+//! Objects, limits and counts of the platform stand-in.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cornelarch_platform::{InstanceEntry, VersionedValue, store::MAX_VALUE_BYTES};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::platform::{PlatformFaults, PlatformOptions};
+
+/// Largest number of keys in one answer to a list call.
+const LIST_KEYS: usize = 1_000;
+
+/// Counts the calls since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallCounts {
+    /// Reads, lists and instance lists that were served.
+    pub reads: u64,
+    /// Writes that reached the objects, whether or not the version matched.
+    pub writes: u64,
+    /// Writes refused because the version did not match.
+    pub conflicts: u64,
+    /// Watches that were opened; each one counts as one call against the read rate.
+    pub watches: u64,
+    /// Watches that are waiting now.
+    pub watches_open: u64,
+    /// Calls refused because of the rate limit.
+    pub rate_limited: u64,
+    /// Calls refused because of an outage.
+    pub outage_refused: u64,
+}
+
+/// Describes a write as the API received it; no value means a deletion.
+#[derive(Clone, Debug)]
+pub(crate) struct WriteCall {
+    pub(crate) key: String,
+    pub(crate) expected_version: u64,
+    pub(crate) value: Option<Bytes>,
+}
+
+/// Tells how a write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WriteOutcome {
+    Done(u64),
+    Conflict(u64),
+    NotFound,
+    TooLarge,
+}
+
+/// Distinguishes the two rates of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallKind {
+    Read,
+    Write,
+}
+
+/// Holds everything that the platform stand-in stores.
+#[derive(Debug)]
+pub(crate) struct PlatformState {
+    pub(crate) faults: PlatformFaults,
+    pub(crate) counts: CallCounts,
+    pub(crate) held: VecDeque<WriteCall>,
+    objects: BTreeMap<String, VersionedValue>,
+    revision: u64,
+    reads: RateBucket,
+    writes: RateBucket,
+    visible: Vec<InstanceEntry>,
+    pending: VecDeque<(Instant, Vec<InstanceEntry>)>,
+}
+
+impl PlatformState {
+    pub(crate) fn new(options: &PlatformOptions) -> Self {
+        Self {
+            faults: PlatformFaults::default(),
+            counts: CallCounts::default(),
+            held: VecDeque::new(),
+            objects: BTreeMap::new(),
+            revision: 0,
+            reads: RateBucket::new(options.reads_per_s),
+            writes: RateBucket::new(options.writes_per_s),
+            visible: Vec::new(),
+            pending: VecDeque::new(),
+        }
+    }
+
+    /// Takes one call from the rate of `kind`; returns whether it may run.
+    pub(crate) fn admit(&mut self, kind: CallKind) -> bool {
+        let bucket = match kind {
+            CallKind::Read => &mut self.reads,
+            CallKind::Write => &mut self.writes,
+        };
+        let admitted = bucket.take(Instant::now());
+        if !admitted {
+            self.counts.rate_limited += 1;
+        }
+        admitted
+    }
+
+    pub(crate) fn get(&self, key: &str) -> Option<VersionedValue> {
+        self.objects.get(key).cloned()
+    }
+
+    /// Carries out a conditional write.
+    ///
+    /// Versions come from one counter for all objects, so that a deleted and recreated object
+    /// never repeats a version.
+    pub(crate) fn write(&mut self, call: WriteCall) -> WriteOutcome {
+        self.counts.writes += 1;
+        let current = self.objects.get(&call.key).map_or(0, |value| value.version);
+        if call
+            .value
+            .as_ref()
+            .is_some_and(|value| value.len() > MAX_VALUE_BYTES)
+        {
+            return WriteOutcome::TooLarge;
+        }
+        if call.value.is_none() && current == 0 {
+            return WriteOutcome::NotFound;
+        }
+        if current != call.expected_version {
+            self.counts.conflicts += 1;
+            return WriteOutcome::Conflict(current);
+        }
+        self.revision += 1;
+        let version = self.revision;
+        match call.value {
+            Some(value) => {
+                let value = VersionedValue { version, value };
+                self.objects.insert(call.key, value);
+            }
+            None => {
+                self.objects.remove(&call.key);
+            }
+        }
+        WriteOutcome::Done(version)
+    }
+
+    pub(crate) fn list(&self, prefix: &str, after: &str) -> Vec<(String, u64)> {
+        let from = prefix.max(after).to_owned();
+        self.objects
+            .range(from..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .take(LIST_KEYS)
+            .map(|(key, value)| (key.clone(), value.version))
+            .collect()
+    }
+
+    /// Replaces the instance list after the lag that is in force.
+    pub(crate) fn set_instances(&mut self, entries: Vec<InstanceEntry>) {
+        let lag = Duration::from_millis(self.faults.instance_lag_ms);
+        self.pending.push_back((Instant::now() + lag, entries));
+    }
+
+    pub(crate) fn instances(&mut self) -> Vec<InstanceEntry> {
+        let now = Instant::now();
+        while self.pending.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, entries)) = self.pending.pop_front() {
+                self.visible = entries;
+            }
+        }
+        self.visible.clone()
+    }
+}
+
+/// Limits a rate with a burst of one second's worth; a rate of 0 means no limit.
+#[derive(Debug)]
+struct RateBucket {
+    per_s: f64,
+    level: f64,
+    filled: Instant,
+}
+
+impl RateBucket {
+    fn new(per_s: u32) -> Self {
+        let per_s = f64::from(per_s);
+        Self {
+            per_s,
+            level: per_s,
+            filled: Instant::now(),
+        }
+    }
+
+    fn take(&mut self, now: Instant) -> bool {
+        if self.per_s == 0.0 {
+            return true;
+        }
+        let gained = now.duration_since(self.filled).as_secs_f64() * self.per_s;
+        self.level = (self.level + gained).min(self.per_s);
+        self.filled = now;
+        let admitted = self.level >= 1.0;
+        if admitted {
+            self.level -= 1.0;
+        }
+        admitted
+    }
+}
