--- /dev/null
+++ b/crates/router/src/process/ledger.rs
@@ -0,0 +1,260 @@
+//! Ledger actor: carries out what the budget ledger wants done.
+//!
+//! The ledger itself stays behind a mutex, because admission and settlement must not wait for an
+//! actor's mailbox.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cornelarch_core::{
+    base::TokenCount,
+    budget::{
+        BudgetKey, BudgetLedger, BudgetMessage, LedgerEffect, LedgerEvent, ShardNumber, ShardValue,
+    },
+};
+use cornelarch_platform::{ObjectStore, StoreError};
+use cornelarch_wire::peer::{
+    WireBody, WireBorrowRequest, WireReturnIdle, WireTransfer, WireTransferAck,
+};
+use kameo::{
+    Actor,
+    actor::ActorRef,
+    message::{Context, Message},
+};
+use parking_lot::{Mutex, MutexGuard};
+use tokio::sync::Notify;
+
+use crate::process::{MetricName, RouterState, log_event};
+
+/// Time between two ticks of the ledger.
+pub(crate) const LEDGER_TICK: Duration = Duration::from_millis(100);
+
+/// Holds the ledger and the requests that wait for tokens.
+#[derive(Debug)]
+pub(crate) struct LedgerCell {
+    ledger: Mutex<BudgetLedger>,
+    waiters: Mutex<HashMap<BudgetKey, Arc<Notify>>>,
+}
+
+impl LedgerCell {
+    /// Wraps a ledger.
+    pub(crate) fn new(ledger: BudgetLedger) -> Self {
+        Self {
+            ledger: Mutex::new(ledger),
+            waiters: Mutex::default(),
+        }
+    }
+
+    /// Locks the ledger; the guard must not be held across an await.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, BudgetLedger> {
+        self.ledger.lock()
+    }
+
+    /// Returns the signal that tokens of a budget have arrived.
+    pub(crate) fn arrival(&self, key: BudgetKey) -> Arc<Notify> {
+        Arc::clone(self.waiters.lock().entry(key).or_default())
+    }
+
+    fn wake(&self, key: BudgetKey) {
+        if let Some(notify) = self.waiters.lock().get(&key) {
+            notify.notify_waiters();
+        }
+    }
+}
+
+/// Carries out the effects of the ledger.
+#[derive(Actor)]
+pub(crate) struct LedgerActor {
+    state: Arc<RouterState>,
+    platform_up: bool,
+}
+
+impl LedgerActor {
+    /// Creates the actor of a router.
+    pub(crate) fn new(state: Arc<RouterState>) -> Self {
+        Self {
+            state,
+            platform_up: true,
+        }
+    }
+
+    fn apply(&mut self, event: LedgerEvent, actor: &ActorRef<Self>) {
+        self.note_platform(&event);
+        let now = self.state.clock.now();
+        let effects = self.state.ledger.lock().handle(event, now);
+        for effect in effects {
+            self.run_effect(effect, actor);
+        }
+    }
+
+    fn note_platform(&mut self, event: &LedgerEvent) {
+        match event {
+            LedgerEvent::PlatformDown { shard } if self.platform_up => {
+                self.platform_up = false;
+                log_event!(LedgerPlatformDown, "shard {shard}");
+            }
+            LedgerEvent::ShardRead { .. } | LedgerEvent::WriteAccepted { .. }
+                if !self.platform_up =>
+            {
+                self.platform_up = true;
+                log_event!(LedgerPlatformUp);
+            }
+            LedgerEvent::WriteUnknown { shard } => log_event!(LedgerWriteUnknown, "shard {shard}"),
+            _ => {}
+        }
+    }
+
+    fn run_effect(&self, effect: LedgerEffect, actor: &ActorRef<Self>) {
+        let state = Arc::clone(&self.state);
+        match effect {
+            LedgerEffect::ReadShard { shard } => {
+                let actor = actor.clone();
+                self.state.tasks.spawn(async move {
+                    let event = read_shard(&state, shard).await;
+                    // The actor is gone only after the router was closed.
+                    let _ = actor.tell(event).await;
+                });
+            }
+            LedgerEffect::WriteShard {
+                shard,
+                expected_version,
+                value,
+            } => {
+                let actor = actor.clone();
+                self.state.tasks.spawn(async move {
+                    let event = write_shard(&state, shard, expected_version, &value).await;
+                    let _ = actor.tell(event).await;
+                });
+            }
+            LedgerEffect::Send { to, message } => state.send_to(&to, encode_message(message)),
+            LedgerEffect::Wake { budget } => state.ledger.wake(budget),
+        }
+    }
+}
+
+impl Message<LedgerEvent> for LedgerActor {
+    type Reply = ();
+
+    async fn handle(&mut self, event: LedgerEvent, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.apply(event, &actor);
+    }
+}
+
+async fn read_shard(state: &RouterState, shard: ShardNumber) -> LedgerEvent {
+    let key = shard.object_key(&state.settings.environment);
+    state.metrics.count(MetricName::PlatformCalls);
+    match state.store.get(&key).await {
+        Ok(object) => match serde_json::from_slice(&object.value) {
+            Ok(value) => LedgerEvent::ShardRead {
+                shard,
+                version: object.version,
+                value,
+            },
+            Err(error) => {
+                log_event!(LedgerRejected, "{key}: {error}");
+                LedgerEvent::PlatformDown { shard }
+            }
+        },
+        Err(StoreError::NotFound { .. }) => LedgerEvent::ShardRead {
+            shard,
+            version: 0,
+            value: ShardValue::default(),
+        },
+        Err(_) => {
+            state.metrics.count(MetricName::PlatformFailures);
+            LedgerEvent::PlatformDown { shard }
+        }
+    }
+}
+
+async fn write_shard(
+    state: &RouterState,
+    shard: ShardNumber,
+    expected_version: u64,
+    value: &ShardValue,
+) -> LedgerEvent {
+    let key = shard.object_key(&state.settings.environment);
+    let bytes = match serde_json::to_vec(value) {
+        Ok(bytes) => Bytes::from(bytes),
+        Err(error) => {
+            log_event!(LedgerRejected, "{key}: {error}");
+            return LedgerEvent::PlatformDown { shard };
+        }
+    };
+    state.metrics.count(MetricName::PlatformCalls);
+    let error = match state.store.put(&key, expected_version, bytes).await {
+        Ok(version) => return LedgerEvent::WriteAccepted { shard, version },
+        Err(error) => error,
+    };
+    match error {
+        StoreError::Conflict { .. } | StoreError::NotFound { .. } => {
+            LedgerEvent::WriteConflict { shard }
+        }
+        StoreError::Unknown { .. } => {
+            state.metrics.count(MetricName::PlatformFailures);
+            LedgerEvent::WriteUnknown { shard }
+        }
+        StoreError::TooLarge { .. } => {
+            log_event!(LedgerRejected, "{error}");
+            LedgerEvent::PlatformDown { shard }
+        }
+        StoreError::Unavailable { .. } | StoreError::RateLimited => {
+            state.metrics.count(MetricName::PlatformFailures);
+            LedgerEvent::PlatformDown { shard }
+        }
+    }
+}
+
+fn encode_message(message: BudgetMessage) -> WireBody {
+    match message {
+        BudgetMessage::BorrowRequest { budget, amount } => WireBody::BorrowRequest(
+            WireBorrowRequest::new(budget.to_string(), amount.get().cast_signed()),
+        ),
+        BudgetMessage::Transfer {
+            sequence,
+            budget,
+            amount,
+            spent,
+        } => WireBody::Transfer(WireTransfer::new(
+            sequence.cast_signed(),
+            budget.to_string(),
+            amount.get().cast_signed(),
+            spent.get().cast_signed(),
+        )),
+        BudgetMessage::TransferAck { sequence } => {
+            WireBody::TransferAck(WireTransferAck::new(sequence.cast_signed()))
+        }
+        BudgetMessage::ReturnIdle { budget } => {
+            WireBody::ReturnIdle(WireReturnIdle::new(budget.to_string()))
+        }
+    }
+}
+
+/// Returns a token amount from a frame; a negative one would become a huge balance.
+fn read_amount(amount: i64) -> Option<TokenCount> {
+    u64::try_from(amount).ok().map(TokenCount::new)
+}
+
+/// Returns the budget message in a frame, if it is a valid one.
+pub(crate) fn decode_message(body: &WireBody) -> Option<BudgetMessage> {
+    Some(match body {
+        WireBody::BorrowRequest(request) => BudgetMessage::BorrowRequest {
+            budget: request.budget.as_str().into(),
+            amount: read_amount(request.amount)?,
+        },
+        WireBody::Transfer(transfer) => BudgetMessage::Transfer {
+            sequence: transfer.sequence.cast_unsigned(),
+            budget: transfer.budget.as_str().into(),
+            amount: read_amount(transfer.amount)?,
+            spent: read_amount(transfer.spent)?,
+        },
+        WireBody::TransferAck(ack) => BudgetMessage::TransferAck {
+            sequence: ack.sequence.cast_unsigned(),
+        },
+        WireBody::ReturnIdle(request) => BudgetMessage::ReturnIdle {
+            budget: request.budget.as_str().into(),
+        },
+        _ => return None,
+    })
+}
