Add the interfaces of routing, limits, retries, blocklist and streams

Cause: the daemon is built at the same time and needs stable types to call.

Change: the public types of `routing`, `limit`, `retry`, `blocklist` and `stream` with a simple working implementation of each: two weighted choices scored by expected time to first token, lagging reports corrected by own work, a deficit round robin queue, gradient limits, retry budgets filled by first attempts, crash reports with counters that only grow, and a stream assembler that drops duplicates and chunks of earlier attempts.

No test covers the modules yet.

--- /dev/null
+++ b/crates/core/src/blocklist/fingerprint.rs
@@ -0,0 +1,79 @@
+//! Fingerprints of requests.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize, de};
+use snafu::Snafu;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::base::CustomerName;
+
+/// Identifies equal requests of one customer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(u128);
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request body for `target`, the model or service name.
+    #[must_use]
+    pub fn compute(customer: &CustomerName, target: &str, body: &[u8]) -> Self {
+        let mut hasher = Xxh3::new();
+        // Lengths separate the fields, so that no two different requests give the same input.
+        for field in [customer.as_str().as_bytes(), target.as_bytes(), body] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        Self(hasher.digest128())
+    }
+
+    /// Creates a fingerprint from its number.
+    #[must_use]
+    pub const fn from_bits(bits: u128) -> Self {
+        Self(bits)
+    }
+
+    /// Returns the fingerprint as a number.
+    #[must_use]
+    pub const fn bits(self) -> u128 {
+        self.0
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+/// Reports a text that is not a fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("fingerprint {text:?} is not a hexadecimal number of 32 digits"))]
+pub struct ParseFingerprintError {
+    text: String,
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseFingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        match u128::from_str_radix(text, 16) {
+            Ok(bits) if is_hex => Ok(Self(bits)),
+            _ => Err(ParseFingerprintError {
+                text: text.to_owned(),
+            }),
+        }
+    }
+}
+
+impl Serialize for Fingerprint {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,4 +5,9 @@
 //! same code serves production, fault tests, model checking and measurement.
 
 pub mod base;
+pub mod blocklist;
 pub mod error;
+pub mod limit;
+pub mod retry;
+pub mod routing;
+pub mod stream;
--- /dev/null
+++ b/crates/core/src/limit/concurrency.rs
@@ -0,0 +1,97 @@
+//! Adaptive limit of requests in flight at one upstream.
+
+use std::time::Duration;
+
+/// Smallest limit, so that a recovered upstream is measured again.
+const DEFAULT_MIN: f64 = 2.0;
+/// Ratio of observed to learnt minimum latency that is tolerated without shrinking.
+const DEFAULT_TOLERANCE: f64 = 2.0;
+/// Weight of one new limit value.
+const SMOOTHING: f64 = 0.1;
+/// Largest shrink of one step.
+const GRADIENT_MIN: f64 = 0.5;
+/// Growth of the learnt minimum per sample, so that it follows a slower upstream.
+const MINIMUM_DRIFT: f64 = 1.001;
+
+/// Configures [`ConcurrencyLimit`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConcurrencyOptions {
+    /// Smallest limit in requests.
+    pub min: f64,
+    /// Largest limit in requests.
+    pub max: f64,
+    /// Ratio of observed to learnt minimum latency that is tolerated without shrinking.
+    pub tolerance: f64,
+}
+
+impl Default for ConcurrencyOptions {
+    fn default() -> Self {
+        Self {
+            min: DEFAULT_MIN,
+            max: 64.0,
+            tolerance: DEFAULT_TOLERANCE,
+        }
+    }
+}
+
+/// Adapts the number of requests in flight at one upstream to its latency.
+///
+/// The limit follows `limit * gradient + sqrt(limit)`, where the gradient is the tolerated
+/// latency divided by the observed latency, between 0.5 and 1.
+#[derive(Clone, Debug)]
+pub struct ConcurrencyLimit {
+    options: ConcurrencyOptions,
+    limit: f64,
+    minimum_s: Option<f64>,
+}
+
+impl ConcurrencyLimit {
+    /// Creates a limit that starts at its maximum.
+    #[must_use]
+    pub fn new(options: ConcurrencyOptions) -> Self {
+        Self {
+            limit: options.max.max(1.0),
+            options,
+            minimum_s: None,
+        }
+    }
+
+    /// Returns the number of requests that may be in flight.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Changes the largest limit.
+    pub fn set_max(&mut self, max: f64) {
+        self.options.max = max.max(1.0);
+        self.limit = self.limit.clamp(self.floor(), self.options.max);
+    }
+
+    /// Records the latency of a request that was sent with `in_flight` requests in flight.
+    pub fn observe(&mut self, latency: Duration, in_flight: u32) {
+        let latency_s = latency.as_secs_f64().max(1e-6);
+        let minimum_s = match self.minimum_s {
+            Some(minimum_s) => (minimum_s * MINIMUM_DRIFT).min(latency_s),
+            None => latency_s,
+        };
+        self.minimum_s = Some(minimum_s);
+        let gradient = (self.options.tolerance * minimum_s / latency_s).clamp(GRADIENT_MIN, 1.0);
+        // Without load the latency tells nothing about a larger limit.
+        if gradient >= 1.0 && f64::from(in_flight) * 2.0 < self.limit {
+            return;
+        }
+        let target = self.limit * gradient + self.limit.sqrt();
+        let limit = self.limit * (1.0 - SMOOTHING) + target * SMOOTHING;
+        self.limit = limit.clamp(self.floor(), self.options.max);
+    }
+
+    /// Records an overload refusal or a timeout, which shrinks the limit at once.
+    pub fn overloaded(&mut self) {
+        self.limit = (self.limit * 0.9).clamp(self.floor(), self.options.max);
+    }
+
+    fn floor(&self) -> f64 {
+        self.options.min.min(self.options.max)
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,9 @@
+//! Retries: which outcomes may be retried, how long to wait, and how many retries are allowed.
+
+mod budget;
+mod outcome;
+mod policy;
+
+pub use budget::{RetryBudget, RetryBudgetOptions};
+pub use outcome::AttemptOutcome;
+pub use policy::{AttemptState, RetryDecision, RetryOptions, RetryPolicy};
--- /dev/null
+++ b/crates/core/src/retry/outcome.rs
@@ -0,0 +1,79 @@
+//! Outcomes of one attempt at an upstream.
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{ErrorKind, RunState};
+
+/// Lists every way in which an attempt at an upstream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AttemptOutcome {
+    /// The complete answer arrived.
+    Answered,
+    /// No connection was established, so nothing was sent.
+    NotReached,
+    /// The upstream refused the request for overload or because it leaves, and did not run it.
+    Refused,
+    /// The connection broke after sending and before the first token.
+    LostBeforeFirst,
+    /// The connection broke, or chunks were missing, after the first token.
+    LostMidStream,
+    /// No answer arrived within the time limit.
+    TimedOut,
+    /// The caller disconnected or the router cancelled the attempt.
+    Cancelled,
+}
+
+impl AttemptOutcome {
+    /// Every outcome.
+    pub const ALL: &'static [Self] = &[
+        Self::Answered,
+        Self::NotReached,
+        Self::Refused,
+        Self::LostBeforeFirst,
+        Self::LostMidStream,
+        Self::TimedOut,
+        Self::Cancelled,
+    ];
+
+    /// Returns what is known about the execution of the request by this attempt.
+    #[must_use]
+    pub const fn run_state(self) -> RunState {
+        match self {
+            Self::Answered => RunState::Ran,
+            Self::NotReached | Self::Refused => RunState::NotRun,
+            Self::LostBeforeFirst | Self::LostMidStream | Self::TimedOut | Self::Cancelled => {
+                RunState::Unknown
+            }
+        }
+    }
+
+    /// Returns whether the outcome counts against the health of the upstream.
+    #[must_use]
+    pub const fn is_failure(self) -> bool {
+        match self {
+            Self::NotReached | Self::LostBeforeFirst | Self::LostMidStream | Self::TimedOut => true,
+            Self::Answered | Self::Refused | Self::Cancelled => false,
+        }
+    }
+
+    /// Returns whether the upstream process may have been lost with work in progress.
+    #[must_use]
+    pub const fn is_loss(self) -> bool {
+        matches!(self, Self::LostBeforeFirst | Self::LostMidStream)
+    }
+
+    /// Returns the error for the caller if the request ends with this outcome.
+    #[must_use]
+    pub const fn error_kind(self) -> Option<ErrorKind> {
+        match self {
+            Self::Answered => None,
+            Self::NotReached => Some(ErrorKind::NoUpstream),
+            Self::Refused => Some(ErrorKind::Overloaded),
+            Self::LostBeforeFirst | Self::LostMidStream | Self::Cancelled => {
+                Some(ErrorKind::UpstreamLost)
+            }
+            Self::TimedOut => Some(ErrorKind::UpstreamTimeout),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/group.rs
@@ -0,0 +1,24 @@
+//! Upstreams that can answer the same requests.
+
+use crate::routing::{UpstreamKey, prefix::PrefixRing};
+
+/// Holds the upstreams of one model or service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UpstreamGroup {
+    /// Upstreams in the domain of the router.
+    pub(super) local: Vec<UpstreamKey>,
+    /// Upstreams in other domains.
+    pub(super) remote: Vec<UpstreamKey>,
+    /// Order of preference by prefix.
+    pub(super) ring: PrefixRing,
+}
+
+impl UpstreamGroup {
+    pub(super) fn keys(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
+        self.local.iter().chain(&self.remote).copied()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.local.len() + self.remote.len()
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/options.rs
@@ -0,0 +1,62 @@
+//! Settings of the upstream table.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::base::DomainName;
+
+/// Configures [`UpstreamTable`](crate::routing::UpstreamTable).
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutingOptions {
+    /// Failure domain of this router.
+    pub domain: DomainName,
+    /// Routers that share the upstreams, including this one.
+    pub routers: u32,
+    /// Additional time to an upstream of another domain.
+    pub remote_penalty: Duration,
+    /// Additional time to upstreams of particular domains, which replaces `remote_penalty`.
+    pub domain_penalties: HashMap<DomainName, Duration>,
+    /// Candidates that are drawn and compared for each request.
+    pub choices: usize,
+    /// Weight of other routers in the correction of load reports: 0 counts own requests only, and
+    /// 1 assumes that every other router has acted in the same way.
+    pub others_weight: f64,
+    /// Load bound of prefix affinity relative to the mean load.
+    pub affinity_bound: f64,
+    /// Age after which a load report is ignored.
+    pub report_max_age: Duration,
+    /// Failures in a row that eject an upstream.
+    pub eject_failures: u32,
+    /// Failure rate that ejects an upstream.
+    pub eject_rate: f64,
+    /// Shortest ejection.
+    pub eject_min: Duration,
+    /// Longest ejection.
+    pub eject_max: Duration,
+    /// Largest share of a domain's upstreams for one model that is ejected at a time.
+    pub eject_share: f64,
+    /// Duration of the slow start of new and returned upstreams.
+    pub slow_start: Duration,
+}
+
+impl RoutingOptions {
+    /// Creates the default settings for a router in `domain`.
+    #[must_use]
+    pub fn new(domain: DomainName) -> Self {
+        Self {
+            domain,
+            routers: 1,
+            remote_penalty: Duration::from_millis(2),
+            domain_penalties: HashMap::new(),
+            choices: 2,
+            others_weight: 0.5,
+            affinity_bound: 1.25,
+            report_max_age: Duration::from_secs(5),
+            eject_failures: 3,
+            eject_rate: 0.5,
+            eject_min: Duration::from_secs(5),
+            eject_max: Duration::from_secs(300),
+            eject_share: 0.5,
+            slow_start: Duration::from_secs(10),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/select.rs
@@ -0,0 +1,197 @@
+//! Selection of one upstream out of a group.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::{
+    base::MonotonicTime,
+    routing::{
+        RouteRequest, SelectError, Selection, UpstreamKey, UpstreamTable, UseState,
+        entry::UpstreamEntry, group::UpstreamGroup,
+    },
+};
+
+/// Groups up to this size are scanned; larger ones are sampled.
+const SCAN_MAX: usize = 32;
+/// Draws from a large group before it is scanned.
+const DRAWS_MAX: usize = 16;
+/// Share of draws from other domains, so that a faster remote upstream is found.
+const REMOTE_SHARE: f64 = 0.25;
+/// Steps on the ring before affinity is given up.
+const RING_STEPS_MAX: usize = 8;
+
+impl UpstreamTable {
+    /// Chooses an upstream for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SelectError::Full`] if every usable upstream is at its limit, so that the request
+    /// may wait, and another error if no upstream is usable at all.
+    pub fn select(
+        &self,
+        request: &RouteRequest,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+    ) -> Result<Selection, SelectError> {
+        let target = &request.target;
+        let group = self
+            .group(target)
+            .ok_or_else(|| SelectError::UnknownTarget {
+                target: target.clone(),
+            })?;
+        let mut candidates = if group.len() > SCAN_MAX {
+            self.sample(group, request, now, rng)
+        } else {
+            Vec::new()
+        };
+        if candidates.is_empty() {
+            candidates = self.scan(group, request, now, rng)?;
+        }
+        let preferred = self.preferred(group, request, now);
+        candidates.extend(preferred.filter(|key| !candidates.contains(key)));
+        let scored = candidates.into_iter().map(|key| {
+            let entry = &self.entries[key];
+            let is_preferred = preferred == Some(key);
+            (
+                key,
+                entry.score_s(request, is_preferred, self.options(), now),
+            )
+        });
+        let best = scored.min_by(|left, right| left.1.total_cmp(&right.1));
+        let (key, score_s) = best.ok_or_else(|| SelectError::Full {
+            target: target.clone(),
+        })?;
+        let spec = &self.entries[key].spec;
+        Ok(Selection {
+            key,
+            upstream: spec.name.clone(),
+            domain: spec.domain.clone(),
+            expected: Duration::from_secs_f64(score_s.clamp(0.0, 3600.0)),
+        })
+    }
+
+    /// Draws candidates from a large group without looking at all of it.
+    fn sample(
+        &self,
+        group: &UpstreamGroup,
+        request: &RouteRequest,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+    ) -> Vec<UpstreamKey> {
+        let mut candidates = Vec::with_capacity(self.options().choices);
+        for _ in 0..DRAWS_MAX {
+            let is_remote = group.local.is_empty()
+                || (!group.remote.is_empty() && rng.random::<f64>() < REMOTE_SHARE);
+            let keys = if is_remote {
+                &group.remote
+            } else {
+                &group.local
+            };
+            let key = keys[rng.random_range(0..keys.len())];
+            let entry = &self.entries[key];
+            if !candidates.contains(&key) && self.accepts(entry, request, now) {
+                candidates.push(key);
+            }
+            if candidates.len() >= self.options().choices {
+                break;
+            }
+        }
+        candidates
+    }
+
+    /// Looks at the whole group and draws candidates by weight.
+    fn scan(
+        &self,
+        group: &UpstreamGroup,
+        request: &RouteRequest,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+    ) -> Result<Vec<UpstreamKey>, SelectError> {
+        let mut weighted: Vec<(UpstreamKey, f64)> = Vec::with_capacity(group.len());
+        let mut is_full = false;
+        let mut retry_after: Option<Duration> = None;
+        for key in group.keys() {
+            let entry = &self.entries[key];
+            if !is_permitted(entry, request) {
+                continue;
+            }
+            match entry.use_state(self.options(), now) {
+                UseState::Used | UseState::SlowStart => {
+                    weighted.push((key, entry.weight(self.options(), now)));
+                }
+                UseState::Full => is_full = true,
+                UseState::Ejected { remaining_ms } => {
+                    let remaining = Duration::from_millis(remaining_ms);
+                    retry_after = Some(retry_after.map_or(remaining, |old| old.min(remaining)));
+                }
+                UseState::Leaving | UseState::Removed => {}
+            }
+        }
+        if weighted.is_empty() && !is_full {
+            return Err(SelectError::Unusable {
+                target: request.target.clone(),
+                retry_after: retry_after.unwrap_or(Duration::from_secs(1)),
+            });
+        }
+        Ok(draw_weighted(weighted, self.options().choices, rng))
+    }
+
+    /// Returns the upstream that all routers prefer for the prefix, if its load permits.
+    fn preferred(
+        &self,
+        group: &UpstreamGroup,
+        request: &RouteRequest,
+        now: MonotonicTime,
+    ) -> Option<UpstreamKey> {
+        let hint = request.prefix?;
+        group
+            .ring
+            .walk(hint.digest)
+            .take(RING_STEPS_MAX)
+            .find(|key| {
+                let entry = &self.entries[*key];
+                let load = entry.estimated_load(self.options(), now);
+                let bound = self.options().affinity_bound * f64::from(entry.spec.concurrency);
+                load < bound && self.accepts(entry, request, now)
+            })
+    }
+
+    fn accepts(&self, entry: &UpstreamEntry, request: &RouteRequest, now: MonotonicTime) -> bool {
+        is_permitted(entry, request)
+            && matches!(
+                entry.use_state(self.options(), now),
+                UseState::Used | UseState::SlowStart
+            )
+    }
+}
+
+/// Returns whether the request may use the upstream at all.
+fn is_permitted(entry: &UpstreamEntry, request: &RouteRequest) -> bool {
+    let name = &entry.spec.name;
+    let is_allowed = request
+        .allowed
+        .as_ref()
+        .is_none_or(|allowed| allowed.contains(name));
+    is_allowed && !request.excluded.contains(name)
+}
+
+/// Draws up to `count` keys without replacement, with probabilities proportional to the weights.
+fn draw_weighted(
+    mut weighted: Vec<(UpstreamKey, f64)>,
+    count: usize,
+    rng: &mut impl Rng,
+) -> Vec<UpstreamKey> {
+    let mut drawn = Vec::with_capacity(count);
+    while drawn.len() < count && !weighted.is_empty() {
+        let total: f64 = weighted.iter().map(|(_, weight)| weight).sum();
+        let mut point = rng.random::<f64>() * total;
+        let index = weighted.iter().position(|(_, weight)| {
+            point -= weight;
+            point < 0.0
+        });
+        let (key, _) = weighted.swap_remove(index.unwrap_or(0));
+        drawn.push(key);
+    }
+    drawn
+}
--- /dev/null
+++ b/crates/core/src/routing/table.rs
@@ -0,0 +1,375 @@
+//! Table of all upstreams.
+
+use std::collections::HashMap;
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    base::{MonotonicTime, UpstreamName},
+    limit::{ConcurrencyLimit, ConcurrencyOptions},
+    retry::AttemptOutcome,
+    routing::{
+        CacheEvent, InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions,
+        TableSnapshot, UpstreamSnapshot, UpstreamSpec, entry::UpstreamEntry, group::UpstreamGroup,
+        health::UpstreamHealth, load::LoadEstimate, prefix::PrefixMemory, prefix::PrefixRing,
+        speed::SpeedEstimate,
+    },
+};
+
+new_key_type! {
+    /// Identifies an upstream in the table.
+    pub struct UpstreamKey;
+    /// Identifies an attempt in flight in the table.
+    pub struct WorkKey;
+}
+
+#[derive(Clone, Debug)]
+struct UpstreamWork {
+    upstream: UpstreamKey,
+    started: MonotonicTime,
+    expected_wait_s: f64,
+    load: f64,
+    tokens: f64,
+    prefix: Option<u64>,
+    is_first_seen: bool,
+}
+
+/// Knows every upstream: its configuration, load, speed and health.
+#[derive(Clone, Debug)]
+pub struct UpstreamTable {
+    options: RoutingOptions,
+    pub(super) entries: SlotMap<UpstreamKey, UpstreamEntry>,
+    by_name: HashMap<UpstreamName, UpstreamKey>,
+    groups: HashMap<RouteTarget, UpstreamGroup>,
+    work: SlotMap<WorkKey, UpstreamWork>,
+    is_configured: bool,
+}
+
+impl UpstreamTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(options: RoutingOptions) -> Self {
+        Self {
+            options,
+            entries: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            groups: HashMap::new(),
+            work: SlotMap::with_key(),
+            is_configured: false,
+        }
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub const fn options(&self) -> &RoutingOptions {
+        &self.options
+    }
+
+    /// Changes the number of routers that share the upstreams, including this one.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.options.routers = routers.max(1);
+    }
+
+    /// Replaces the configuration. Known upstreams keep what was learnt about them.
+    ///
+    /// An upstream that is no longer configured receives no new work, and is forgotten when its
+    /// work has ended. An upstream that is added later than the first configuration has a slow
+    /// start.
+    pub fn apply(&mut self, specs: &[UpstreamSpec], now: MonotonicTime) {
+        for entry in self.entries.values_mut() {
+            entry.removed = true;
+        }
+        for spec in specs {
+            self.apply_spec(spec, now);
+        }
+        self.is_configured = true;
+        self.forget_removed();
+        self.rebuild_groups();
+    }
+
+    /// Records that an attempt was sent to `key`.
+    ///
+    /// Call this right after [`UpstreamTable::select`], so that the next selection counts it.
+    pub fn started(
+        &mut self,
+        key: UpstreamKey,
+        request: &RouteRequest,
+        now: MonotonicTime,
+    ) -> WorkKey {
+        let mut work = UpstreamWork {
+            upstream: key,
+            started: now,
+            expected_wait_s: 0.0,
+            load: 0.0,
+            tokens: SpeedEstimate::effective_tokens(request.prompt_tokens),
+            prefix: request.prefix.map(|hint| hint.digest),
+            is_first_seen: false,
+        };
+        if let Some(entry) = self.entries.get_mut(key) {
+            work.expected_wait_s = entry.expected_wait_s(&self.options, now);
+            work.load = entry.estimated_load(&self.options, now);
+            if let Some(hint) = request.prefix
+                && entry.prefixes.contains(hint.digest)
+            {
+                work.tokens = (work.tokens - f64::from(hint.tokens)).max(1.0);
+            }
+            entry.load.started(now);
+        }
+        self.work.insert(work)
+    }
+
+    /// Records the first token of an attempt.
+    pub fn first_token(&mut self, key: WorkKey, now: MonotonicTime) {
+        let Some(work) = self.work.get_mut(key) else {
+            return;
+        };
+        if std::mem::replace(&mut work.is_first_seen, true) {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(work.upstream) else {
+            return;
+        };
+        let latency = now.since(work.started);
+        let service_s = latency.as_secs_f64() - work.expected_wait_s;
+        entry.speed.first_token(service_s, work.tokens, now);
+        entry.limit.observe(latency, work.load as u32);
+        if let Some(digest) = work.prefix {
+            entry.prefixes.store(digest);
+        }
+    }
+
+    /// Records the end of an attempt. A second call for the same attempt has no effect.
+    pub fn finished(&mut self, key: WorkKey, outcome: AttemptOutcome, now: MonotonicTime) {
+        let Some(work) = self.work.remove(key) else {
+            return;
+        };
+        let Some(entry) = self.entries.get_mut(work.upstream) else {
+            return;
+        };
+        entry.load.finished(now);
+        match outcome {
+            AttemptOutcome::Answered => {
+                entry.speed.answered(now.since(work.started));
+                entry.health.succeeded(now);
+            }
+            AttemptOutcome::Refused => entry.limit.overloaded(),
+            AttemptOutcome::Cancelled => {}
+            AttemptOutcome::NotReached
+            | AttemptOutcome::LostBeforeFirst
+            | AttemptOutcome::LostMidStream
+            | AttemptOutcome::TimedOut => self.record_failure(work.upstream, outcome, now),
+        }
+        self.forget_if_removed(work.upstream);
+    }
+
+    /// Records a load report. An older report than the last is ignored.
+    pub fn load_report(&mut self, upstream: &UpstreamName, report: LoadReport, now: MonotonicTime) {
+        let Some(entry) = self.entry_mut(upstream) else {
+            return;
+        };
+        let at = MonotonicTime::from_micros(
+            now.as_micros()
+                .saturating_sub(u64::try_from(report.age.as_micros()).unwrap_or(u64::MAX)),
+        );
+        entry
+            .load
+            .report(report.running.saturating_add(report.queued), at);
+        entry.says_leaving = report.leaving;
+    }
+
+    /// Records a change of an engine's prefix cache.
+    pub fn cache_event(&mut self, upstream: &UpstreamName, event: CacheEvent) {
+        let Some(entry) = self.entry_mut(upstream) else {
+            return;
+        };
+        match event {
+            CacheEvent::Stored(digest) => entry.prefixes.store(digest),
+            CacheEvent::Evicted(digest) => entry.prefixes.evict(digest),
+            CacheEvent::Cleared => entry.prefixes.clear(),
+        }
+    }
+
+    /// Records what the instance list says about an upstream.
+    pub fn instance_state(&mut self, upstream: &UpstreamName, state: InstanceState) {
+        if let Some(entry) = self.entry_mut(upstream) {
+            entry.listed = state;
+        }
+    }
+
+    /// Returns how many more requests the upstreams of `target` take now.
+    #[must_use]
+    pub fn free_slots(&self, target: &RouteTarget, now: MonotonicTime) -> usize {
+        let Some(group) = self.group(target) else {
+            return 0;
+        };
+        let free = group.keys().map(|key| {
+            let entry = &self.entries[key];
+            let is_usable = !entry.is_leaving() && entry.health.ejected_until(now).is_none();
+            if is_usable {
+                entry.free(&self.options, now).max(0.0) as usize
+            } else {
+                0
+            }
+        });
+        free.sum()
+    }
+
+    /// Returns the names of the upstreams of `target`.
+    pub fn upstreams(&self, target: &RouteTarget) -> impl Iterator<Item = &UpstreamName> {
+        self.group(target)
+            .into_iter()
+            .flat_map(|group| group.keys().map(|key| &self.entries[key].spec.name))
+    }
+
+    /// Returns the state of every upstream, with the reason why it is used or not.
+    #[must_use]
+    pub fn snapshot(&self, now: MonotonicTime) -> TableSnapshot {
+        let mut upstreams: Vec<_> = self
+            .entries
+            .values()
+            .map(|entry| describe(entry, &self.options, now))
+            .collect();
+        upstreams.sort_by(|left, right| left.name.cmp(&right.name));
+        TableSnapshot {
+            upstreams,
+            in_flight: self.work.len(),
+        }
+    }
+
+    pub(super) fn group(&self, target: &RouteTarget) -> Option<&UpstreamGroup> {
+        self.groups.get(target)
+    }
+
+    fn entry_mut(&mut self, upstream: &UpstreamName) -> Option<&mut UpstreamEntry> {
+        let key = self.by_name.get(upstream)?;
+        self.entries.get_mut(*key)
+    }
+
+    fn apply_spec(&mut self, spec: &UpstreamSpec, now: MonotonicTime) {
+        let max = f64::from(spec.concurrency.max(1));
+        let penalty = if spec.domain == self.options.domain {
+            std::time::Duration::ZERO
+        } else {
+            let penalty = self.options.domain_penalties.get(&spec.domain);
+            penalty.copied().unwrap_or(self.options.remote_penalty)
+        };
+        if let Some(entry) = self.entry_mut(&spec.name) {
+            entry.removed = false;
+            entry.penalty = penalty;
+            entry.limit.set_max(max);
+            entry.spec = spec.clone();
+            return;
+        }
+        let entry = UpstreamEntry {
+            spec: spec.clone(),
+            removed: false,
+            penalty,
+            listed: InstanceState::Live,
+            says_leaving: false,
+            load: LoadEstimate::default(),
+            speed: SpeedEstimate::default(),
+            health: UpstreamHealth::new(self.is_configured.then_some(now)),
+            limit: ConcurrencyLimit::new(ConcurrencyOptions {
+                max,
+                ..ConcurrencyOptions::default()
+            }),
+            prefixes: PrefixMemory::default(),
+        };
+        let key = self.entries.insert(entry);
+        self.by_name.insert(spec.name.clone(), key);
+    }
+
+    fn rebuild_groups(&mut self) {
+        self.groups.clear();
+        for (key, entry) in self.entries.iter().filter(|(_, entry)| !entry.removed) {
+            let is_local = entry.spec.domain == self.options.domain;
+            for target in targets(&entry.spec) {
+                let group = self.groups.entry(target).or_default();
+                let keys = if is_local {
+                    &mut group.local
+                } else {
+                    &mut group.remote
+                };
+                keys.push(key);
+            }
+        }
+        for group in self.groups.values_mut() {
+            let named = group.keys().map(|key| (key, &self.entries[key].spec.name));
+            group.ring = PrefixRing::build(named);
+        }
+    }
+
+    fn record_failure(&mut self, key: UpstreamKey, outcome: AttemptOutcome, now: MonotonicTime) {
+        let may_eject = self.may_eject(key, now);
+        let options = &self.options;
+        let entry = &mut self.entries[key];
+        if outcome.is_loss() || outcome == AttemptOutcome::NotReached {
+            entry.load.forget_report();
+            entry.prefixes.clear();
+        }
+        let is_ejected = entry.health.ejected_until(now).is_some();
+        if entry.health.failed(options) && may_eject && !is_ejected {
+            entry.health.eject(options, now);
+        }
+    }
+
+    /// Returns whether enough upstreams of the domain stay usable without `key`.
+    fn may_eject(&self, key: UpstreamKey, now: MonotonicTime) -> bool {
+        let spec = &self.entries[key].spec;
+        targets(spec).all(|target| {
+            let Some(group) = self.group(&target) else {
+                return false;
+            };
+            let domain = group.keys().map(|other| &self.entries[other]);
+            let domain = domain.filter(|other| other.spec.domain == spec.domain);
+            let (mut all, mut ejected) = (0_u32, 0_u32);
+            for other in domain {
+                all += 1;
+                ejected += u32::from(other.health.ejected_until(now).is_some());
+            }
+            f64::from(ejected + 1) <= f64::from(all) * self.options.eject_share
+        })
+    }
+
+    fn forget_removed(&mut self) {
+        let keys: Vec<_> = self.entries.keys().collect();
+        for key in keys {
+            self.forget_if_removed(key);
+        }
+    }
+
+    fn forget_if_removed(&mut self, key: UpstreamKey) {
+        let is_idle = |entry: &UpstreamEntry| entry.removed && entry.load.own() == 0;
+        if self.entries.get(key).is_some_and(is_idle)
+            && let Some(entry) = self.entries.remove(key)
+        {
+            self.by_name.remove(&entry.spec.name);
+        }
+    }
+}
+
+/// Returns the groups to which an upstream belongs.
+fn targets(spec: &UpstreamSpec) -> impl Iterator<Item = RouteTarget> + '_ {
+    let models = spec.models.iter().cloned().map(RouteTarget::Model);
+    models.chain(spec.service.clone().map(RouteTarget::Service))
+}
+
+fn describe(
+    entry: &UpstreamEntry,
+    options: &RoutingOptions,
+    now: MonotonicTime,
+) -> UpstreamSnapshot {
+    UpstreamSnapshot {
+        name: entry.spec.name.clone(),
+        domain: entry.spec.domain.clone(),
+        use_state: entry.use_state(options, now),
+        own: entry.load.own(),
+        estimated_load: entry.estimated_load(options, now),
+        report_age_ms: entry.load.report_age(now).map(|age| age.as_millis() as u64),
+        limit: entry.limit.limit(),
+        first_token_us: entry.speed.first_s().map(|first_s| first_s * 1e6),
+        duration_ms: entry.speed.duration_s().map(|duration_s| duration_s * 1e3),
+        failures_in_a_row: entry.health.in_a_row(),
+        failure_rate: entry.health.failure_rate(),
+    }
+}
