--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,4 +6,9 @@
 
 pub mod base;
 pub mod budget;
+pub mod blocklist;
 pub mod error;
+pub mod limit;
+pub mod retry;
+pub mod routing;
+pub mod stream;
--- /dev/null
+++ b/crates/router/src/process/members.rs
@@ -0,0 +1,240 @@
+//! Membership actor: failure detection and the view of the fleet.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use cornelarch_core::{
+    base::{HolderId, InstanceName},
+    budget::{DomainPeer, LedgerEvent},
+    config::ConfigEvent,
+    membership::{
+        MemberEffect, MemberEvent, MemberMessage, MemberOptions, MemberRecord, MemberState,
+        MemberTable, MemberView, PingBody,
+    },
+};
+use cornelarch_wire::peer::{
+    WireAck, WireBody, WireHolder, WireLeaving, WireMember, WireMemberState, WirePing,
+    WirePingRequest,
+};
+use kameo::{
+    Actor,
+    actor::ActorRef,
+    message::{Context, Message},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::process::{ConfigActor, LedgerActor, RouterState, log_event};
+
+/// Time between two ticks of the member table.
+pub(crate) const MEMBER_TICK: Duration = Duration::from_millis(100);
+
+/// Lists the live routers as the request path and the actors need them.
+#[derive(Debug, Default)]
+pub(crate) struct FleetView {
+    /// The live members of all domains, including this instance unless it is leaving.
+    pub(crate) live: Vec<MemberRecord>,
+    /// Every known member but this instance, for the dump.
+    pub(crate) members: Vec<MemberView>,
+}
+
+impl FleetView {
+    /// Returns the peer address of a process.
+    pub(crate) fn address(&self, holder: &HolderId) -> Option<SocketAddr> {
+        let members = self.members.iter().map(|member| &member.record);
+        let record = members
+            .clone()
+            .find(|record| record.holder == *holder)
+            // A message to an earlier process is dropped there, which its sender has to learn.
+            .or_else(|| members.clone().find(|record| record.holder.instance == holder.instance))?;
+        record.address.parse().ok()
+    }
+}
+
+/// Runs the member table.
+#[derive(Actor)]
+pub(crate) struct MemberActor {
+    state: Arc<RouterState>,
+    table: MemberTable,
+    generator: StdRng,
+    ledger: ActorRef<LedgerActor>,
+    config: ActorRef<ConfigActor>,
+}
+
+impl MemberActor {
+    /// Creates the actor of a router that peers reach at `address`.
+    pub(crate) fn new(
+        state: Arc<RouterState>,
+        address: SocketAddr,
+        ledger: ActorRef<LedgerActor>,
+        config: ActorRef<ConfigActor>,
+    ) -> Self {
+        let seeds = state.settings.seeds.iter().map(SocketAddr::to_string);
+        let table = MemberTable::new(
+            state.holder.clone(),
+            state.settings.domain.clone(),
+            address.to_string(),
+            seeds.collect(),
+            MemberOptions::default(),
+        );
+        Self {
+            state,
+            table,
+            generator: StdRng::from_os_rng(),
+            ledger,
+            config,
+        }
+    }
+
+    async fn apply(&mut self, event: MemberEvent) {
+        let now = self.state.clock.now();
+        let is_tick = event == MemberEvent::Tick;
+        let effects = self.table.handle(event, now, &mut self.generator);
+        if !is_tick || !effects.is_empty() {
+            self.publish();
+        }
+        for effect in effects {
+            self.run_effect(effect).await;
+        }
+    }
+
+    fn publish(&self) {
+        self.state.fleet.store(Arc::new(FleetView {
+            live: self.table.live_records().cloned().collect(),
+            members: self.table.members().cloned().collect(),
+        }));
+    }
+
+    async fn run_effect(&mut self, effect: MemberEffect) {
+        match effect {
+            MemberEffect::Send {
+                address,
+                to,
+                message,
+            } => {
+                if let Ok(address) = address.parse() {
+                    let body = encode_message(message);
+                    self.state.links.send(address, to.as_ref(), body);
+                }
+            }
+            MemberEffect::MembersChanged { domain } => self.tell_members(domain).await,
+            MemberEffect::StateChanged {
+                holder,
+                domain,
+                state,
+            } => log_event!(MemberChanged, "{holder} in domain {domain} is {state:?}"),
+            MemberEffect::PeerVersion { peer, version } => {
+                // The actor is gone only after the router was closed.
+                let _ = self.config.tell(ConfigEvent::PeerVersion { peer, version }).await;
+            }
+        }
+    }
+
+    async fn tell_members(&mut self, domain: Vec<InstanceName>) {
+        let live: Vec<DomainPeer> = self
+            .table
+            .live_records()
+            .map(|record| DomainPeer {
+                holder: record.holder.clone(),
+                domain: record.domain.clone(),
+            })
+            .collect();
+        self.state.desk.set_routers(live.len());
+        let _ = self.ledger.tell(LedgerEvent::PeersChanged(live)).await;
+        let _ = self.config.tell(ConfigEvent::MembersChanged(domain)).await;
+    }
+}
+
+impl Message<MemberEvent> for MemberActor {
+    type Reply = ();
+
+    async fn handle(&mut self, event: MemberEvent, _: &mut Context<Self, ()>) {
+        self.apply(event).await;
+    }
+}
+
+fn encode_record(record: &MemberRecord) -> WireMember {
+    WireMember::new(
+        WireHolder::from(&record.holder),
+        record.domain.to_string(),
+        record.address.clone(),
+        record.incarnation.cast_signed(),
+        match record.state {
+            MemberState::Alive => WireMemberState::ALIVE,
+            MemberState::Suspect => WireMemberState::SUSPECT,
+            MemberState::Leaving => WireMemberState::LEAVING,
+            MemberState::Dead => WireMemberState::DEAD,
+        },
+    )
+}
+
+fn decode_record(member: &WireMember) -> Option<MemberRecord> {
+    Some(MemberRecord {
+        holder: HolderId::from(&member.holder),
+        domain: member.domain.as_str().into(),
+        address: member.address.clone(),
+        incarnation: member.incarnation.cast_unsigned(),
+        state: match member.state {
+            WireMemberState::ALIVE => MemberState::Alive,
+            WireMemberState::SUSPECT => MemberState::Suspect,
+            WireMemberState::LEAVING => MemberState::Leaving,
+            WireMemberState::DEAD => MemberState::Dead,
+            _ => return None,
+        },
+    })
+}
+
+fn encode_message(message: MemberMessage) -> WireBody {
+    match message {
+        MemberMessage::Ping(body) => WireBody::Ping(WirePing::new(
+            body.nonce.cast_signed(),
+            encode_record(&body.sender),
+            body.config_version.cast_signed(),
+            body.load_permille.cast_signed(),
+            body.updates.iter().map(encode_record).collect(),
+        )),
+        MemberMessage::Ack(body) => WireBody::Ack(WireAck::new(
+            body.nonce.cast_signed(),
+            encode_record(&body.sender),
+            body.config_version.cast_signed(),
+            body.load_permille.cast_signed(),
+            body.updates.iter().map(encode_record).collect(),
+        )),
+        MemberMessage::PingRequest { nonce, target } => WireBody::PingRequest(
+            WirePingRequest::new(nonce.cast_signed(), WireHolder::from(&target)),
+        ),
+        MemberMessage::Leaving { incarnation } => {
+            WireBody::Leaving(WireLeaving::new(incarnation.cast_signed()))
+        }
+    }
+}
+
+/// Returns the member event for a frame, if it carries a valid membership message.
+pub(crate) fn decode_message(from: &HolderId, body: &WireBody) -> Option<MemberEvent> {
+    let message = match body {
+        WireBody::Ping(ping) => MemberMessage::Ping(PingBody {
+            nonce: ping.nonce.cast_unsigned(),
+            sender: decode_record(&ping.sender)?,
+            config_version: u64::try_from(ping.config_version).ok()?,
+            load_permille: ping.load_permille.cast_unsigned(),
+            updates: ping.updates.iter().filter_map(decode_record).collect(),
+        }),
+        WireBody::Ack(ack) => MemberMessage::Ack(PingBody {
+            nonce: ack.nonce.cast_unsigned(),
+            sender: decode_record(&ack.sender)?,
+            config_version: u64::try_from(ack.config_version).ok()?,
+            load_permille: ack.load_permille.cast_unsigned(),
+            updates: ack.updates.iter().filter_map(decode_record).collect(),
+        }),
+        WireBody::PingRequest(request) => MemberMessage::PingRequest {
+            nonce: request.nonce.cast_unsigned(),
+            target: HolderId::from(&request.target),
+        },
+        WireBody::Leaving(leaving) => MemberMessage::Leaving {
+            incarnation: leaving.incarnation.cast_unsigned(),
+        },
+        _ => return None,
+    };
+    Some(MemberEvent::Received {
+        from: from.clone(),
+        message,
+    })
+}
