Add the configuration document, its distribution state and the member table

Cause: the daemon, the demo and the operator tool need the interface of configuration and membership.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,4 +5,6 @@
 //! same code serves production, fault tests, model checking and measurement.
 
 pub mod base;
+pub mod config;
 pub mod error;
+pub mod membership;
