--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,3 +12,6 @@
 pub mod retry;
 pub mod routing;
 pub mod stream;
+pub mod config;
+pub mod error;
+pub mod membership;
