Add the engine and service stand-ins

Cause: routing, streams, retries and orders need upstreams whose answers can be compared and whose faults can be set.

Change: the engine stand-in serves chat completions as JSON and SSE with continuous batching, a bounded prefix cache, priorities, x_sequence, x_prompt_tokens, x_resume_from, cancellation on disconnect, lagging load reports and crashes on a marked prompt. The service stand-in serves lookups and orders and counts executions per order id, with an optional fencing check per order. Faults are set on the handle or over POST /faults.

Conclusion: answers are derived from the prompt alone, so a test can compare the whole text, also after a resume at another engine.

--- /dev/null
+++ b/crates/standin/src/engine/answer.rs
@@ -0,0 +1,93 @@
+//! Deterministic answers, so that a test can compare whole texts.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Text in a prompt that crashes the engine which runs it.
+pub const CRASH_MARK: &str = "[crash]";
+
+/// Text in a prompt that sets the length of its answer, as `[tokens=N]`.
+const LENGTH_MARK: &str = "[tokens=";
+
+/// Shortest and longest answer to a prompt without a length mark, in tokens.
+const LENGTH_RANGE: (u64, u64) = (8, 64);
+
+/// Bytes of prompt text per token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Words of the answers, one token each.
+const WORDS: [&str; 16] = [
+    "amber ", "birch ", "cedar ", "delta ", "ember ", "fjord ", "grove ", "harbour ", "island ",
+    "juniper ", "kelp ", "larch ", "meadow ", "north ", "orchard ", "pine ",
+];
+
+/// Holds a prompt with everything that its answer is derived from.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// The message contents, joined by line feeds.
+    pub text: String,
+    /// The number of prompt tokens.
+    pub tokens: u64,
+    /// The length of the complete answer, in tokens, before any limit.
+    pub length: u64,
+    seed: u64,
+}
+
+impl Prompt {
+    /// Creates a prompt from its text.
+    #[must_use]
+    pub fn new(text: String) -> Self {
+        let seed = xxh3_64_with_seed(text.as_bytes(), 0);
+        Self {
+            tokens: prompt_tokens(&text),
+            length: read_length(&text).unwrap_or_else(|| derive_length(seed)),
+            seed,
+            text,
+        }
+    }
+
+    /// Returns a number that identifies the prompt.
+    pub(crate) fn id(&self) -> u64 {
+        self.seed
+    }
+
+    /// Returns one token of the answer, by its index from 0.
+    #[must_use]
+    pub fn token(&self, index: u64) -> &'static str {
+        let hash = xxh3_64_with_seed(&index.to_le_bytes(), self.seed);
+        WORDS[(hash % WORDS.len() as u64) as usize]
+    }
+
+    /// Returns the first `count` tokens of the answer as text.
+    #[must_use]
+    pub fn answer(&self, count: u64) -> String {
+        (0..count).map(|index| self.token(index)).collect()
+    }
+}
+
+/// Returns the answer to a prompt of the given message contents.
+#[must_use]
+pub fn answer_text(contents: &[&str], max_tokens: u64) -> String {
+    let prompt = Prompt::new(contents.join("\n"));
+    prompt.answer(prompt.length.min(max_tokens))
+}
+
+/// Returns the length of the answer to a prompt of the given message contents, in tokens.
+#[must_use]
+pub fn answer_tokens(contents: &[&str], max_tokens: u64) -> u64 {
+    Prompt::new(contents.join("\n")).length.min(max_tokens)
+}
+
+/// Returns the number of prompt tokens of a text.
+#[must_use]
+pub fn prompt_tokens(text: &str) -> u64 {
+    text.len().div_ceil(BYTES_PER_TOKEN).max(1) as u64
+}
+
+fn derive_length(seed: u64) -> u64 {
+    LENGTH_RANGE.0 + seed % (LENGTH_RANGE.1 - LENGTH_RANGE.0 + 1)
+}
+
+fn read_length(text: &str) -> Option<u64> {
+    let (_, rest) = text.split_once(LENGTH_MARK)?;
+    rest.split_once(']')?.0.parse().ok()
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,237 @@
+//! Continuous batching: which requests run, and how long each step takes.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    time::Instant,
+};
+
+use crate::engine::{
+    CRASH_MARK, EngineFaults, EngineOptions, LoadReport, Prompt, cache::PrefixCache,
+    load::LoadHistory,
+};
+
+/// Counts what the engine did since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounts {
+    /// Requests that were accepted.
+    pub received: u64,
+    /// Requests that began to run.
+    pub started: u64,
+    /// Requests that were accepted while the engine reported that it was leaving.
+    pub received_leaving: u64,
+    /// Requests that ran to the end.
+    pub finished: u64,
+    /// Requests whose caller disconnected before the end.
+    pub cancelled: u64,
+    /// Crashes caused by marked requests.
+    pub crashes: u64,
+    /// Prompt tokens that were worked on.
+    pub prefill_tokens: u64,
+    /// Prompt tokens that were found in the prefix cache.
+    pub cached_tokens: u64,
+    /// Tokens that were generated.
+    pub decode_tokens: u64,
+}
+
+/// Describes a request for the batch.
+#[derive(Clone, Debug)]
+pub(crate) struct RunRequest {
+    pub(crate) prompt: Arc<Prompt>,
+    /// The index of the first token to generate.
+    pub(crate) from: u64,
+    /// The length of the complete answer, in tokens.
+    pub(crate) end: u64,
+    /// Lower numbers run first.
+    pub(crate) priority: i32,
+}
+
+#[derive(Debug)]
+struct RunEntry {
+    request: RunRequest,
+    next: u64,
+    sender: UnboundedSender<u64>,
+}
+
+/// Tells what a step did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StepOutcome {
+    /// Nothing runs or waits.
+    Idle,
+    /// The next step begins after this time.
+    Worked(Duration),
+    /// A marked request crashed the engine.
+    Crashed,
+}
+
+/// Holds the running batch and the waiting requests.
+#[derive(Debug)]
+pub(crate) struct BatchQueue {
+    pub(crate) options: EngineOptions,
+    pub(crate) faults: EngineFaults,
+    pub(crate) counts: EngineCounts,
+    /// The number of runs per prompt text, if recording is on.
+    pub(crate) runs: BTreeMap<String, u64>,
+    running: Vec<RunEntry>,
+    /// Waiting requests, ordered by priority and then by arrival.
+    waiting: BTreeMap<(i32, u64), RunEntry>,
+    arrivals: u64,
+    cache: PrefixCache,
+    history: LoadHistory,
+}
+
+impl BatchQueue {
+    pub(crate) fn new(options: EngineOptions) -> Self {
+        let first = LoadReport {
+            batch_limit: options.batch_limit as u64,
+            ..LoadReport::default()
+        };
+        Self {
+            faults: EngineFaults::default(),
+            counts: EngineCounts::default(),
+            runs: BTreeMap::new(),
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+            cache: PrefixCache::new(options.cache_blocks),
+            history: LoadHistory::new(options.load_lag, first),
+            options,
+        }
+    }
+
+    /// Accepts a request, or returns `None` when too many wait. The channel carries the index of
+    /// every token and closes after the last one.
+    pub(crate) fn push(&mut self, request: RunRequest) -> Option<UnboundedReceiver<u64>> {
+        if self.waiting.len() >= self.options.queue_limit {
+            return None;
+        }
+        let (sender, receiver) = unbounded_channel();
+        self.counts.received += 1;
+        self.counts.received_leaving += u64::from(self.faults.leaving);
+        let key = (request.priority, self.arrivals);
+        self.arrivals += 1;
+        let entry = RunEntry {
+            next: request.from,
+            request,
+            sender,
+        };
+        self.waiting.insert(key, entry);
+        self.record_load();
+        Some(receiver)
+    }
+
+    /// Admits waiting requests and generates one token for each running one.
+    pub(crate) fn step(&mut self) -> StepOutcome {
+        let mut prefill = 0;
+        while self.running.len() < self.options.batch_limit {
+            let Some(entry) = self.pop_waiting() else {
+                break;
+            };
+            let text = &entry.request.prompt.text;
+            if self.options.record_runs {
+                *self.runs.entry(text.clone()).or_default() += 1;
+            }
+            self.counts.started += 1;
+            if text.contains(CRASH_MARK) {
+                return StepOutcome::Crashed;
+            }
+            prefill += self.prefill(&entry);
+            self.running.push(entry);
+        }
+        if self.running.is_empty() {
+            self.record_load();
+            return StepOutcome::Idle;
+        }
+        let time = self.step_time(prefill);
+        self.decode();
+        self.record_load();
+        StepOutcome::Worked(time)
+    }
+
+    /// Loses all work and the cache, as a crash does.
+    pub(crate) fn crash(&mut self) {
+        self.counts.crashes += 1;
+        self.cache.clear();
+        self.drop_work();
+    }
+
+    /// Drops every request; their channels close before the last token.
+    pub(crate) fn drop_work(&mut self) {
+        self.running.clear();
+        self.waiting.clear();
+        self.record_load();
+    }
+
+    pub(crate) fn visible_load(&mut self) -> LoadReport {
+        self.history.visible(Instant::now())
+    }
+
+    pub(crate) fn record_load(&mut self) {
+        let report = LoadReport {
+            running: self.running.len() as u64,
+            waiting: self.waiting.len() as u64,
+            batch_limit: self.options.batch_limit as u64,
+            leaving: self.faults.leaving,
+            cache: self.cache.events(),
+        };
+        self.history.record(report, Instant::now());
+    }
+
+    /// Takes the next waiting request whose caller is still there.
+    fn pop_waiting(&mut self) -> Option<RunEntry> {
+        while let Some((_, entry)) = self.waiting.pop_first() {
+            if !entry.sender.is_closed() {
+                return Some(entry);
+            }
+            self.counts.cancelled += 1;
+        }
+        None
+    }
+
+    /// Returns the number of prompt tokens to work on. A resumed request also reads the text so
+    /// far as part of its prompt.
+    fn prefill(&mut self, entry: &RunEntry) -> u64 {
+        let prompt = &entry.request.prompt;
+        let cached = self.cache.touch(&prompt.text).min(prompt.tokens);
+        let tokens = prompt.tokens - cached + entry.request.from;
+        self.counts.cached_tokens += cached;
+        self.counts.prefill_tokens += tokens;
+        tokens
+    }
+
+    fn decode(&mut self) {
+        let counts = &mut self.counts;
+        self.running.retain_mut(|entry| {
+            if entry.sender.is_closed() {
+                counts.cancelled += 1;
+                return false;
+            }
+            if entry.next < entry.request.end {
+                // A caller that disconnects in this moment is noticed in the next step.
+                let _ = entry.sender.send(entry.next);
+                counts.decode_tokens += 1;
+                entry.next += 1;
+            }
+            let done = entry.next >= entry.request.end;
+            counts.finished += u64::from(done);
+            !done
+        });
+    }
+
+    fn step_time(&self, prefill: u64) -> Duration {
+        let options = &self.options;
+        let decode = divide(self.running.len() as u64, options.decode_tokens_per_s);
+        let time = divide(prefill, options.prefill_tokens_per_s) + decode.max(options.step_min);
+        time * self.faults.slow_factor.max(1)
+    }
+}
+
+/// Returns the time for `tokens` at a rate; a rate of 0 means no delay.
+fn divide(tokens: u64, per_s: u32) -> Duration {
+    match per_s {
+        0 => Duration::ZERO,
+        _ => Duration::from_secs_f64(tokens as f64 / f64::from(per_s)),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/server.rs
@@ -0,0 +1,210 @@
+//! HTTP interface of the engine stand-in.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use axum::{
+    Json, Router,
+    body::Body,
+    extract::{ConnectInfo, DefaultBodyLimit, FromRef, State},
+    http::{StatusCode, header::CONTENT_TYPE},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::{Notify, mpsc::UnboundedReceiver};
+
+use crate::{
+    connection::StreamCutter,
+    engine::{
+        EngineCounts, EngineFaults, LoadReport, Prompt,
+        batch::RunRequest,
+        chunk::{ChunkWriter, finish_reason, usage},
+        fault::AnswerFault,
+        handle::EngineShared,
+    },
+};
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Length of an answer when the request sets no limit, in tokens.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+
+#[derive(Deserialize)]
+struct CompletionRequest {
+    model: String,
+    messages: Vec<ChatMessage>,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    /// Lower numbers run first.
+    #[serde(default)]
+    priority: i32,
+    /// The index of the first token to generate; the earlier ones were delivered elsewhere.
+    #[serde(default)]
+    x_resume_from: u64,
+    /// The text before that token, checked if present.
+    x_resume_text: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+#[derive(Clone)]
+struct ServerState {
+    shared: EngineShared,
+    faults_changed: Arc<Notify>,
+}
+
+impl FromRef<ServerState> for EngineShared {
+    fn from_ref(state: &ServerState) -> Self {
+        state.shared.clone()
+    }
+}
+
+pub(crate) fn build(shared: EngineShared, faults_changed: Arc<Notify>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(complete))
+        .route("/load", get(show_load))
+        .route("/faults", post(set_faults).get(show_faults))
+        .route("/counts", get(show_counts))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(ServerState {
+            shared,
+            faults_changed,
+        })
+}
+
+async fn complete(
+    State(shared): State<EngineShared>,
+    ConnectInfo(cutter): ConnectInfo<StreamCutter>,
+    Json(request): Json<CompletionRequest>,
+) -> Response {
+    let contents: Vec<&str> = request
+        .messages
+        .iter()
+        .map(|m| m.content.as_str())
+        .collect();
+    let prompt = Arc::new(Prompt::new(contents.join("\n")));
+    let end = prompt
+        .length
+        .min(request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS));
+    if let Err(message) = check_resume(&request, &prompt, end) {
+        return refuse(StatusCode::BAD_REQUEST, message);
+    }
+    let run = RunRequest {
+        prompt: prompt.clone(),
+        from: request.x_resume_from,
+        end,
+        priority: request.priority,
+    };
+    let (tokens, fault) = {
+        let mut batch = shared.batch.lock();
+        let fault = batch.faults.take_answer_fault(request.stream);
+        (batch.push(run), fault)
+    };
+    let Some(tokens) = tokens else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "too many requests wait");
+    };
+    shared.work.notify_one();
+    let writer = ChunkWriter {
+        id: format!("chatcmpl-{:016x}", prompt.id()),
+        model: json!(request.model).to_string(),
+        from: request.x_resume_from,
+        prompt,
+        end,
+        tokens,
+        fault,
+        cutter,
+        ready: VecDeque::new(),
+        held: None,
+        written: 0,
+        ended: false,
+    };
+    match request.stream {
+        true => answer_stream(writer),
+        false => answer_json(writer, &request.model).await,
+    }
+}
+
+fn check_resume(
+    request: &CompletionRequest,
+    prompt: &Prompt,
+    end: u64,
+) -> Result<(), &'static str> {
+    let from = request.x_resume_from;
+    if from > end {
+        return Err("x_resume_from is behind the end of the answer");
+    }
+    match &request.x_resume_text {
+        Some(text) if *text != prompt.answer(from) => {
+            Err("x_resume_text is not the beginning of the answer")
+        }
+        _ => Ok(()),
+    }
+}
+
+fn answer_stream(writer: ChunkWriter) -> Response {
+    let body = Body::from_stream(writer.into_stream());
+    ([(CONTENT_TYPE, "text/event-stream")], body).into_response()
+}
+
+async fn answer_json(mut writer: ChunkWriter, model: &str) -> Response {
+    let received = count_tokens(&mut writer.tokens).await;
+    let lost = matches!(writer.fault, AnswerFault::ResetAfter(_));
+    if lost || writer.from + received < writer.end {
+        writer.cutter.cut().await;
+    }
+    let prompt = &writer.prompt;
+    let all = prompt.answer(writer.end);
+    let content = &all[prompt.answer(writer.from).len()..];
+    Json(json!({
+        "id": writer.id,
+        "object": "chat.completion",
+        "created": 0,
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": content},
+            "finish_reason": finish_reason(prompt, writer.end),
+        }],
+        "usage": usage(prompt, writer.end),
+    }))
+    .into_response()
+}
+
+async fn count_tokens(tokens: &mut UnboundedReceiver<u64>) -> u64 {
+    let mut count = 0;
+    while tokens.recv().await.is_some() {
+        count += 1;
+    }
+    count
+}
+
+fn refuse(status: StatusCode, message: &str) -> Response {
+    (status, Json(json!({"error": {"message": message}}))).into_response()
+}
+
+async fn show_load(State(shared): State<EngineShared>) -> Json<LoadReport> {
+    Json(shared.batch.lock().visible_load())
+}
+
+async fn set_faults(
+    State(state): State<ServerState>,
+    Json(faults): Json<EngineFaults>,
+) -> StatusCode {
+    state.shared.set_faults(faults);
+    state.faults_changed.notify_one();
+    StatusCode::NO_CONTENT
+}
+
+async fn show_faults(State(shared): State<EngineShared>) -> Json<EngineFaults> {
+    Json(shared.batch.lock().faults.clone())
+}
+
+async fn show_counts(State(shared): State<EngineShared>) -> Json<EngineCounts> {
+    Json(shared.batch.lock().counts)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,4 +4,6 @@
 //! handle on which faults are set and counts are read, and `close` ends it.
 
 pub mod connection;
+pub mod engine;
 pub mod platform;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/service/handle.rs
@@ -0,0 +1,166 @@
+//! Running service stand-in.
+
+use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::{sync::Notify, task::JoinHandle};
+
+use crate::{
+    connection::ListenerGate,
+    service::{ServiceFaults, server},
+};
+
+/// Configures the service stand-in.
+#[derive(Clone, Debug)]
+pub struct ServiceOptions {
+    /// The address to listen at; port 0 lets the system choose.
+    pub address: SocketAddr,
+    /// The time that a call takes.
+    pub call_time: Duration,
+    /// The largest number of calls that the load report announces as limit.
+    pub concurrency: u64,
+    /// Whether an order with a fencing number below the highest one seen for it is refused.
+    pub fencing: bool,
+    /// The time from a crash until the service listens again.
+    pub crash_time: Duration,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            call_time: Duration::from_millis(2),
+            concurrency: 64,
+            fencing: false,
+            crash_time: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Counts what the service did since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCounts {
+    /// Calls that arrived.
+    pub received: u64,
+    /// Calls that arrived while the service reported that it was leaving.
+    pub received_leaving: u64,
+    /// Lookups that ran.
+    pub lookups: u64,
+    /// Orders that ran.
+    pub orders: u64,
+    /// Orders refused because of an old fencing number.
+    pub fenced: u64,
+    /// Crashes caused by marked calls.
+    pub crashes: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct ServiceState {
+    pub(crate) faults: ServiceFaults,
+    pub(crate) counts: ServiceCounts,
+    /// The number of executions per order id.
+    pub(crate) executions: BTreeMap<String, u64>,
+    /// The highest fencing number seen per order id.
+    pub(crate) fences: BTreeMap<String, u64>,
+    pub(crate) running: u64,
+}
+
+/// Shares the state between the handle and the HTTP server.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceShared {
+    pub(crate) options: Arc<ServiceOptions>,
+    pub(crate) state: Arc<Mutex<ServiceState>>,
+    pub(crate) faults_changed: Arc<Notify>,
+    pub(crate) crashed: Arc<Notify>,
+}
+
+/// Controls a running service stand-in.
+#[derive(Debug)]
+pub struct ServiceHandle {
+    shared: ServiceShared,
+    gate: ListenerGate,
+    tasks: [JoinHandle<()>; 2],
+}
+
+/// Starts a service stand-in.
+///
+/// # Errors
+///
+/// Returns the error of the bind.
+pub async fn bind(options: ServiceOptions) -> io::Result<ServiceHandle> {
+    let address = options.address;
+    let shared = ServiceShared {
+        options: Arc::new(options),
+        state: Arc::default(),
+        faults_changed: Arc::default(),
+        crashed: Arc::default(),
+    };
+    let (gate, server) = ListenerGate::serve(address, server::build(shared.clone())).await?;
+    let follower = tokio::spawn(follow_state(shared.clone(), gate.clone()));
+    Ok(ServiceHandle {
+        shared,
+        gate,
+        tasks: [server, follower],
+    })
+}
+
+impl ServiceHandle {
+    /// Returns the address of the service.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.gate.address()
+    }
+
+    /// Returns the base URL of the service.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address())
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.gate.set_open(!faults.refuse);
+        self.shared.state.lock().faults = faults;
+    }
+
+    /// Returns the counts since the start.
+    #[must_use]
+    pub fn counts(&self) -> ServiceCounts {
+        self.shared.state.lock().counts
+    }
+
+    /// Returns the number of executions per order id.
+    #[must_use]
+    pub fn executions(&self) -> BTreeMap<String, u64> {
+        self.shared.state.lock().executions.clone()
+    }
+
+    /// Ends the stand-in and cuts its connections.
+    pub async fn close(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.gate.cut_all();
+        for task in self.tasks {
+            let _ = task.await;
+        }
+    }
+}
+
+/// Applies crashes, and refusals that were set over HTTP, to the listener.
+async fn follow_state(shared: ServiceShared, gate: ListenerGate) {
+    loop {
+        tokio::select! {
+            () = shared.faults_changed.notified() => {}
+            () = shared.crashed.notified() => {
+                gate.set_open(false);
+                gate.cut_all();
+                tokio::time::sleep(shared.options.crash_time).await;
+                gate.cut_all();
+            }
+        }
+        let refuse = shared.state.lock().faults.refuse;
+        gate.set_open(!refuse);
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/service.rs
@@ -0,0 +1,78 @@
+//! Tests of the service stand-in over HTTP.
+
+use std::time::Duration;
+
+use cornelarch_standin::service::{
+    self, FENCE_HEADER, ServiceFaults, ServiceHandle, ServiceOptions, lookup_answer,
+};
+use reqwest::{Client, Response};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+async fn start(fencing: bool) -> ServiceHandle {
+    let options = ServiceOptions {
+        fencing,
+        crash_time: Duration::from_millis(20),
+        ..ServiceOptions::default()
+    };
+    service::bind(options).await.unwrap()
+}
+
+async fn order(handle: &ServiceHandle, id: &str, fence: u64) -> reqwest::Result<Response> {
+    let url = format!("{}/orders", handle.url());
+    let request = Client::new().post(url).header(FENCE_HEADER, fence);
+    request.json(&json!({"order": id})).send().await
+}
+
+/// Guards against executions that are not counted, whether or not their answer arrives.
+#[rstest]
+#[case::none(ServiceFaults::default(), true, 1)]
+#[case::before(ServiceFaults { reset_before_run: 1, ..ServiceFaults::default() }, false, 0)]
+#[case::after(ServiceFaults { reset_after_run: 1, ..ServiceFaults::default() }, false, 1)]
+#[case::mid_answer(ServiceFaults { reset_mid_answer: 1, ..ServiceFaults::default() }, false, 1)]
+#[tokio::test]
+async fn executions_are_counted(
+    #[case] faults: ServiceFaults,
+    #[case] answered: bool,
+    #[case] executions: u64,
+) {
+    let handle = start(false).await;
+    handle.set_faults(faults);
+    let answer = match order(&handle, "o1", 1).await {
+        Ok(response) => response.json::<Value>().await,
+        Err(error) => Err(error),
+    };
+    assert_eq!(answer.is_ok(), answered);
+    let count = handle.executions().get("o1").copied().unwrap_or(0);
+    assert_eq!(count, executions);
+    handle.close().await;
+}
+
+/// Guards against an old fencing number that is accepted, which would hide a second execution.
+#[tokio::test]
+async fn old_fencing_numbers_are_refused() {
+    let handle = start(true).await;
+    assert_eq!(order(&handle, "o1", 7).await.unwrap().status(), 200);
+    assert_eq!(order(&handle, "o1", 6).await.unwrap().status(), 409);
+    assert_eq!(order(&handle, "o2", 1).await.unwrap().status(), 200);
+    assert_eq!(handle.executions()["o1"], 1);
+    assert_eq!(handle.counts().fenced, 1);
+    handle.close().await;
+}
+
+/// Guards against lookups that cannot be checked, and a service that stays down after a crash.
+#[tokio::test]
+async fn lookups_survive_a_crash() {
+    let handle = start(false).await;
+    let url = format!("{}/items/1?q=a", handle.url());
+    assert!(order(&handle, "[crash]", 1).await.is_err());
+    let response = loop {
+        if let Ok(response) = reqwest::get(&url).await {
+            break response;
+        }
+    };
+    let answer: Value = response.json().await.unwrap();
+    assert_eq!(answer, lookup_answer("/items/1?q=a"));
+    assert_eq!(handle.counts().crashes, 1);
+    handle.close().await;
+}
