--- /dev/null
+++ b/crates/router/src/process/desk.rs
@@ -0,0 +1,598 @@
+//! Upstream desk: selection, admission queues, retry budget and crash table behind one mutex.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use cornelarch_core::{
+    base::{CustomerName, MonotonicTime, UpstreamName},
+    blocklist::{
+        CrashEffect, CrashEntry, CrashOptions, CrashReport, CrashTable, CrashVerdict, Fingerprint,
+        FlightKey,
+    },
+    config::{Document, UpstreamKind, UpstreamState},
+    error::ErrorKind,
+    limit::{AdmissionQueue, QueueEffect, QueueOptions, QueueRequest, QueueSnapshot, TicketKey},
+    retry::{
+        AttemptOutcome, AttemptState, RetryBudget, RetryBudgetOptions, RetryDecision, RetryPolicy,
+    },
+    routing::{
+        InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions, SelectError,
+        TableSnapshot, UpstreamSpec, UpstreamTable, WorkKey,
+    },
+};
+use parking_lot::Mutex;
+use rand::{SeedableRng, rngs::StdRng};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    process::{MetricName, RouterState, log_event},
+    request::RequestRefusal,
+};
+
+/// Describes a request that needs an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct DeskRequest {
+    /// What the request needs.
+    pub(crate) route: RouteRequest,
+    /// The identity for the crash table.
+    pub(crate) fingerprint: Fingerprint,
+    /// The place in the queue.
+    pub(crate) queue: QueueRequest,
+}
+
+/// Carries a started attempt out of the lock.
+#[derive(Debug)]
+struct StartedWork {
+    work: WorkKey,
+    flight: FlightKey,
+    upstream: UpstreamName,
+    address: SocketAddr,
+    losses: u64,
+    cancel: CancellationToken,
+}
+
+/// Result of a wait in the queue.
+type TicketAnswer = Result<UpstreamAttempt, RequestRefusal>;
+
+/// Holds one waiting request.
+#[derive(Debug)]
+struct DeskTicket {
+    request: DeskRequest,
+    answer: oneshot::Sender<TicketAnswer>,
+}
+
+/// Holds the queue of one model or service.
+#[derive(Debug)]
+struct DeskQueue {
+    queue: AdmissionQueue,
+    tickets: HashMap<TicketKey, DeskTicket>,
+}
+
+/// Keeps the address of an upstream and the number of its losses.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamContact {
+    address: SocketAddr,
+    losses: u64,
+}
+
+#[derive(Debug)]
+struct DeskState {
+    table: UpstreamTable,
+    contacts: HashMap<UpstreamName, UpstreamContact>,
+    queues: HashMap<RouteTarget, DeskQueue>,
+    queue_options: QueueOptions,
+    retry: RetryBudget,
+    policy: RetryPolicy,
+    crash: CrashTable,
+    flights: HashMap<FlightKey, CancellationToken>,
+    generator: StdRng,
+}
+
+/// Chooses upstreams for requests and learns from their outcomes.
+#[derive(Debug)]
+pub(crate) struct UpstreamDesk {
+    inner: Mutex<DeskState>,
+}
+
+/// Represents one attempt at an upstream; a drop counts as cancelled.
+#[derive(Debug)]
+pub(crate) struct UpstreamAttempt {
+    state: Arc<RouterState>,
+    target: RouteTarget,
+    started: Option<StartedWork>,
+}
+
+impl UpstreamDesk {
+    /// Creates a desk without upstreams.
+    pub(crate) fn new(options: RoutingOptions, capacity: f64) -> Self {
+        Self {
+            inner: Mutex::new(DeskState {
+                table: UpstreamTable::new(options),
+                contacts: HashMap::new(),
+                queues: HashMap::new(),
+                queue_options: QueueOptions {
+                    capacity,
+                    ..QueueOptions::default()
+                },
+                retry: RetryBudget::new(RetryBudgetOptions::default()),
+                policy: RetryPolicy::default(),
+                crash: CrashTable::new(CrashOptions::default()),
+                flights: HashMap::new(),
+                generator: StdRng::from_os_rng(),
+            }),
+        }
+    }
+
+    /// Brings the upstreams of a document in force.
+    pub(crate) fn apply(&self, document: &Document, now: MonotonicTime) {
+        let specs: Vec<UpstreamSpec> = document
+            .upstreams
+            .iter()
+            .map(|(name, section)| UpstreamSpec {
+                name: name.clone(),
+                domain: section.domain.clone(),
+                kind: match section.kind {
+                    UpstreamKind::Engine => cornelarch_core::routing::UpstreamKind::Engine,
+                    UpstreamKind::Service => cornelarch_core::routing::UpstreamKind::Service,
+                },
+                models: section.models.clone(),
+                service: section.service.clone(),
+                concurrency: u32::try_from(section.concurrency).unwrap_or(u32::MAX),
+                leaving: section.state == UpstreamState::Leaving,
+            })
+            .collect();
+        let mut inner = self.inner.lock();
+        inner.table.apply(&specs, now);
+        inner.queue_options.entries_max =
+            usize::try_from(document.limits.queue_requests).unwrap_or(usize::MAX);
+        inner.contacts = document
+            .upstreams
+            .iter()
+            .map(|(name, section)| {
+                let losses = inner.contacts.get(name).map_or(0, |contact| contact.losses);
+                let contact = UpstreamContact {
+                    address: section.address,
+                    losses,
+                };
+                (name.clone(), contact)
+            })
+            .collect();
+        inner
+            .retry
+            .retain_customers(|customer| document.customers.contains_key(customer));
+    }
+
+    /// Sets the number of routers that share the upstreams.
+    pub(crate) fn set_routers(&self, routers: usize) {
+        let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+        self.inner.lock().table.set_routers(routers);
+    }
+
+    /// Returns whether a request may run.
+    pub(crate) fn verdict(&self, fingerprint: Fingerprint, now: MonotonicTime) -> CrashVerdict {
+        self.inner.lock().crash.verdict(fingerprint, now)
+    }
+
+    /// Counts a first attempt.
+    pub(crate) fn first_attempt(&self, customer: &CustomerName, target: &RouteTarget) {
+        self.inner.lock().retry.first_attempt(customer, target);
+    }
+
+    /// Decides whether a failed attempt is repeated, and takes a retry from the budget if so.
+    pub(crate) fn decide(
+        &self,
+        outcome: AttemptOutcome,
+        state: &AttemptState,
+        customer: &CustomerName,
+        target: &RouteTarget,
+        now: MonotonicTime,
+    ) -> RetryDecision {
+        let mut inner = self.inner.lock();
+        let inner = &mut *inner;
+        let decision = inner
+            .policy
+            .decide(outcome, state, now, &mut inner.generator);
+        match decision {
+            RetryDecision::Retry { .. } if !inner.retry.try_retry(customer, target) => {
+                RetryDecision::GiveUp(RetryPolicy::error(outcome, state))
+            }
+            decision => decision,
+        }
+    }
+
+    /// Records a load report.
+    pub(crate) fn load_report(
+        &self,
+        upstream: &UpstreamName,
+        report: LoadReport,
+        now: MonotonicTime,
+    ) {
+        self.inner.lock().table.load_report(upstream, report, now);
+    }
+
+    /// Records what the instance list says about an upstream.
+    pub(crate) fn instance_state(&self, upstream: &UpstreamName, state: InstanceState) {
+        self.inner.lock().table.instance_state(upstream, state);
+    }
+
+    /// Merges the report of a peer.
+    pub(crate) fn merge_report(&self, report: &CrashReport, now: MonotonicTime) {
+        let mut inner = self.inner.lock();
+        let effects = inner.crash.merge(report, now);
+        inner.run_crash_effects(effects);
+    }
+
+    /// Removes all suspicion from a request; returns the reports for peers.
+    pub(crate) fn unblock(&self, fingerprint: Fingerprint, now: MonotonicTime) -> Vec<CrashReport> {
+        let mut inner = self.inner.lock();
+        let effects = inner.crash.unblock(fingerprint, now);
+        inner.run_crash_effects(effects)
+    }
+
+    /// Removes expired entries of the crash table.
+    pub(crate) fn expire(&self, now: MonotonicTime) {
+        self.inner.lock().crash.expire(now);
+    }
+
+    /// Returns the state of the upstreams.
+    pub(crate) fn table_snapshot(&self, now: MonotonicTime) -> TableSnapshot {
+        self.inner.lock().table.snapshot(now)
+    }
+
+    /// Returns the suspected and blocked requests.
+    pub(crate) fn crash_snapshot(&self, now: MonotonicTime) -> Vec<CrashEntry> {
+        self.inner.lock().crash.snapshot(now)
+    }
+
+    /// Returns the state of the queues.
+    pub(crate) fn queue_snapshots(&self) -> Vec<(String, QueueSnapshot)> {
+        let inner = self.inner.lock();
+        let queues = inner.queues.iter();
+        queues
+            .map(|(target, queue)| (target.to_string(), queue.queue.snapshot()))
+            .collect()
+    }
+
+    /// Chooses an upstream, or waits in the queue until one is free.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the table or the queue; nothing was sent.
+    pub(crate) async fn acquire(
+        &self,
+        state: &Arc<RouterState>,
+        request: DeskRequest,
+    ) -> Result<UpstreamAttempt, RequestRefusal> {
+        let target = request.route.target.clone();
+        let (ticket, answer) = {
+            let now = state.clock.now();
+            let mut inner = self.inner.lock();
+            let is_first = inner.queues.get(&target).is_none_or(|queue| queue.queue.is_empty());
+            let result = if is_first {
+                inner.start(&request, now)
+            } else {
+                Err(SelectError::Full {
+                    target: target.clone(),
+                })
+            };
+            match result {
+                Ok(started) => {
+                    return Ok(UpstreamAttempt::new(state, target, started));
+                }
+                Err(SelectError::Full { .. }) => inner.enqueue(request, now)?,
+                Err(error) => return Err(refuse_selection(&error)),
+            }
+        };
+        // The requests that give way get their answer by the pump, outside of the lock.
+        self.pump(state, &target);
+        let guard = TicketGuard {
+            desk: self,
+            target: &target,
+            ticket,
+        };
+        let answer = answer.await;
+        drop(guard);
+        match answer {
+            Ok(answer) => answer,
+            Err(_) => Err(RequestRefusal::new(
+                ErrorKind::Overloaded,
+                "the queue gave the request up",
+            )),
+        }
+    }
+
+    /// Admits waiting requests as far as upstreams are free, and refuses late ones.
+    pub(crate) fn pump(&self, state: &Arc<RouterState>, target: &RouteTarget) {
+        let now = state.clock.now();
+        // Attempts whose caller has gone must be dropped after the lock is released.
+        let mut orphans = Vec::new();
+        let mut inner = self.inner.lock();
+        while let Some(orphan) = inner.pump_one(state, target, now) {
+            orphans.extend(orphan);
+        }
+        drop(inner);
+        drop(orphans);
+    }
+
+    /// Pumps every queue in which requests wait.
+    pub(crate) fn pump_all(&self, state: &Arc<RouterState>) {
+        let targets: Vec<RouteTarget> = {
+            let inner = self.inner.lock();
+            let waiting = inner.queues.iter().filter(|(_, queue)| !queue.queue.is_empty());
+            waiting.map(|(target, _)| target.clone()).collect()
+        };
+        for target in targets {
+            self.pump(state, &target);
+        }
+    }
+
+    fn finish(&self, started: &StartedWork, outcome: AttemptOutcome, broken: bool, now: MonotonicTime) -> Vec<CrashReport> {
+        let mut inner = self.inner.lock();
+        inner.table.finished(started.work, outcome, now);
+        inner.flights.remove(&started.flight);
+        let effects = match outcome {
+            AttemptOutcome::Answered => inner.crash.answered(started.flight, now),
+            _ if broken => inner.charge_loss(started, now),
+            _ => {
+                inner.crash.ended(started.flight);
+                Vec::new()
+            }
+        };
+        inner.run_crash_effects(effects)
+    }
+}
+
+impl DeskState {
+    /// Selects an upstream and records the start of an attempt.
+    fn start(
+        &mut self,
+        request: &DeskRequest,
+        now: MonotonicTime,
+    ) -> Result<StartedWork, SelectError> {
+        let suspects = self.crash.excluded(
+            request.fingerprint,
+            self.table.upstreams(&request.route.target),
+            now,
+        );
+        let selection = if suspects.is_empty() {
+            self.table.select(&request.route, now, &mut self.generator)?
+        } else {
+            let mut route = request.route.clone();
+            route.excluded.extend(suspects);
+            self.table.select(&route, now, &mut self.generator)?
+        };
+        let contact = self.contacts.get(&selection.upstream).copied();
+        let contact = contact.ok_or_else(|| SelectError::UnknownTarget {
+            target: request.route.target.clone(),
+        })?;
+        let work = self.table.started(selection.key, &request.route, now);
+        let flight = self
+            .crash
+            .started(request.fingerprint, &selection.upstream, now);
+        let cancel = CancellationToken::new();
+        self.flights.insert(flight, cancel.clone());
+        if let Some(queue) = self.queues.get_mut(&request.route.target) {
+            queue.queue.drained(request.queue.cost, now);
+        }
+        Ok(StartedWork {
+            work,
+            flight,
+            upstream: selection.upstream,
+            address: contact.address,
+            losses: contact.losses,
+            cancel,
+        })
+    }
+
+    fn enqueue(
+        &mut self,
+        request: DeskRequest,
+        now: MonotonicTime,
+    ) -> Result<(TicketKey, oneshot::Receiver<TicketAnswer>), RequestRefusal> {
+        let options = &self.queue_options;
+        let desk = self
+            .queues
+            .entry(request.route.target.clone())
+            .or_insert_with(|| DeskQueue {
+                queue: AdmissionQueue::new(options.clone()),
+                tickets: HashMap::new(),
+            });
+        let offer = desk.queue.offer(request.queue.clone(), now);
+        let (ticket, effects) = offer.map_err(|refusal| {
+            RequestRefusal::new(refusal.kind, "every upstream is busy and the queue is long")
+                .retry_after(refusal.retry_after.as_secs())
+        })?;
+        desk.refuse(effects);
+        let (answer, receiver) = oneshot::channel();
+        desk.tickets.insert(ticket, DeskTicket { request, answer });
+        Ok((ticket, receiver))
+    }
+
+    /// Handles at most one admission. Returns `None` when nothing more can be done, and an
+    /// attempt whose caller has gone.
+    fn pump_one(
+        &mut self,
+        state: &Arc<RouterState>,
+        target: &RouteTarget,
+        now: MonotonicTime,
+    ) -> Option<Option<UpstreamAttempt>> {
+        let free = self.table.free_slots(target, now).min(1);
+        let desk = self.queues.get_mut(target)?;
+        let effects = desk.queue.poll(free, now);
+        let admitted = effects.iter().find_map(|effect| match effect {
+            QueueEffect::Admit(ticket) => Some(*ticket),
+            QueueEffect::Refuse(..) => None,
+        });
+        desk.refuse(effects);
+        let ticket = desk.tickets.remove(&admitted?)?;
+        if ticket.answer.is_closed() {
+            return Some(None);
+        }
+        match self.start(&ticket.request, now) {
+            Ok(started) => {
+                let attempt = UpstreamAttempt::new(state, target.clone(), started);
+                Some(ticket.answer.send(Ok(attempt)).err().and_then(Result::ok))
+            }
+            Err(SelectError::Full { .. }) => {
+                self.requeue(ticket, now);
+                None
+            }
+            Err(error) => {
+                let _ = ticket.answer.send(Err(refuse_selection(&error)));
+                Some(None)
+            }
+        }
+    }
+
+    /// Returns a request to the queue, because the free upstream is not one that it may use.
+    fn requeue(&mut self, ticket: DeskTicket, now: MonotonicTime) {
+        let Some(desk) = self.queues.get_mut(&ticket.request.route.target) else {
+            return;
+        };
+        match desk.queue.offer(ticket.request.queue.clone(), now) {
+            Ok((key, effects)) => {
+                desk.refuse(effects);
+                desk.tickets.insert(key, ticket);
+            }
+            Err(refusal) => {
+                let _ = ticket.answer.send(Err(RequestRefusal::new(
+                    refusal.kind,
+                    "no permitted upstream is free",
+                )));
+            }
+        }
+    }
+
+    /// Charges the loss of an upstream, unless another attempt has observed the same loss.
+    fn charge_loss(&mut self, started: &StartedWork, now: MonotonicTime) -> Vec<CrashEffect> {
+        let contact = self.contacts.get_mut(&started.upstream);
+        match contact {
+            Some(contact) if contact.losses == started.losses => contact.losses += 1,
+            _ => {
+                self.crash.ended(started.flight);
+                return Vec::new();
+            }
+        }
+        self.crash.upstream_lost(&started.upstream, now)
+    }
+
+    /// Cancels copies of blocked requests and returns the reports for peers.
+    fn run_crash_effects(&mut self, effects: Vec<CrashEffect>) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for effect in effects {
+            match effect {
+                CrashEffect::Report(report) => reports.push(report),
+                CrashEffect::Cancel(flight) => {
+                    if let Some(cancel) = self.flights.get(&flight) {
+                        cancel.cancel();
+                    }
+                }
+            }
+        }
+        reports
+    }
+}
+
+impl DeskQueue {
+    /// Answers the requests that the queue refuses.
+    fn refuse(&mut self, effects: Vec<QueueEffect>) {
+        for effect in effects {
+            if let QueueEffect::Refuse(ticket, refusal) = effect
+                && let Some(ticket) = self.tickets.remove(&ticket)
+            {
+                let refusal = RequestRefusal::new(refusal.kind, "the request waited too long")
+                    .retry_after(refusal.retry_after.as_secs());
+                // A closed channel belongs to a caller that has gone.
+                let _ = ticket.answer.send(Err(refusal));
+            }
+        }
+    }
+}
+
+fn refuse_selection(error: &SelectError) -> RequestRefusal {
+    let refusal = RequestRefusal::new(error.kind(), error.to_string());
+    match error {
+        SelectError::Unusable { retry_after, .. } => refusal.retry_after(retry_after.as_secs()),
+        _ => refusal,
+    }
+}
+
+/// Removes a request from the queue if its caller goes while it waits.
+struct TicketGuard<'a> {
+    desk: &'a UpstreamDesk,
+    target: &'a RouteTarget,
+    ticket: TicketKey,
+}
+
+impl Drop for TicketGuard<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.desk.inner.lock();
+        let ticket = inner.queues.get_mut(self.target).and_then(|desk| {
+            desk.queue.cancel(self.ticket);
+            desk.tickets.remove(&self.ticket)
+        });
+        drop(inner);
+        drop(ticket);
+    }
+}
+
+impl UpstreamAttempt {
+    fn new(state: &Arc<RouterState>, target: RouteTarget, started: StartedWork) -> Self {
+        Self {
+            state: Arc::clone(state),
+            target,
+            started: Some(started),
+        }
+    }
+
+    /// Returns the name of the upstream.
+    pub(crate) fn upstream(&self) -> Option<&UpstreamName> {
+        self.started.as_ref().map(|started| &started.upstream)
+    }
+
+    /// Returns the address of the upstream.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        self.started.as_ref().map(|started| started.address)
+    }
+
+    /// Returns the signal that this attempt must stop because its request is blocked.
+    pub(crate) fn cancelled(&self) -> CancellationToken {
+        let started = self.started.as_ref();
+        started.map_or_else(CancellationToken::new, |started| started.cancel.clone())
+    }
+
+    /// Records the first token.
+    pub(crate) fn first_token(&self) {
+        if let Some(started) = &self.started {
+            let now = self.state.clock.now();
+            let mut inner = self.state.desk.inner.lock();
+            inner.table.first_token(started.work, now);
+        }
+    }
+
+    /// Records the end of the attempt. `broken` tells that the connection broke, which may mean
+    /// that the upstream crashed.
+    pub(crate) fn finish(mut self, outcome: AttemptOutcome, broken: bool) {
+        self.end(outcome, broken);
+    }
+
+    fn end(&mut self, outcome: AttemptOutcome, broken: bool) {
+        let Some(started) = self.started.take() else {
+            return;
+        };
+        let now = self.state.clock.now();
+        let reports = self.state.desk.finish(&started, outcome, broken, now);
+        if broken {
+            self.state.metrics.count(MetricName::UpstreamLosses);
+            log_event!(UpstreamLost, "{} ({outcome:?})", started.upstream);
+        }
+        self.state.share_reports(&reports);
+        self.state.desk.pump(&self.state, &self.target);
+    }
+}
+
+impl Drop for UpstreamAttempt {
+    fn drop(&mut self) {
+        self.end(AttemptOutcome::Cancelled, false);
+    }
+}
--- /dev/null
+++ b/crates/router/src/version/mod.rs
@@ -0,0 +1,94 @@
+//! The configuration version in force.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use cornelarch_core::{
+    base::{BudgetName, CustomerName, MonotonicTime, UpstreamName},
+    budget::{BudgetKey, BudgetLedger},
+    config::{AllowedSet, Document, KeyDigest, KeyOwner, SectionChange, SectionKind},
+};
+
+/// Maps budgets to their keys in the ledger.
+type BudgetKeys = Arc<HashMap<BudgetName, BudgetKey>>;
+
+/// Lists the upstreams of each customer that may not use all of them.
+type CustomerUpstreams = HashMap<CustomerName, Arc<[UpstreamName]>>;
+
+/// Holds a document with what the request path derives from it.
+#[derive(Debug)]
+pub(crate) struct ConfigVersion {
+    /// The version number.
+    pub(crate) number: u64,
+    /// The document.
+    pub(crate) document: Arc<Document>,
+    /// When the version came in force here.
+    pub(crate) since: MonotonicTime,
+    /// The time from the write of the version to its use here, if the former is known.
+    pub(crate) age: Option<Duration>,
+    budgets: BudgetKeys,
+    upstreams: CustomerUpstreams,
+}
+
+impl ConfigVersion {
+    /// Derives a version from a document; `changes` are those since `previous`.
+    pub(crate) fn build(
+        number: u64,
+        document: Arc<Document>,
+        changes: Option<&[SectionChange]>,
+        previous: Option<&Self>,
+        ledger: &mut BudgetLedger,
+        since: MonotonicTime,
+        age: Option<Duration>,
+    ) -> Self {
+        let budgets = match (changes, previous) {
+            // Registering 100,000 budgets takes tens of milliseconds, so it is done on need only.
+            (Some(changes), Some(previous)) if !touches(changes, SectionKind::Budget) => {
+                Arc::clone(&previous.budgets)
+            }
+            _ => Arc::new(register_budgets(&document, ledger)),
+        };
+        let upstreams = document.customers.iter().filter_map(|(name, section)| {
+            match &section.upstreams {
+                AllowedSet::All => None,
+                AllowedSet::Listed(names) => Some((name.clone(), names.iter().cloned().collect())),
+            }
+        });
+        Self {
+            number,
+            upstreams: upstreams.collect(),
+            document,
+            since,
+            age,
+            budgets,
+        }
+    }
+
+    /// Returns the owner of a customer key as the caller sent it.
+    pub(crate) fn key_owner(&self, key: &str) -> Option<&KeyOwner> {
+        self.document.key_owner(&KeyDigest::of_key(key))
+    }
+
+    /// Returns the key of a budget in the ledger.
+    pub(crate) fn budget_key(&self, budget: &BudgetName) -> Option<BudgetKey> {
+        self.budgets.get(budget).copied()
+    }
+
+    /// Returns the upstreams that a customer may use, or `None` if it may use all.
+    pub(crate) fn allowed_upstreams(&self, customer: &CustomerName) -> Option<Arc<[UpstreamName]>> {
+        self.upstreams.get(customer).cloned()
+    }
+}
+
+fn touches(changes: &[SectionChange], kind: SectionKind) -> bool {
+    changes.iter().any(|change| change.section.kind == kind)
+}
+
+fn register_budgets(
+    document: &Document,
+    ledger: &mut BudgetLedger,
+) -> HashMap<BudgetName, BudgetKey> {
+    let names = document.budgets.keys();
+    names
+        .map(|name| (name.clone(), ledger.register(name.clone())))
+        .collect()
+}
