Complete routing, queue and crash rules, and add their tests

Cause: the first version had no idle recovery of slow upstreams, measured affinity against the concurrency instead of the mean load, took the demand for the drain rate, and let two suspects meet at one upstream through different routers.

Change: - Speed: average and peak per effective prompt token; an unused upstream drifts back to its best known speed within 60 s, so that a recovered one is tried again. - Affinity: load bound of 1.25 x mean utilisation; a ring gives all routers the same order. - Queue: the drain rate is measured only while requests wait. - Crash table: all routers give a suspect the same single upstream by rendezvous hashing; a blocked request clears the charges of requests that were only caught in its crashes; negative losses in a report are cleared losses, so that reports merge in any order. - `UpstreamTable::usable` replaces `upstreams`: names for `CrashTable::excluded`.

--- a/crates/core/src/blocklist/fingerprint.rs
+++ b/crates/core/src/blocklist/fingerprint.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize, de};
 use snafu::Snafu;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-use crate::base::CustomerName;
+use crate::base::{CustomerName, UpstreamName};
 
 /// Identifies equal requests of one customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -31,6 +31,13 @@
         Self(bits)
     }
 
+    /// Returns the rank of an upstream for this fingerprint in rendezvous hashing.
+    pub(super) fn affinity(self, upstream: &UpstreamName) -> (u64, u128) {
+        let seed = (self.0 as u64) ^ ((self.0 >> 64) as u64);
+        // The fingerprint breaks ties, so that no two suspects own the same upstream.
+        (xxh3_64_with_seed(upstream.as_bytes(), seed), self.0)
+    }
+
     /// Returns the fingerprint as a number.
     #[must_use]
     pub const fn bits(self) -> u128 {
--- a/crates/core/src/blocklist/table.rs
+++ b/crates/core/src/blocklist/table.rs
@@ -20,8 +20,12 @@
 const DEFAULT_BLOCK: Duration = Duration::from_secs(3600);
 /// Largest number of entries.
 const DEFAULT_ENTRIES_MAX: usize = 4096;
-/// Charges for the same upstream within this time count as one loss when routers compare notes.
+/// Charges for the same upstream within this time belong to the same loss. Routers notice a loss
+/// within their connect timeout, and an engine takes longer than this to load its model again.
 const SAME_LOSS_WINDOW: Duration = Duration::from_secs(5);
+/// Time after its last loss for which a suspect reserves an upstream for itself. A suspect that
+/// is not sent again would otherwise keep others waiting for the whole block time.
+const PROBATION: Duration = Duration::from_secs(60);
 
 new_key_type! {
     /// Identifies one attempt in flight in the crash table.
@@ -97,8 +101,12 @@
 
     /// Returns the upstreams on which a suspect may not run now.
     ///
-    /// The result is empty for a request that is not suspected. A suspect never runs together
-    /// with another suspect, because a crash could then not be attributed to either of them.
+    /// The result is empty for a request that is not suspected. `upstreams` are the usable
+    /// upstreams of the target. A suspect never runs together with another suspect, because a
+    /// crash could then not be attributed to either. All routers of the domain give each suspect
+    /// the same single upstream by rendezvous hashing, so that copies of a request at several
+    /// routers endanger one upstream only. If there are more suspects than upstreams, all
+    /// upstreams are excluded for some of them until others are cleared.
     #[must_use]
     pub fn excluded<'a>(
         &self,
@@ -109,19 +117,35 @@
         if self.verdict(fingerprint, now) == CrashVerdict::Clear {
             return Vec::new();
         }
-        let has_suspect = |upstream: &UpstreamName| {
-            self.by_upstream.get(upstream).is_some_and(|flights| {
-                flights.iter().any(|key| {
-                    let other = self.flights[*key].fingerprint;
-                    self.verdict(other, now) != CrashVerdict::Clear
-                })
+        let rivals: Vec<Fingerprint> = self
+            .entries
+            .iter()
+            .filter(|(other, entry)| {
+                **other != fingerprint
+                    && now.since(entry.touched) < PROBATION
+                    && self.verdict(**other, now) == CrashVerdict::Suspect
             })
+            .map(|(other, _)| *other)
+            .collect();
+        let names: Vec<&UpstreamName> = upstreams.into_iter().collect();
+        let is_owned = |name: &&UpstreamName| {
+            let own = fingerprint.affinity(name);
+            rivals.iter().all(|rival| rival.affinity(name) < own)
         };
-        upstreams
-            .into_iter()
-            .filter(|upstream| has_suspect(upstream))
-            .cloned()
-            .collect()
+        let chosen = names
+            .iter()
+            .copied()
+            .filter(is_owned)
+            .max_by_key(|name| fingerprint.affinity(name))
+            .filter(|name| !self.has_suspect(name, now));
+        let others = names.into_iter().filter(|name| Some(*name) != chosen);
+        others.cloned().collect()
+    }
+
+    fn has_suspect(&self, upstream: &UpstreamName, now: MonotonicTime) -> bool {
+        let flights = self.by_upstream.get(upstream).into_iter().flatten();
+        let mut fingerprints = flights.map(|key| self.flights[*key].fingerprint);
+        fingerprints.any(|other| self.verdict(other, now) != CrashVerdict::Clear)
     }
 
     /// Records that an attempt was sent to an upstream.
@@ -144,9 +168,9 @@
     }
 
     /// Records a complete answer, which clears a suspect.
-    pub fn answered(&mut self, key: FlightKey, now: MonotonicTime) -> Vec<CrashEffect> {
+    pub fn answered(&mut self, key: FlightKey, _now: MonotonicTime) -> Vec<CrashEffect> {
         match self.remove_flight(key) {
-            Some(flight) => self.clear(flight.fingerprint, now),
+            Some(flight) => self.clear(flight.fingerprint),
             None => Vec::new(),
         }
     }
@@ -189,22 +213,26 @@
     }
 
     /// Merges a report of a peer. Returns the copies of the request to cancel if it is blocked.
+    ///
+    /// Nothing is concluded about other requests here: such conclusions would depend on the order
+    /// of the reports. The router that noticed a loss draws them and reports them.
     pub fn merge(&mut self, report: &CrashReport, now: MonotonicTime) -> Vec<CrashEffect> {
-        let entry = self.entries.entry(report.fingerprint).or_default();
+        let fingerprint = report.fingerprint;
+        let entry = self.entry_mut(fingerprint, now);
         let before = entry.touched;
         let is_news = entry.merge(&report.upstream, report.losses, now);
         let after = entry.touched;
-        self.move_age(report.fingerprint, before, after);
-        if is_news && self.verdict(report.fingerprint, now) == CrashVerdict::Blocked {
-            self.cancel_copies(report.fingerprint)
+        self.move_age(fingerprint, before, after);
+        if is_news && self.verdict(fingerprint, now) == CrashVerdict::Blocked {
+            self.cancel_copies(fingerprint)
         } else {
             Vec::new()
         }
     }
 
     /// Removes all suspicion from a request, by order of an operator or of a peer.
-    pub fn unblock(&mut self, fingerprint: Fingerprint, now: MonotonicTime) -> Vec<CrashEffect> {
-        self.clear(fingerprint, now)
+    pub fn unblock(&mut self, fingerprint: Fingerprint, _now: MonotonicTime) -> Vec<CrashEffect> {
+        self.clear(fingerprint)
     }
 
     /// Returns every known counter, for a peer that has just joined.
@@ -274,15 +302,12 @@
 
     fn charge(&mut self, flight: &Flight, now: MonotonicTime) -> Vec<CrashEffect> {
         let fingerprint = flight.fingerprint;
-        if !self.entries.contains_key(&fingerprint) {
-            self.make_room();
-        }
-        let entry = self.entries.entry(fingerprint).or_default();
+        let entry = self.entry_mut(fingerprint, now);
         // A loss that a peer has reported after this attempt started is the same loss.
-        let known = entry.losses.get(&flight.upstream).is_some_and(|count| {
+        let is_known = entry.losses.get(&flight.upstream).is_some_and(|count| {
             count.charged_at >= flight.started && now.since(count.charged_at) < SAME_LOSS_WINDOW
         });
-        if known {
+        if is_known {
             return Vec::new();
         }
         let before = entry.touched;
@@ -293,17 +318,80 @@
             upstream: flight.upstream.clone(),
             losses: to_losses(losses),
         })];
-        if self.verdict(fingerprint, now) == CrashVerdict::Blocked {
-            effects.extend(self.cancel_copies(fingerprint));
-        }
+        effects.extend(self.judge(fingerprint, now));
         effects
     }
 
-    fn clear(&mut self, fingerprint: Fingerprint, now: MonotonicTime) -> Vec<CrashEffect> {
+    /// Draws the conclusions from an own observation.
+    ///
+    /// A blocked request explains the losses that it shares with others: their charges are
+    /// cleared, and its own copies in flight are cancelled.
+    fn judge(&mut self, fingerprint: Fingerprint, now: MonotonicTime) -> Vec<CrashEffect> {
+        match self.verdict(fingerprint, now) {
+            CrashVerdict::Clear => Vec::new(),
+            CrashVerdict::Suspect => {
+                let is_explained = self
+                    .entries
+                    .keys()
+                    .any(|other| self.explains(*other, fingerprint, now));
+                if is_explained {
+                    self.clear(fingerprint)
+                } else {
+                    Vec::new()
+                }
+            }
+            CrashVerdict::Blocked => {
+                let explained: Vec<Fingerprint> = self
+                    .entries
+                    .keys()
+                    .filter(|other| self.explains(fingerprint, **other, now))
+                    .copied()
+                    .collect();
+                let mut effects = self.cancel_copies(fingerprint);
+                for other in explained {
+                    effects.extend(self.clear(other));
+                }
+                effects
+            }
+        }
+    }
+
+    /// Returns whether `blocked` is blocked and was in flight at every loss of `suspect`.
+    fn explains(&self, blocked: Fingerprint, suspect: Fingerprint, now: MonotonicTime) -> bool {
+        if self.verdict(blocked, now) != CrashVerdict::Blocked
+            || self.verdict(suspect, now) != CrashVerdict::Suspect
+        {
+            return false;
+        }
+        let (blocked, suspect) = (&self.entries[&blocked], &self.entries[&suspect]);
+        let mut open = suspect.losses.iter().filter(|(_, count)| count.open() > 0);
+        open.all(|(upstream, count)| {
+            blocked.losses.get(upstream).is_some_and(|other| {
+                let apart = other.charged_at.since(count.charged_at)
+                    + count.charged_at.since(other.charged_at);
+                other.open() > 0 && apart < SAME_LOSS_WINDOW
+            })
+        })
+    }
+
+    /// Returns the entry of a fingerprint, which is added if necessary.
+    fn entry_mut(&mut self, fingerprint: Fingerprint, now: MonotonicTime) -> &mut LossEntry {
+        if !self.entries.contains_key(&fingerprint) {
+            self.make_room();
+            self.ages.insert((now, fingerprint));
+        }
+        self.entries
+            .entry(fingerprint)
+            .or_insert_with(|| LossEntry {
+                touched: now,
+                ..LossEntry::default()
+            })
+    }
+
+    fn clear(&mut self, fingerprint: Fingerprint) -> Vec<CrashEffect> {
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return Vec::new();
         };
-        let _ = now;
         let mut effects = Vec::new();
         for (upstream, count) in &mut entry.losses {
             if count.open() > 0 {
--- a/crates/core/src/limit/queue.rs
+++ b/crates/core/src/limit/queue.rs
@@ -229,9 +229,14 @@
 
     /// Records that a request of `cost` tokens started, whether or not it had waited.
     ///
-    /// The drain rate is measured from these calls while requests wait.
+    /// The drain rate is measured while requests wait only, because without a queue it equals the
+    /// demand and would make a flash crowd look hopeless.
     pub fn drained(&mut self, cost: u64, now: MonotonicTime) {
-        self.rate.record(cost, now);
+        if self.tickets.is_empty() {
+            self.rate.pause();
+        } else {
+            self.rate.record(cost, now);
+        }
     }
 
     /// Removes a waiting request whose caller has gone. Returns whether it was waiting.
@@ -414,6 +419,11 @@
         self.since = Some(now);
     }
 
+    fn pause(&mut self) {
+        self.pending = 0;
+        self.since = None;
+    }
+
     fn per_second(&self) -> f64 {
         self.rate
     }
--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -55,6 +55,16 @@
         (f64::from(self.limit.limit()) * ramp).max(1.0)
     }
 
+    /// Returns the estimated load relative to the concurrency.
+    pub(super) fn utilisation(&self, options: &RoutingOptions, now: MonotonicTime) -> f64 {
+        self.estimated_load(options, now) / f64::from(self.spec.concurrency.max(1))
+    }
+
+    /// Returns whether the upstream is neither leaving nor ejected.
+    pub(super) fn is_usable(&self, now: MonotonicTime) -> bool {
+        !self.is_leaving() && self.health.ejected_until(now).is_none()
+    }
+
     /// Returns how many more requests the upstream takes.
     pub(super) fn free(&self, options: &RoutingOptions, now: MonotonicTime) -> f64 {
         self.capacity(options, now) - self.estimated_load(options, now)
@@ -83,8 +93,8 @@
     }
 
     /// Returns the learnt or assumed seconds to first token per effective token.
-    pub(super) fn first_s(&self) -> f64 {
-        self.speed.first_s().unwrap_or(PRIOR_FIRST_S)
+    pub(super) fn first_s(&self, now: MonotonicTime) -> f64 {
+        self.speed.first_s(now).unwrap_or(PRIOR_FIRST_S)
     }
 
     /// Returns the expected queueing time in seconds of a request that arrives now.
@@ -111,7 +121,7 @@
         let tokens = SpeedEstimate::effective_tokens(request.prompt_tokens) - cached;
         let failures = f64::from(self.health.in_a_row().min(5)) + self.health.failure_rate();
         self.expected_wait_s(options, now)
-            + tokens.max(1.0) * self.first_s()
+            + tokens.max(1.0) * self.first_s(now)
             + self.penalty.as_secs_f64()
             + failures * FAILURE_COST_S
     }
--- a/crates/core/src/routing/group.rs
+++ b/crates/core/src/routing/group.rs
@@ -18,6 +18,14 @@
         self.local.iter().chain(&self.remote).copied()
     }
 
+    /// Returns the upstream at a position below [`UpstreamGroup::len`].
+    pub(super) fn at(&self, index: usize) -> UpstreamKey {
+        match index.checked_sub(self.local.len()) {
+            Some(index) => self.remote[index],
+            None => self.local[index],
+        }
+    }
+
     pub(super) fn len(&self) -> usize {
         self.local.len() + self.remote.len()
     }
--- a/crates/core/src/routing/select.rs
+++ b/crates/core/src/routing/select.rs
@@ -18,6 +18,8 @@
 const DRAWS_MAX: usize = 16;
 /// Share of draws from other domains, so that a faster remote upstream is found.
 const REMOTE_SHARE: f64 = 0.25;
+/// Upstreams of a large group whose load is averaged.
+const MEAN_SAMPLES: usize = 8;
 /// Steps on the ring before affinity is given up.
 const RING_STEPS_MAX: usize = 8;
 
@@ -48,7 +50,7 @@
         if candidates.is_empty() {
             candidates = self.scan(group, request, now, rng)?;
         }
-        let preferred = self.preferred(group, request, now);
+        let preferred = self.preferred(group, request, now, rng);
         candidates.extend(preferred.filter(|key| !candidates.contains(key)));
         let scored = candidates.into_iter().map(|key| {
             let entry = &self.entries[key];
@@ -143,20 +145,41 @@
         group: &UpstreamGroup,
         request: &RouteRequest,
         now: MonotonicTime,
+        rng: &mut impl Rng,
     ) -> Option<UpstreamKey> {
         let hint = request.prefix?;
+        let options = self.options();
+        let mean = self.mean_utilisation(group, now, rng);
         group
             .ring
             .walk(hint.digest)
             .take(RING_STEPS_MAX)
             .find(|key| {
                 let entry = &self.entries[*key];
-                let load = entry.estimated_load(self.options(), now);
-                let bound = self.options().affinity_bound * f64::from(entry.spec.concurrency);
-                load < bound && self.accepts(entry, request, now)
+                let share = options.affinity_bound * mean * f64::from(entry.spec.concurrency);
+                // One request more keeps an idle group from spreading each prefix.
+                entry.estimated_load(options, now) < share + 1.0
+                    && self.accepts(entry, request, now)
             })
     }
 
+    /// Returns the mean utilisation of the group; of a sample if it is large.
+    fn mean_utilisation(
+        &self,
+        group: &UpstreamGroup,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+    ) -> f64 {
+        let of = |key: UpstreamKey| self.entries[key].utilisation(self.options(), now);
+        if group.len() <= SCAN_MAX {
+            return group.keys().map(of).sum::<f64>() / group.len().max(1) as f64;
+        }
+        let sum: f64 = (0..MEAN_SAMPLES)
+            .map(|_| of(group.at(rng.random_range(0..group.len()))))
+            .sum();
+        sum / MEAN_SAMPLES as f64
+    }
+
     fn accepts(&self, entry: &UpstreamEntry, request: &RouteRequest, now: MonotonicTime) -> bool {
         is_permitted(entry, request)
             && matches!(
--- a/crates/core/src/routing/speed.rs
+++ b/crates/core/src/routing/speed.rs
@@ -5,24 +5,46 @@
 use crate::base::MonotonicTime;
 
 /// Time in which a peak of the service time loses 63% of its height.
-const DECAY: Duration = Duration::from_secs(10);
-/// Weight of one sample below the average.
+const PEAK_DECAY: Duration = Duration::from_secs(5);
+/// Time in which an unused upstream gets 63% of its best known speed back, so that a recovered one
+/// is tried again.
+const IDLE_DECAY: Duration = Duration::from_secs(60);
+/// Weight of one sample in the averages.
 const SMOOTHING: f64 = 0.1;
+/// Weight of one sample above the peak.
+const PEAK_SMOOTHING: f64 = 0.3;
 /// Prompt tokens that stand for the fixed cost of a request.
 const FIXED_TOKENS: f64 = 64.0;
 
 /// Learns the time to first token per prompt token and the duration of whole answers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SpeedEstimate {
-    first_s: Option<f64>,
+    first: Option<FirstToken>,
     duration_s: Option<f64>,
+}
+
+/// Learns the seconds to first token per effective token.
+#[derive(Clone, Copy, Debug)]
+struct FirstToken {
+    average_s: f64,
+    excess_s: f64,
+    best_s: f64,
     updated: MonotonicTime,
 }
 
+impl FirstToken {
+    fn value_s(&self, now: MonotonicTime) -> f64 {
+        let idle_s = now.since(self.updated).as_secs_f64();
+        let excess_s = self.excess_s * (-idle_s / PEAK_DECAY.as_secs_f64()).exp();
+        let kept = (-idle_s / IDLE_DECAY.as_secs_f64()).exp();
+        self.best_s + (self.average_s - self.best_s) * kept + excess_s
+    }
+}
+
 impl SpeedEstimate {
     /// Returns the learnt seconds to first token of an unqueued request per effective token.
-    pub(super) const fn first_s(&self) -> Option<f64> {
-        self.first_s
+    pub(super) fn first_s(&self, now: MonotonicTime) -> Option<f64> {
+        self.first.map(|first| first.value_s(now))
     }
 
     /// Returns the learnt duration of an answer in seconds.
@@ -37,20 +59,31 @@
 
     /// Records a time to first token without its expected queueing time.
     ///
-    /// The average rises at once to a peak, and falls slowly.
+    /// The value rises quickly to a peak, and falls slowly to the average.
     pub(super) fn first_token(&mut self, service_s: f64, tokens: f64, now: MonotonicTime) {
-        let sample = service_s.max(1e-5) / tokens.max(1.0);
-        let value = match self.first_s {
-            Some(value) if sample > value => value + (sample - value) * 0.5,
-            Some(value) => {
-                let idle = now.since(self.updated).as_secs_f64() / DECAY.as_secs_f64();
-                let weight = SMOOTHING.max(1.0 - (-idle).exp());
-                value + (sample - value) * weight
-            }
-            None => sample,
+        let sample_s = service_s.max(1e-5) / tokens.max(1.0);
+        let Some(first) = &mut self.first else {
+            self.first = Some(FirstToken {
+                average_s: sample_s,
+                excess_s: 0.0,
+                best_s: sample_s,
+                updated: now,
+            });
+            return;
+        };
+        let idle_s = now.since(first.updated).as_secs_f64();
+        let excess_s = first.excess_s * (-idle_s / PEAK_DECAY.as_secs_f64()).exp();
+        first.average_s += (sample_s - first.average_s) * SMOOTHING;
+        let peak_s = first.average_s + excess_s;
+        first.excess_s = if sample_s > peak_s {
+            excess_s + (sample_s - peak_s) * PEAK_SMOOTHING
+        } else {
+            excess_s * (1.0 - SMOOTHING)
         };
-        self.first_s = Some(value);
-        self.updated = now;
+        first.best_s = first.best_s.min(sample_s);
+        // The best speed follows an upstream that has become slower for good.
+        first.best_s += (first.average_s - first.best_s) * SMOOTHING * SMOOTHING;
+        first.updated = now;
     }
 
     /// Records the duration of a whole answer.
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -204,8 +204,7 @@
         };
         let free = group.keys().map(|key| {
             let entry = &self.entries[key];
-            let is_usable = !entry.is_leaving() && entry.health.ejected_until(now).is_none();
-            if is_usable {
+            if entry.is_usable(now) {
                 entry.free(&self.options, now).max(0.0) as usize
             } else {
                 0
@@ -214,11 +213,17 @@
         free.sum()
     }
 
-    /// Returns the names of the upstreams of `target`.
-    pub fn upstreams(&self, target: &RouteTarget) -> impl Iterator<Item = &UpstreamName> {
-        self.group(target)
-            .into_iter()
-            .flat_map(|group| group.keys().map(|key| &self.entries[key].spec.name))
+    /// Returns the names of the upstreams of `target` that are neither leaving nor ejected.
+    pub fn usable(
+        &self,
+        target: &RouteTarget,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &UpstreamName> {
+        let keys = self.group(target).into_iter().flat_map(UpstreamGroup::keys);
+        let entries = keys.map(|key| &self.entries[key]);
+        entries
+            .filter(move |entry| entry.is_usable(now))
+            .map(|entry| &entry.spec.name)
     }
 
     /// Returns the state of every upstream, with the reason why it is used or not.
@@ -367,7 +372,7 @@
         estimated_load: entry.estimated_load(options, now),
         report_age_ms: entry.load.report_age(now).map(|age| age.as_millis() as u64),
         limit: entry.limit.limit(),
-        first_token_us: entry.speed.first_s().map(|first_s| first_s * 1e6),
+        first_token_us: entry.speed.first_s(now).map(|first_s| first_s * 1e6),
         duration_ms: entry.speed.duration_s().map(|duration_s| duration_s * 1e3),
         failures_in_a_row: entry.health.in_a_row(),
         failure_rate: entry.health.failure_rate(),
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,157 @@
+//! Tests of retry decisions and retry budgets.
+
+use std::time::Duration;
+
+use cornelarch_core::{
+    base::{CustomerName, MonotonicTime},
+    error::{ErrorKind, RunState},
+    retry::{
+        AttemptOutcome, AttemptState, RetryBudget, RetryBudgetOptions, RetryDecision, RetryOptions,
+        RetryPolicy,
+    },
+    routing::RouteTarget,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(1_000);
+
+fn state() -> AttemptState {
+    AttemptState {
+        attempts: 1,
+        idempotent: true,
+        may_have_run: false,
+        delivered: 0,
+        resumable: false,
+        deadline: MonotonicTime::from_millis(60_000),
+    }
+}
+
+/// Guards against a second run of a request that must not be repeated, against `not_run` for a
+/// request that may have run, and against text of two answers in one, over all combinations.
+#[rstest]
+fn never_repeats_what_may_have_run(
+    #[values(true, false)] idempotent: bool,
+    #[values(true, false)] may_have_run: bool,
+    #[values(true, false)] resumable: bool,
+    #[values(0, 3)] delivered: u64,
+) {
+    let policy = RetryPolicy::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for outcome in AttemptOutcome::ALL {
+        let ran = may_have_run || outcome.run_state() != RunState::NotRun;
+        let state = AttemptState {
+            idempotent,
+            may_have_run: ran,
+            delivered,
+            resumable,
+            ..state()
+        };
+        match policy.decide(*outcome, &state, NOW, &mut rng) {
+            RetryDecision::Done => assert_eq!(*outcome, AttemptOutcome::Answered),
+            RetryDecision::Retry { .. } => {
+                assert!(idempotent || !ran, "{outcome:?} was repeated");
+                assert!(
+                    delivered == 0 || resumable,
+                    "{outcome:?} began again part way"
+                );
+            }
+            RetryDecision::GiveUp(kind) => {
+                let says_not_run = kind.answer().run == RunState::NotRun;
+                assert!(
+                    !says_not_run || (!ran && delivered == 0),
+                    "{outcome:?} says {kind:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a retry that starts after the caller has given up.
+#[test]
+fn respects_the_deadline_and_the_number_of_attempts() {
+    let policy = RetryPolicy::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let lost = AttemptOutcome::LostBeforeFirst;
+    let late = AttemptState {
+        deadline: NOW,
+        ..state()
+    };
+    let decision = policy.decide(lost, &late, NOW, &mut rng);
+    assert_eq!(decision, RetryDecision::GiveUp(ErrorKind::UpstreamLost));
+    let last = AttemptState {
+        attempts: 3,
+        ..state()
+    };
+    let decision = policy.decide(lost, &last, NOW, &mut rng);
+    assert_eq!(decision, RetryDecision::GiveUp(ErrorKind::UpstreamLost));
+}
+
+/// Guards against synchronised retries: waits must spread over the whole range, which doubles up
+/// to its bound.
+#[rstest]
+#[case(1, 20)]
+#[case(2, 40)]
+#[case(4, 160)]
+#[case(40, 1_000)]
+fn backs_off_with_full_jitter(#[case] attempts: u32, #[case] bound_ms: u64) {
+    let policy = RetryPolicy::new(RetryOptions::default());
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let bound = Duration::from_millis(bound_ms);
+    let waits: Vec<_> = (0..1_000)
+        .map(|_| policy.backoff(attempts, &mut rng))
+        .collect();
+    assert!(waits.iter().all(|wait| *wait <= bound));
+    assert!(waits.iter().any(|wait| *wait < bound / 10));
+    assert!(waits.iter().any(|wait| *wait > bound * 9 / 10));
+}
+
+/// Guards against a retry storm: when every attempt fails, retries stay at a tenth of first
+/// attempts.
+#[test]
+fn limits_retries_to_a_share_of_first_attempts() {
+    let mut budget = RetryBudget::new(RetryBudgetOptions::default());
+    let target = RouteTarget::Model("m".into());
+    let customer = CustomerName::new("c");
+    assert!(
+        !budget.try_retry(&customer, &target),
+        "no first attempt was made"
+    );
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.first_attempt(&customer, &target);
+        retries += u32::from(budget.try_retry(&customer, &target));
+    }
+    assert!((100..=101).contains(&retries), "{retries} retries");
+}
+
+/// Guards against a customer that uses up the retries of others, and against many customers that
+/// overload an upstream group together.
+#[test]
+fn limits_customers_and_groups_apart() {
+    let mut budget = RetryBudget::new(RetryBudgetOptions {
+        initial: 0.0,
+        group_burst: 3.5,
+        customer_burst: 1.5,
+        ..RetryBudgetOptions::default()
+    });
+    let target = RouteTarget::Model("m".into());
+    let customers = ["a", "b", "c", "d"].map(CustomerName::from);
+    for customer in &customers {
+        for _ in 0..20 {
+            budget.first_attempt(customer, &target);
+        }
+    }
+    assert!(budget.try_retry(&customers[0], &target));
+    assert!(
+        !budget.try_retry(&customers[0], &target),
+        "its own bucket is empty"
+    );
+    assert!(budget.try_retry(&customers[1], &target));
+    assert!(budget.try_retry(&customers[2], &target));
+    assert!(
+        !budget.try_retry(&customers[3], &target),
+        "the bucket of the group is empty"
+    );
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,414 @@
+//! Tests of the upstream table.
+
+use std::{collections::HashMap, time::Duration};
+
+use cornelarch_core::{
+    base::{ModelName, MonotonicTime, UpstreamName},
+    error::ErrorKind,
+    retry::AttemptOutcome,
+    routing::{
+        CacheEvent, InstanceState, LoadReport, PrefixHint, RouteRequest, RouteTarget,
+        RoutingOptions, SelectError, UpstreamSpec, UpstreamTable, UseState,
+    },
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn target() -> RouteTarget {
+    RouteTarget::Model("m".into())
+}
+
+fn engine(name: &str, domain: &str) -> UpstreamSpec {
+    UpstreamSpec {
+        concurrency: 16,
+        ..UpstreamSpec::engine(name.into(), domain.into(), vec![ModelName::new("m")])
+    }
+}
+
+/// Drives a table with a seeded generator.
+struct TableDriver {
+    table: UpstreamTable,
+    rng: ChaCha8Rng,
+    request: RouteRequest,
+}
+
+impl TableDriver {
+    fn new(names: &[&str]) -> Self {
+        let mut table = UpstreamTable::new(RoutingOptions::new("d1".into()));
+        let specs: Vec<_> = names.iter().map(|name| engine(name, "d1")).collect();
+        table.apply(&specs, at(0));
+        Self {
+            table,
+            rng: ChaCha8Rng::seed_from_u64(3),
+            request: RouteRequest {
+                prompt_tokens: 500,
+                ..RouteRequest::new(target())
+            },
+        }
+    }
+
+    /// Sends one request that ends with `outcome` after `millis`, and returns its upstream.
+    fn send(&mut self, millis: u64, outcome: AttemptOutcome, now: MonotonicTime) -> UpstreamName {
+        let selection = self
+            .table
+            .select(&self.request, now, &mut self.rng)
+            .expect("usable");
+        let work = self.table.started(selection.key, &self.request, now);
+        let end = now + Duration::from_millis(millis);
+        if outcome == AttemptOutcome::Answered {
+            self.table.first_token(work, end);
+        }
+        self.table.finished(work, outcome, end);
+        selection.upstream
+    }
+
+    /// Fails `count` requests at one upstream.
+    fn fail(&mut self, name: &str, count: usize, now: MonotonicTime) {
+        let others: Vec<UpstreamName> = self
+            .table
+            .usable(&target(), now)
+            .filter(|other| other.as_str() != name)
+            .cloned()
+            .collect();
+        self.request.excluded = others;
+        for _ in 0..count {
+            if self.table.select(&self.request, now, &mut self.rng).is_ok() {
+                self.send(1, AttemptOutcome::LostBeforeFirst, now);
+            }
+        }
+        self.request.excluded.clear();
+    }
+
+    /// Selects `count` times without sending, and counts the results.
+    fn spread(&mut self, count: usize, now: MonotonicTime) -> HashMap<String, usize> {
+        let mut counts = HashMap::new();
+        for _ in 0..count {
+            let selection = self
+                .table
+                .select(&self.request, now, &mut self.rng)
+                .expect("usable");
+            *counts.entry(selection.upstream.to_string()).or_default() += 1;
+        }
+        counts
+    }
+
+    fn use_state(&self, name: &str, now: MonotonicTime) -> UseState {
+        let snapshot = self.table.snapshot(now);
+        let found = snapshot
+            .upstreams
+            .iter()
+            .find(|upstream| upstream.name.as_str() == name);
+        found.expect("the upstream is listed").use_state
+    }
+}
+
+/// Guards against new work for an upstream that leaves, from each source that may say so (P6).
+#[rstest]
+#[case::document(0)]
+#[case::instance_list(1)]
+#[case::load_report(2)]
+#[case::removed(3)]
+fn sends_nothing_to_a_leaving_upstream(#[case] source: u32) {
+    let mut driver = TableDriver::new(&["e1", "e2"]);
+    let held = driver
+        .table
+        .select(&driver.request, at(1), &mut driver.rng)
+        .expect("usable");
+    let work = driver.table.started(held.key, &driver.request, at(1));
+    let name = held.upstream.clone();
+    let mut specs = vec![engine("e1", "d1"), engine("e2", "d1")];
+    match source {
+        0 => {
+            specs
+                .iter_mut()
+                .for_each(|spec| spec.leaving = spec.name == name);
+            driver.table.apply(&specs, at(2));
+        }
+        1 => driver.table.instance_state(&name, InstanceState::Leaving),
+        2 => {
+            let report = LoadReport {
+                leaving: true,
+                ..LoadReport::default()
+            };
+            driver.table.load_report(&name, report, at(2));
+        }
+        _ => {
+            specs.retain(|spec| spec.name != name);
+            driver.table.apply(&specs, at(2));
+        }
+    }
+    assert_eq!(driver.spread(100, at(3)).get(name.as_str()), None);
+    // Its work in progress still ends normally.
+    driver.table.first_token(work, at(4));
+    driver.table.finished(work, AttemptOutcome::Answered, at(5));
+    assert_eq!(driver.table.snapshot(at(6)).in_flight, 0);
+}
+
+/// Guards against an upstream that keeps failing requests, and against ejecting so many that the
+/// rest is overloaded.
+#[test]
+fn ejects_failing_upstreams_down_to_the_floor() {
+    let mut driver = TableDriver::new(&["e1", "e2", "e3", "e4"]);
+    for name in ["e1", "e2", "e3"] {
+        driver.fail(name, 5, at(1_000));
+    }
+    assert!(matches!(
+        driver.use_state("e1", at(1_100)),
+        UseState::Ejected { .. }
+    ));
+    assert!(matches!(
+        driver.use_state("e2", at(1_100)),
+        UseState::Ejected { .. }
+    ));
+    assert!(!matches!(
+        driver.use_state("e3", at(1_100)),
+        UseState::Ejected { .. }
+    ));
+    // The failing upstream that may not be ejected is still avoided.
+    assert_eq!(driver.spread(100, at(1_100)).get("e3"), None);
+}
+
+/// Guards against an ejection that never ends, does not grow, or ends with a rush of requests.
+#[test]
+fn doubles_ejections_and_starts_slowly() {
+    let mut driver = TableDriver::new(&["e1", "e2"]);
+    driver.fail("e1", 3, at(0));
+    assert!(matches!(
+        driver.use_state("e1", at(4_990)),
+        UseState::Ejected { .. }
+    ));
+    assert_eq!(driver.use_state("e1", at(5_010)), UseState::SlowStart);
+    assert_eq!(driver.use_state("e1", at(15_010)), UseState::Used);
+    driver.fail("e1", 3, at(16_000));
+    assert!(matches!(
+        driver.use_state("e1", at(25_990)),
+        UseState::Ejected { .. }
+    ));
+    assert_eq!(driver.use_state("e1", at(26_010)), UseState::SlowStart);
+}
+
+/// Guards against treating unequal upstreams as equal: the fast one must get most of the work, and
+/// the slow one must be tried again after it has recovered.
+#[test]
+fn learns_unequal_speeds() {
+    let mut driver = TableDriver::new(&["fast", "slow"]);
+    for step in 0..200 {
+        let now = at(step * 20);
+        let name = driver
+            .table
+            .select(&driver.request, now, &mut driver.rng)
+            .expect("usable");
+        let millis = if name.upstream.as_str() == "slow" {
+            900
+        } else {
+            100
+        };
+        let work = driver.table.started(name.key, &driver.request, now);
+        let end = now + Duration::from_millis(millis);
+        driver.table.first_token(work, end);
+        driver.table.finished(work, AttemptOutcome::Answered, end);
+    }
+    let counts = driver.spread(100, at(10_000));
+    assert_eq!(counts.get("slow"), None, "{counts:?}");
+    // At its limit the fast upstream gives way.
+    let report = LoadReport {
+        running: 16,
+        queued: 30,
+        ..LoadReport::default()
+    };
+    driver.table.load_report(&"fast".into(), report, at(10_000));
+    assert_eq!(driver.spread(100, at(10_001)).get("fast"), None);
+}
+
+/// Guards against double counting of own requests, which a lagging report contains in part.
+#[test]
+fn corrects_lagging_reports_by_own_requests() {
+    let mut driver = TableDriver::new(&["e1"]);
+    let key = driver
+        .table
+        .select(&driver.request, at(0), &mut driver.rng)
+        .expect("usable")
+        .key;
+    let load = |driver: &TableDriver| driver.table.snapshot(at(3_000)).upstreams[0].estimated_load;
+    driver
+        .table
+        .load_report(&"e1".into(), LoadReport::default(), at(0));
+    let first = driver.table.started(key, &driver.request, at(1_000));
+    driver.table.started(key, &driver.request, at(2_000));
+    assert!((load(&driver) - 2.0).abs() < 1e-9);
+    // Taken at 1.5 s: it contains the first request and two of others, but not the second.
+    let report = LoadReport {
+        running: 3,
+        age: Duration::from_millis(1_000),
+        ..LoadReport::default()
+    };
+    driver.table.load_report(&"e1".into(), report, at(2_500));
+    assert!((load(&driver) - 4.0).abs() < 1e-9);
+    // A report that was overtaken by a newer one is ignored.
+    let old = LoadReport {
+        running: 9,
+        age: Duration::from_millis(2_000),
+        ..LoadReport::default()
+    };
+    driver.table.load_report(&"e1".into(), old, at(2_600));
+    assert!((load(&driver) - 4.0).abs() < 1e-9);
+    driver
+        .table
+        .finished(first, AttemptOutcome::Answered, at(2_700));
+    assert!((load(&driver) - 3.0).abs() < 1e-9);
+}
+
+/// Guards against herding: routers with the same stale report must not all choose the same
+/// upstream.
+#[test]
+fn spreads_routers_with_the_same_view() {
+    let names: Vec<String> = (0..9).map(|index| format!("e{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for seed in 0..350 {
+        let mut driver = TableDriver::new(&names);
+        driver.rng = ChaCha8Rng::seed_from_u64(seed);
+        for (index, name) in names.iter().enumerate() {
+            let report = LoadReport {
+                running: 10 + index as u32 / 3,
+                ..LoadReport::default()
+            };
+            driver.table.load_report(&(*name).into(), report, at(0));
+        }
+        for (name, count) in driver.spread(1, at(100)) {
+            *counts.entry(name).or_default() += count;
+        }
+    }
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(most <= 350 * 3 / 9, "{counts:?}");
+}
+
+/// Guards against prefixes that are computed anew at every upstream, and against an upstream that
+/// is overloaded because of a popular prefix.
+#[test]
+fn follows_prefixes_within_the_load_bound() {
+    let names = ["e1", "e2", "e3", "e4"];
+    let mut preferred = HashMap::new();
+    for seed in 0..20 {
+        let mut driver = TableDriver::new(&names);
+        driver.rng = ChaCha8Rng::seed_from_u64(seed);
+        driver.request.prefix = Some(PrefixHint {
+            digest: 99,
+            tokens: 400,
+        });
+        for (name, count) in driver.spread(1, at(0)) {
+            *preferred.entry(name).or_insert(0) += count;
+        }
+    }
+    assert_eq!(
+        preferred.len(),
+        1,
+        "routers disagree about the prefix: {preferred:?}"
+    );
+    let favourite = preferred.into_keys().next().expect("one upstream");
+    let mut driver = TableDriver::new(&names);
+    driver.request.prefix = Some(PrefixHint {
+        digest: 99,
+        tokens: 400,
+    });
+    for _ in 0..24 {
+        let key = driver
+            .table
+            .select(&driver.request, at(1), &mut driver.rng)
+            .expect("usable")
+            .key;
+        driver.table.started(key, &driver.request, at(1));
+    }
+    let snapshot = driver.table.snapshot(at(2));
+    let own = |upstream: &&cornelarch_core::routing::UpstreamSnapshot| upstream.own;
+    let most = snapshot
+        .upstreams
+        .iter()
+        .max_by_key(own)
+        .expect("four upstreams");
+    assert_eq!(most.name.as_str(), favourite);
+    // 1.25 times the mean of 6, and one request more.
+    assert!(most.own <= 9, "{} of 24 requests at one upstream", most.own);
+}
+
+/// Guards against routing by cache contents that are gone.
+#[test]
+fn forgets_evicted_prefixes() {
+    let mut driver = TableDriver::new(&["e1", "e2", "e3", "e4"]);
+    driver
+        .table
+        .cache_event(&"e3".into(), CacheEvent::Stored(7));
+    driver.request.prefix = Some(PrefixHint {
+        digest: 7,
+        tokens: 450,
+    });
+    let expected = |driver: &mut TableDriver| {
+        let mut least = Duration::MAX;
+        for _ in 0..50 {
+            let selection = driver.table.select(&driver.request, at(1), &mut driver.rng);
+            least = least.min(selection.expect("usable").expected);
+        }
+        least
+    };
+    let cached = expected(&mut driver);
+    driver
+        .table
+        .cache_event(&"e3".into(), CacheEvent::Evicted(7));
+    let evicted = expected(&mut driver);
+    assert!(
+        cached < evicted,
+        "{cached:?} with the prefix, {evicted:?} without"
+    );
+}
+
+/// Guards against a wrong reason for a refusal, by which the caller decides whether to wait.
+#[test]
+fn tells_why_nothing_is_selected() {
+    let mut driver = TableDriver::new(&["e1"]);
+    let unknown = RouteRequest::new(RouteTarget::Service("x".into()));
+    let error = driver
+        .table
+        .select(&unknown, at(0), &mut driver.rng)
+        .expect_err("unknown");
+    assert!(matches!(error, SelectError::UnknownTarget { .. }));
+    let report = LoadReport {
+        running: 16,
+        ..LoadReport::default()
+    };
+    driver.table.load_report(&"e1".into(), report, at(0));
+    let error = driver
+        .table
+        .select(&driver.request, at(0), &mut driver.rng)
+        .expect_err("full");
+    assert!(matches!(error, SelectError::Full { .. }));
+    assert_eq!(error.kind(), ErrorKind::Overloaded);
+    driver.request.allowed = Some(Vec::new().into());
+    let error = driver
+        .table
+        .select(&driver.request, at(0), &mut driver.rng)
+        .expect_err("forbidden");
+    assert!(matches!(error, SelectError::Unusable { .. }));
+    assert_eq!(error.kind(), ErrorKind::NoUpstream);
+}
+
+/// Guards against a large group where sampling misses every usable upstream.
+#[test]
+fn finds_the_only_usable_upstream_of_many() {
+    let names: Vec<String> = (0..500).map(|index| format!("e{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut driver = TableDriver::new(&names);
+    for name in &names[1..] {
+        driver
+            .table
+            .instance_state(&(*name).into(), InstanceState::Leaving);
+    }
+    assert_eq!(
+        driver.spread(50, at(1)),
+        HashMap::from([("e0".to_owned(), 50)])
+    );
+}
--- /dev/null
+++ b/crates/core/tests/stream.rs
@@ -0,0 +1,155 @@
+//! Tests of the stream assembler.
+
+use std::time::Duration;
+
+use cornelarch_core::{
+    base::MonotonicTime,
+    retry::AttemptOutcome,
+    stream::{
+        AttemptNumber, StreamAssembler, StreamChunk, StreamEffect, StreamEvent, StreamId,
+        StreamOptions,
+    },
+};
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const LENGTH: u64 = 40;
+
+fn chunk(attempt: u32, sequence: u64) -> StreamEvent<u64> {
+    StreamEvent::Chunk(StreamChunk {
+        stream: StreamId(7),
+        attempt: AttemptNumber(attempt),
+        sequence,
+        payload: sequence,
+        last: sequence == LENGTH - 1,
+    })
+}
+
+fn open() -> StreamAssembler<u64> {
+    let mut assembler = StreamAssembler::new(StreamId(7), StreamOptions::default());
+    let effects = assembler.handle(StreamEvent::Attached(AttemptNumber(1)), at(0));
+    assert!(effects.is_empty());
+    assembler
+}
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn payloads(effects: &[StreamEffect<u64>]) -> Vec<u64> {
+    let payload = |effect: &StreamEffect<u64>| match effect {
+        StreamEffect::Deliver { payload, .. } => Some(*payload),
+        _ => None,
+    };
+    effects.iter().filter_map(payload).collect()
+}
+
+/// Guards against lost, doubled or disordered tokens when chunks are shuffled within the bound and
+/// repeated at random.
+#[rstest]
+fn delivers_each_chunk_once(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut order: Vec<u64> = (0..LENGTH).collect();
+    for window in order.chunks_mut(8) {
+        window.shuffle(&mut rng);
+    }
+    for _ in 0..20 {
+        let position = rng.random_range(0..order.len());
+        let repeated = order[rng.random_range(0..=position)];
+        order.insert(position + 1, repeated);
+    }
+    let mut assembler = open();
+    let mut effects = Vec::new();
+    for sequence in order {
+        effects.extend(assembler.handle(chunk(1, sequence), at(1)));
+    }
+    assert_eq!(payloads(&effects), (0..LENGTH).collect::<Vec<_>>());
+    let completions = effects
+        .iter()
+        .filter(|effect| **effect == StreamEffect::Complete);
+    assert_eq!(completions.count(), 1);
+    // Repetitions that arrive after completion count as stale.
+    let counters = assembler.counters();
+    assert_eq!(counters.duplicates + counters.stale, 20);
+}
+
+/// Guards against waiting for a missing chunk forever, and against a resumption at a chunk that
+/// the caller already has or has missed.
+#[test]
+fn resumes_after_a_gap() {
+    let mut assembler = open();
+    assembler.handle(chunk(1, 0), at(1));
+    assembler.handle(chunk(1, 2), at(10));
+    assert_eq!(assembler.next_timer(), Some(at(510)));
+    assert!(assembler.handle(StreamEvent::Tick, at(509)).is_empty());
+    let effects = assembler.handle(StreamEvent::Tick, at(510));
+    let lost = StreamEffect::AttemptLost {
+        outcome: AttemptOutcome::LostMidStream,
+        resume_from: 1,
+    };
+    assert_eq!(effects, [StreamEffect::Cancel(AttemptNumber(1)), lost]);
+    assembler.handle(StreamEvent::Attached(AttemptNumber(2)), at(520));
+    // The held chunk of the first attempt must not follow text of the second.
+    assert!(assembler.handle(chunk(1, 1), at(521)).is_empty());
+    assert_eq!(payloads(&assembler.handle(chunk(2, 1), at(522))), [1]);
+    assert_eq!(assembler.next_timer(), None);
+}
+
+/// Guards against unbounded memory when a chunk is missing and the others keep coming.
+#[test]
+fn gives_up_beyond_the_reorder_bound() {
+    let mut assembler = StreamAssembler::new(
+        StreamId(7),
+        StreamOptions {
+            reorder_max: 3,
+            gap_wait: Duration::from_secs(60),
+        },
+    );
+    assembler.handle(StreamEvent::Attached(AttemptNumber(1)), at(0));
+    for sequence in 1..=3 {
+        assert!(assembler.handle(chunk(1, sequence), at(1)).is_empty());
+    }
+    let effects = assembler.handle(chunk(1, 4), at(1));
+    assert!(matches!(
+        effects[..],
+        [
+            StreamEffect::Cancel(AttemptNumber(1)),
+            StreamEffect::AttemptLost { resume_from: 0, .. }
+        ]
+    ));
+}
+
+/// Guards against an answer that ends early without an error, and against an error after the end.
+#[rstest]
+#[case::before_first(0, Some(AttemptOutcome::LostBeforeFirst))]
+#[case::mid_stream(5, Some(AttemptOutcome::LostMidStream))]
+#[case::complete(LENGTH, None)]
+fn reports_an_early_close(#[case] chunks: u64, #[case] expected: Option<AttemptOutcome>) {
+    let mut assembler = open();
+    for sequence in 0..chunks {
+        assembler.handle(chunk(1, sequence), at(1));
+    }
+    let ended = StreamEvent::Ended {
+        attempt: AttemptNumber(1),
+        outcome: AttemptOutcome::Answered,
+    };
+    let effects = assembler.handle(ended, at(2));
+    let outcome = effects.iter().find_map(|effect| match effect {
+        StreamEffect::AttemptLost { outcome, .. } => Some(*outcome),
+        _ => None,
+    });
+    assert_eq!(outcome, expected);
+}
+
+/// Guards against work for a caller that has gone.
+#[test]
+fn cancels_when_the_caller_disconnects() {
+    let mut assembler = open();
+    assembler.handle(chunk(1, 0), at(1));
+    let effects = assembler.handle(StreamEvent::CallerGone, at(2));
+    assert_eq!(effects, [StreamEffect::Cancel(AttemptNumber(1))]);
+    assert!(assembler.handle(chunk(1, 1), at(3)).is_empty());
+    let effects = assembler.handle(StreamEvent::Attached(AttemptNumber(2)), at(4));
+    assert_eq!(effects, [StreamEffect::Cancel(AttemptNumber(2))]);
+}
