--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -213,6 +213,12 @@
         free.sum()
     }
 
+    /// Returns the names of all upstreams of `target`.
+    pub fn upstreams(&self, target: &RouteTarget) -> impl Iterator<Item = &UpstreamName> {
+        let keys = self.group(target).into_iter().flat_map(UpstreamGroup::keys);
+        keys.map(|key| &self.entries[key].spec.name)
+    }
+
     /// Returns the names of the upstreams of `target` that are neither leaving nor ejected.
     pub fn usable(
         &self,
