--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,5 +8,7 @@
 mod request;
 mod version;
 
-pub use process::{LogEvent, Router, RouterAddresses, RouterError, RouterSettings, SecretText,
-    SettingsError, SettingsFault};
+pub use process::{
+    LogEvent, MetricKind, MetricName, MetricsError, Router, RouterAddresses, RouterError,
+    RouterMetrics, RouterSettings, RouterView, SecretText, SettingsError, SettingsFault,
+};
--- a/crates/router/src/process/config.rs
+++ b/crates/router/src/process/config.rs
@@ -119,7 +119,6 @@
                     version,
                     document,
                     changes.as_deref(),
-                    self.state.version.load().as_deref(),
                     &self.state,
                     age,
                 );
--- /dev/null
+++ b/crates/router/src/process/mod.rs
@@ -0,0 +1,30 @@
+//! Parts of a router that live as long as its process.
+
+mod clock;
+mod config;
+mod desk;
+mod dump;
+mod event;
+mod ledger;
+mod members;
+mod metrics;
+mod operator;
+mod order;
+mod poll;
+mod router;
+mod settings;
+mod state;
+
+pub(crate) use clock::RouterClock;
+pub(crate) use config::ConfigActor;
+pub(crate) use desk::{DeskRequest, UpstreamAttempt, UpstreamDesk};
+pub(crate) use event::log_event;
+pub(crate) use ledger::{LedgerActor, LedgerCell};
+pub(crate) use members::{FleetView, MemberActor};
+pub(crate) use order::OrderDesk;
+pub(crate) use state::{RouterPhase, RouterState, RunningGuard};
+
+pub use event::LogEvent;
+pub use metrics::{MetricKind, MetricName, MetricsError, RouterMetrics};
+pub use router::{Router, RouterAddresses, RouterError, RouterView};
+pub use settings::{RouterSettings, SecretText, SettingsError, SettingsFault};
--- /dev/null
+++ b/crates/router/src/process/poll.rs
@@ -0,0 +1,141 @@
+//! Periodic reads: load reports of upstreams and the platform's instance list.
+
+use std::{sync::Arc, time::Duration};
+
+use cornelarch_core::{
+    base::UpstreamName,
+    membership::{InstanceHint, MemberEvent},
+    routing::{InstanceState, LoadReport},
+};
+use cornelarch_platform::{InstanceEntry, InstanceState as ListedState, ObjectStore};
+use futures_util::{StreamExt, stream};
+use serde::Deserialize;
+
+use crate::process::{MetricName, RouterState, log_event};
+
+/// Longest wait for a load report.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Load polls at a time; with 4,200 upstreams every 2 s and 2 ms each, 5 would do.
+const LOAD_POLLS: usize = 32;
+/// Time between two reads of the instance list; 350 instances make 70 reads/s.
+const INSTANCES_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two looks at the queues for requests that wait too long.
+const QUEUE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Body of `GET /load` of an upstream.
+#[derive(Deserialize)]
+struct LoadBody {
+    running: u64,
+    waiting: u64,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Polls the load of every upstream until the router stops.
+pub(crate) async fn poll_loads(state: Arc<RouterState>) {
+    let mut interval = tokio::time::interval(state.settings.load_poll);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut version = state.ready.subscribe();
+    loop {
+        tokio::select! {
+            () = state.stop.cancelled() => return,
+            _ = interval.tick() => {}
+            // A new upstream may be leaving already.
+            _ = version.changed() => {}
+        }
+        let Some(current) = state.version.load_full() else {
+            continue;
+        };
+        let upstreams = current.document.upstreams.iter();
+        let upstreams = upstreams.map(|(name, section)| (name.clone(), section.address));
+        let upstreams: Vec<_> = upstreams.collect();
+        let polls = stream::iter(upstreams).for_each_concurrent(LOAD_POLLS, |(name, address)| {
+            let state = &state;
+            async move { poll_load(state, &name, &format!("http://{address}/load")).await }
+        });
+        tokio::select! {
+            () = state.stop.cancelled() => return,
+            () = polls => {}
+        }
+    }
+}
+
+async fn poll_load(state: &RouterState, upstream: &UpstreamName, url: &str) {
+    let sent = state.now();
+    let read = async {
+        let response = state.client.get(url).send().await?.error_for_status()?;
+        response.json::<LoadBody>().await
+    };
+    match tokio::time::timeout(LOAD_TIMEOUT, read).await {
+        Ok(Ok(body)) => {
+            let now = state.now();
+            let report = LoadReport {
+                running: u32::try_from(body.running).unwrap_or(u32::MAX),
+                queued: u32::try_from(body.waiting).unwrap_or(u32::MAX),
+                age: now.since(sent),
+                leaving: body.leaving,
+            };
+            state.desk.load_report(upstream, report, now);
+        }
+        Ok(Err(error)) => log_event!(LoadPollFailed, "{upstream}: {error}"),
+        Err(_) => log_event!(LoadPollFailed, "{upstream}: no answer in {LOAD_TIMEOUT:?}"),
+    }
+}
+
+/// Reads the instance list until the router stops.
+pub(crate) async fn poll_instances(state: Arc<RouterState>) {
+    let mut interval = tokio::time::interval(INSTANCES_PERIOD);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = state.stop.cancelled() => return,
+            _ = interval.tick() => {}
+        }
+        state.metrics.count(MetricName::PlatformCalls);
+        match state.store.instances().await {
+            Ok(entries) => apply_instances(&state, entries).await,
+            Err(_) => state.metrics.count(MetricName::PlatformFailures),
+        }
+    }
+}
+
+/// Passes entries that name an upstream to the desk, and the others to the member table.
+async fn apply_instances(state: &RouterState, entries: Vec<InstanceEntry>) {
+    let version = state.version.load_full();
+    let mut hints = Vec::new();
+    for entry in entries {
+        let upstream = UpstreamName::new(&entry.name);
+        let is_upstream = version
+            .as_ref()
+            .is_some_and(|version| version.document.upstreams.contains_key(&upstream));
+        if is_upstream {
+            let listed = match entry.state {
+                ListedState::Live => InstanceState::Live,
+                ListedState::Leaving => InstanceState::Leaving,
+            };
+            state.desk.instance_state(&upstream, listed);
+        } else if entry.state == ListedState::Live {
+            hints.push(InstanceHint {
+                instance: entry.name.as_str().into(),
+                address: entry.address,
+            });
+        }
+    }
+    if let Some(actors) = state.actors() {
+        // The actor is gone only after the router was closed.
+        let _ = actors.members.tell(MemberEvent::InstanceList(hints)).await;
+    }
+}
+
+/// Admits and refuses waiting requests until the router stops, because an ejection or a deadline
+/// can end without any other event.
+pub(crate) async fn pump_queues(state: Arc<RouterState>) {
+    let mut interval = tokio::time::interval(QUEUE_PERIOD);
+    loop {
+        tokio::select! {
+            () = state.stop.cancelled() => return,
+            _ = interval.tick() => {}
+        }
+        state.desk.pump_all(&state);
+    }
+}
--- /dev/null
+++ b/crates/router/src/process/router.rs
@@ -0,0 +1,409 @@
+//! Running handle of one router.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::serve::ListenerExt;
+use cornelarch_core::{
+    base::{HolderId, UpstreamName},
+    blocklist::{CrashReport, Fingerprint},
+    budget::LedgerEvent,
+    membership::MemberEvent,
+};
+use cornelarch_platform::{ClientOptions, HttpStore};
+use cornelarch_wire::peer::{WireBody, WireEnvelope};
+use kameo::actor::Spawn;
+use snafu::{ResultExt, Snafu};
+use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    connection::serve_peers,
+    process::{
+        ConfigActor, LedgerActor, MemberActor, MetricName, MetricsError, RouterMetrics,
+        RouterPhase, RouterSettings, RouterState, config, dump, ledger, log_event, members,
+        operator, poll,
+        state::{RouterActors, build_client},
+    },
+    request::build_callers,
+};
+
+/// Longest time in which a draining ledger hands back its balances.
+const LEDGER_DRAIN: Duration = Duration::from_secs(10);
+/// Time between two looks at a draining ledger.
+const LEDGER_DRAIN_STEP: Duration = Duration::from_millis(50);
+/// Longest time in which connections end after the last request.
+const CONNECTION_DRAIN: Duration = Duration::from_secs(1);
+/// Time between two flushes of the metrics.
+const METRICS_FLUSH: Duration = Duration::from_secs(1);
+
+/// Tells where a router can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouterAddresses {
+    /// The bound address for callers.
+    pub callers: SocketAddr,
+    /// The bound address for operators.
+    pub operator: SocketAddr,
+    /// The bound address for peers.
+    pub peers: SocketAddr,
+}
+
+/// Reports why a router cannot start.
+#[derive(Debug, Snafu)]
+pub enum RouterError {
+    /// An address cannot be bound.
+    #[snafu(display("port {port} cannot be bound at {address}: {source}"))]
+    Bind {
+        /// The setting that gives the address.
+        port: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The client of the platform cannot be set up.
+    #[snafu(display("client of the platform cannot be set up: {source}"))]
+    Platform {
+        /// The cause.
+        source: cornelarch_platform::ClientError,
+    },
+    /// The client for upstreams cannot be set up.
+    #[snafu(display("client for upstreams cannot be set up: {source}"))]
+    Client {
+        /// The cause.
+        source: reqwest::Error,
+    },
+    /// Metrics cannot be sent.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// The cause.
+        source: MetricsError,
+    },
+}
+
+/// Reads the state of a router; also usable while the router is being closed.
+#[derive(Clone, Debug)]
+pub struct RouterView {
+    state: Arc<RouterState>,
+}
+
+impl RouterView {
+    /// Returns the state as JSON, without secrets.
+    pub async fn dump(&self) -> serde_json::Value {
+        dump::build_dump(&self.state).await
+    }
+
+    /// Returns the number of requests in progress.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.state.running()
+    }
+
+    /// Returns the value of a counter or gauge.
+    #[must_use]
+    pub fn metric(&self, name: MetricName) -> u64 {
+        self.state.metrics.value(name)
+    }
+
+    /// Writes the state to the log.
+    pub fn log_dump(&self) {
+        let state = Arc::clone(&self.state);
+        tokio::spawn(async move {
+            let dump = dump::build_dump(&state).await;
+            log_event!(StateDump, "{dump}");
+        });
+    }
+
+    /// Logs what the end of the process interrupts.
+    pub fn log_interrupted(&self) {
+        let snapshot = self.state.ledger.lock().snapshot();
+        let held: u64 = snapshot.accounts.iter().map(|account| account.balance.get()).sum();
+        let reserved: u64 = snapshot.accounts.iter().map(|account| account.reserved.get()).sum();
+        log_event!(
+            Interrupted,
+            "{} requests in progress, {held} free and {reserved} reserved tokens stay held by {}",
+            self.state.running(),
+            self.state.holder
+        );
+    }
+}
+
+/// Represents one running router.
+#[derive(Debug)]
+pub struct Router {
+    state: Arc<RouterState>,
+    addresses: RouterAddresses,
+    servers: Vec<JoinHandle<()>>,
+    /// Ends the servers after the last request.
+    hang_up: CancellationToken,
+}
+
+impl Router {
+    /// Binds the ports and starts a router. It serves requests as soon as it has a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RouterError`] if a port cannot be bound or a client cannot be set up.
+    pub async fn bind(settings: RouterSettings) -> Result<Self, RouterError> {
+        let callers = bind_port("callers", settings.callers).await?;
+        let operators = bind_port("operator", settings.operator).await?;
+        let peers = bind_port("peers", settings.peers).await?;
+        let addresses = RouterAddresses {
+            callers: local_address("callers", &callers, settings.callers)?,
+            operator: local_address("operator", &operators, settings.operator)?,
+            peers: local_address("peers", &peers, settings.peers)?,
+        };
+        let store = HttpStore::new(&ClientOptions {
+            address: settings.platform.clone(),
+            ..ClientOptions::default()
+        })
+        .context(PlatformSnafu)?;
+        let metrics =
+            RouterMetrics::open(&settings.metrics_prefix, settings.metrics).context(MetricsSnafu)?;
+        let client = build_client().context(ClientSnafu)?;
+        let holder = HolderId::new(settings.instance.clone(), rand::random());
+        let state = Arc::new(RouterState::new(settings, holder, metrics, store, client));
+        let mut router = Self {
+            state,
+            addresses,
+            servers: Vec::new(),
+            hang_up: CancellationToken::new(),
+        };
+        router.start_actors();
+        router.start_tasks(peers);
+        let callers_app = build_callers(Arc::clone(&router.state));
+        let operator_app = operator::build_operator(Arc::clone(&router.state));
+        router.serve(callers, callers_app);
+        router.serve(operators, operator_app);
+        log_event!(
+            RouterStarted,
+            "{} in domain {}, callers {}, operator {}, peers {}",
+            router.state.holder,
+            router.state.settings.domain,
+            addresses.callers,
+            addresses.operator,
+            addresses.peers
+        );
+        Ok(router)
+    }
+
+    /// Returns the bound addresses.
+    #[must_use]
+    pub fn addresses(&self) -> RouterAddresses {
+        self.addresses
+    }
+
+    /// Returns the identity of this incarnation.
+    #[must_use]
+    pub fn holder(&self) -> &HolderId {
+        &self.state.holder
+    }
+
+    /// Returns a view of the state.
+    #[must_use]
+    pub fn view(&self) -> RouterView {
+        RouterView {
+            state: Arc::clone(&self.state),
+        }
+    }
+
+    /// Waits until a configuration of at least `version` is in force, at most `limit`; returns
+    /// whether it is.
+    pub async fn wait_version(&self, version: u64, limit: Duration) -> bool {
+        let mut ready = self.state.ready.subscribe();
+        let reached = ready.wait_for(|number| *number >= version.max(1));
+        matches!(timeout(limit, reached).await, Ok(Ok(_)))
+    }
+
+    /// Stops gracefully: announces the stop, refuses new requests after the grace time, waits for
+    /// running requests, hands balances back and ends.
+    pub async fn close(self) {
+        let settings = &self.state.settings;
+        log_event!(DrainStarted, "{} requests in progress", self.state.running());
+        self.state.enter_phase(RouterPhase::Leaving);
+        if let Some(actors) = self.state.actors() {
+            let _ = actors.members.tell(MemberEvent::LeaveStarted).await;
+        }
+        tokio::time::sleep(settings.drain_grace).await;
+        self.state.enter_phase(RouterPhase::Refusing);
+        log_event!(DrainRefusing);
+        if timeout(settings.drain, self.state.wait_idle()).await.is_err() {
+            log_event!(DrainTimedOut, "{} requests", self.state.running());
+        }
+        self.hand_back().await;
+        self.hang_up.cancel();
+        self.end().await;
+        log_event!(RouterStopped);
+    }
+
+    /// Ends at once, as a crash does: balances stay held and requests are cut.
+    pub async fn abort(self) {
+        self.view().log_interrupted();
+        for server in &self.servers {
+            server.abort();
+        }
+        self.end().await;
+    }
+
+    /// Lets the ledger return or lend everything that it owns.
+    async fn hand_back(&self) {
+        let Some(actors) = self.state.actors() else {
+            return;
+        };
+        let _ = actors.ledger.tell(LedgerEvent::DrainStarted).await;
+        let drained = async {
+            while !self.state.ledger.lock().is_drained() {
+                let _ = actors.ledger.tell(LedgerEvent::Tick).await;
+                tokio::time::sleep(LEDGER_DRAIN_STEP).await;
+            }
+        };
+        if timeout(LEDGER_DRAIN, drained).await.is_err() {
+            let snapshot = self.state.ledger.lock().snapshot();
+            let held: u64 = snapshot.accounts.iter().map(|account| account.balance.get()).sum();
+            log_event!(BalanceKept, "{held} tokens under {}", self.state.holder);
+        }
+    }
+
+    async fn end(self) {
+        for mut server in self.servers {
+            if timeout(CONNECTION_DRAIN, &mut server).await.is_err() {
+                server.abort();
+            }
+        }
+        self.state.stop.cancel();
+        if let Some(actors) = self.state.actors() {
+            actors.ledger.kill();
+            actors.config.kill();
+            actors.members.kill();
+        }
+        self.state.metrics.flush();
+        self.state.tasks.close();
+    }
+
+    fn start_actors(&self) {
+        let state = &self.state;
+        let ledger = LedgerActor::spawn(LedgerActor::new(Arc::clone(state)));
+        let config = ConfigActor::spawn(ConfigActor::new(Arc::clone(state)));
+        let address = state.settings.advertise.unwrap_or(self.addresses.peers);
+        let members = MemberActor::spawn(MemberActor::new(
+            Arc::clone(state),
+            address,
+            ledger.clone(),
+            config.clone(),
+        ));
+        state.set_actors(RouterActors {
+            ledger,
+            config,
+            members,
+        });
+    }
+
+    fn start_tasks(&self, peers: TcpListener) {
+        let state = &self.state;
+        let inbox = Arc::clone(state);
+        state.tasks.spawn(serve_peers(
+            peers,
+            state.holder.clone(),
+            state.tasks.clone(),
+            state.stop.clone(),
+            move |envelope| deliver(Arc::clone(&inbox), envelope),
+        ));
+        let task = Arc::clone(state);
+        state.tasks.spawn(async move { task.tick_ledger(ledger::LEDGER_TICK).await });
+        let task = Arc::clone(state);
+        state.tasks.spawn(async move { task.tick_config(config::CONFIG_TICK).await });
+        let task = Arc::clone(state);
+        state.tasks.spawn(async move { task.tick_members(members::MEMBER_TICK).await });
+        state.tasks.spawn(poll::poll_loads(Arc::clone(state)));
+        state.tasks.spawn(poll::poll_instances(Arc::clone(state)));
+        state.tasks.spawn(poll::pump_queues(Arc::clone(state)));
+        state.tasks.spawn(flush_metrics(Arc::clone(state)));
+    }
+
+    fn serve(&mut self, listener: TcpListener, app: axum::Router) {
+        // Events are small and urgent; Nagle's algorithm would delay them.
+        let listener = listener.tap_io(|stream| {
+            let _ = stream.set_nodelay(true);
+        });
+        let hang_up = self.hang_up.clone();
+        let server = axum::serve(listener, app).with_graceful_shutdown(hang_up.cancelled_owned());
+        self.servers.push(tokio::spawn(async move {
+            if let Err(error) = server.await {
+                log_event!(TaskFailed, "HTTP server: {error}");
+            }
+        }));
+    }
+}
+
+async fn bind_port(port: &'static str, address: SocketAddr) -> Result<TcpListener, RouterError> {
+    let listener = TcpListener::bind(address).await;
+    listener.context(BindSnafu { port, address })
+}
+
+fn local_address(
+    port: &'static str,
+    listener: &TcpListener,
+    address: SocketAddr,
+) -> Result<SocketAddr, RouterError> {
+    listener.local_addr().context(BindSnafu { port, address })
+}
+
+async fn flush_metrics(state: Arc<RouterState>) {
+    let mut interval = tokio::time::interval(METRICS_FLUSH);
+    loop {
+        tokio::select! {
+            () = state.stop.cancelled() => return,
+            _ = interval.tick() => {}
+        }
+        state.metrics.set(MetricName::Running, state.running() as u64);
+        state.metrics.flush();
+    }
+}
+
+/// Passes a frame of a peer to the part that it concerns.
+async fn deliver(state: Arc<RouterState>, envelope: WireEnvelope) {
+    state.metrics.count(MetricName::PeerFrames);
+    let Some(actors) = state.actors() else {
+        return;
+    };
+    let from = HolderId::from(&envelope.sender);
+    let body = &envelope.body;
+    if let Some(event) = members::decode_message(&from, body) {
+        let _ = actors.members.tell(event).await;
+    } else if let Some(event) = config::decode_message(&from, body) {
+        let _ = actors.config.tell(event).await;
+    } else if let Some(message) = ledger::decode_message(body) {
+        // A message without a recipient could be meant for an earlier incarnation.
+        if let Some(to) = envelope.recipient.as_ref().map(HolderId::from) {
+            let event = LedgerEvent::Received { from, to, message };
+            let _ = actors.ledger.tell(event).await;
+        }
+    } else if !deliver_crash(&state, body) {
+        log_event!(PeerFrameRejected, "message of {from} is invalid");
+    }
+}
+
+fn deliver_crash(state: &RouterState, body: &WireBody) -> bool {
+    let now = state.now();
+    match body {
+        WireBody::CrashReport(report) => {
+            let Ok(fingerprint) = report.fingerprint.parse() else {
+                return false;
+            };
+            let report = CrashReport {
+                fingerprint,
+                upstream: UpstreamName::new(&report.upstream),
+                losses: report.losses,
+            };
+            state.desk.merge_report(&report, now);
+            true
+        }
+        WireBody::Unblock(unblock) => match unblock.fingerprint.parse::<Fingerprint>() {
+            Ok(fingerprint) => {
+                state.desk.unblock(fingerprint, now);
+                true
+            }
+            Err(_) => false,
+        },
+        _ => false,
+    }
+}
--- a/crates/router/src/process/settings.rs
+++ b/crates/router/src/process/settings.rs
@@ -65,6 +65,10 @@
     pub stream_buffer: usize,
     /// Time between two polls of an upstream's load.
     pub load_poll: Duration,
+    /// The number of ledger shards, the same for every router and tool of the environment.
+    pub ledger_shards: u32,
+    /// The number of failure domains of the fleet.
+    pub domains: u32,
     /// The UDP address that receives metrics; none are sent without it.
     pub metrics: Option<SocketAddr>,
     /// The prefix of metric names.
@@ -91,6 +95,8 @@
             request_timeout: Duration::from_secs(600),
             stream_buffer: 32,
             load_poll: Duration::from_secs(2),
+            ledger_shards: 8,
+            domains: 1,
             metrics: None,
             metrics_prefix: "cornelarch".to_owned(),
         }
@@ -238,6 +244,8 @@
             request_timeout: self.seconds("limits", "request_timeout_s", defaults.request_timeout),
             stream_buffer: self.optional("limits", "stream_buffer", defaults.stream_buffer),
             load_poll: self.millis("limits", "load_poll_ms", defaults.load_poll),
+            ledger_shards: self.optional("budgets", "ledger_shards", defaults.ledger_shards),
+            domains: self.optional("budgets", "domains", defaults.domains),
             metrics: self.take("metrics", "address"),
             metrics_prefix: self.optional("metrics", "prefix", defaults.metrics_prefix),
         };
@@ -283,6 +291,12 @@
         if settings.stream_buffer == 0 {
             self.fault("limits", "stream_buffer", "must be above 0");
         }
+        if settings.ledger_shards == 0 {
+            self.fault("budgets", "ledger_shards", "must be above 0");
+        }
+        if settings.domains == 0 {
+            self.fault("budgets", "domains", "must be above 0");
+        }
         if settings.load_poll.is_zero() {
             self.fault("limits", "load_poll_ms", "must be above 0");
         }
@@ -355,7 +369,7 @@
         let mut rest = Vec::new();
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or("");
-            if !["", "router", "limits", "metrics"].contains(&section) {
+            if !["", "router", "limits", "budgets", "metrics"].contains(&section) {
                 rest.push((section.to_owned(), String::new(), "unknown section"));
                 continue;
             }
--- /dev/null
+++ b/crates/router/src/process/state.rs
@@ -0,0 +1,326 @@
+//! State that all parts of one router share.
+
+use std::{
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU8, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use cornelarch_core::{
+    base::{HolderId, MonotonicTime},
+    blocklist::CrashReport,
+    budget::{BudgetLedger, LedgerEvent, LedgerOptions},
+    config::ConfigEvent,
+    membership::MemberEvent,
+    routing::RoutingOptions,
+};
+use cornelarch_platform::HttpStore;
+use cornelarch_wire::peer::{WireBody, WireCrashReport};
+use kameo::actor::ActorRef;
+use tokio::sync::watch;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    connection::PeerLinks,
+    process::{
+        ConfigActor, FleetView, LedgerActor, LedgerCell, MemberActor, MetricName, OrderDesk, RouterClock,
+        RouterMetrics, RouterSettings, UpstreamDesk, log_event,
+    },
+    version::ConfigVersion,
+};
+
+/// Longest wait for a connection to an upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an idle connection to an upstream is closed. It must be shorter than the
+/// upstreams' own, because a request on a connection that is being closed looks like a loss.
+const POOL_IDLE: Duration = Duration::from_secs(10);
+
+/// Lists the phases in the life of a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub(crate) enum RouterPhase {
+    /// Requests are served.
+    Serving,
+    /// A stop was requested; requests are still accepted, but readiness fails.
+    Leaving,
+    /// New requests are refused.
+    Refusing,
+}
+
+/// Refers to the actors of a router.
+#[derive(Clone)]
+pub(crate) struct RouterActors {
+    pub(crate) ledger: ActorRef<LedgerActor>,
+    pub(crate) config: ActorRef<ConfigActor>,
+    pub(crate) members: ActorRef<MemberActor>,
+}
+
+/// Holds everything that the request path and the actors of one router share.
+pub(crate) struct RouterState {
+    pub(crate) settings: RouterSettings,
+    pub(crate) clock: RouterClock,
+    pub(crate) holder: HolderId,
+    pub(crate) metrics: RouterMetrics,
+    pub(crate) version: ArcSwapOption<ConfigVersion>,
+    pub(crate) ready: watch::Sender<u64>,
+    pub(crate) ledger: LedgerCell,
+    pub(crate) desk: UpstreamDesk,
+    pub(crate) orders: OrderDesk,
+    pub(crate) fleet: ArcSwap<FleetView>,
+    pub(crate) client: reqwest::Client,
+    pub(crate) store: HttpStore,
+    pub(crate) links: PeerLinks,
+    pub(crate) tasks: TaskTracker,
+    pub(crate) stop: CancellationToken,
+    actors: OnceLock<RouterActors>,
+    phase: AtomicU8,
+    running: AtomicUsize,
+    idle: watch::Sender<()>,
+}
+
+impl RouterState {
+    /// Creates the state of a router without configuration.
+    pub(crate) fn new(
+        settings: RouterSettings,
+        holder: HolderId,
+        metrics: RouterMetrics,
+        store: HttpStore,
+        client: reqwest::Client,
+    ) -> Self {
+        let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
+        let ledger = BudgetLedger::new(
+            holder.clone(),
+            LedgerOptions {
+                environment: settings.environment.clone(),
+                domain: settings.domain.clone(),
+                shards: settings.ledger_shards,
+                domains: settings.domains,
+                ..LedgerOptions::default()
+            },
+        );
+        let clock = RouterClock::start();
+        Self {
+            orders: OrderDesk::new(clock.now()),
+            clock,
+            metrics,
+            version: ArcSwapOption::empty(),
+            ready: watch::Sender::new(0),
+            ledger: LedgerCell::new(ledger),
+            desk: UpstreamDesk::new(
+                RoutingOptions::new(settings.domain.clone()),
+                settings.capacity,
+            ),
+            fleet: ArcSwap::default(),
+            client,
+            store,
+            links: PeerLinks::new(&holder, tasks.clone(), stop.clone()),
+            tasks,
+            stop,
+            actors: OnceLock::new(),
+            phase: AtomicU8::new(RouterPhase::Serving as u8),
+            running: AtomicUsize::new(0),
+            idle: watch::Sender::new(()),
+            settings,
+            holder,
+        }
+    }
+
+    /// Sets the actors, once at the start.
+    pub(crate) fn set_actors(&self, actors: RouterActors) {
+        // The second value of a race would be dropped, but there is only one start.
+        let _ = self.actors.set(actors);
+    }
+
+    /// Returns the actors, if the router has started.
+    pub(crate) fn actors(&self) -> Option<&RouterActors> {
+        self.actors.get()
+    }
+
+    /// Returns the phase.
+    pub(crate) fn phase(&self) -> RouterPhase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => RouterPhase::Serving,
+            1 => RouterPhase::Leaving,
+            _ => RouterPhase::Refusing,
+        }
+    }
+
+    /// Moves to a later phase.
+    pub(crate) fn enter_phase(&self, phase: RouterPhase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    /// Brings a version in force.
+    pub(crate) fn put_in_force(&self, version: ConfigVersion) {
+        let number = version.number;
+        self.desk.apply(&version.document, version.since);
+        if let Some(age) = version.age {
+            self.metrics.time(MetricName::ConfigApply, age);
+        }
+        self.metrics.set(MetricName::ConfigVersion, number);
+        let (budgets, upstreams) = (
+            version.document.budgets.len(),
+            version.document.upstreams.len(),
+        );
+        self.version.store(Some(Arc::new(version)));
+        self.share_orders();
+        self.ready.send_replace(number);
+        log_event!(
+            ConfigApplied,
+            "version {number} with {budgets} budgets and {upstreams} upstreams"
+        );
+    }
+
+    /// Divides the fleet's rate of orders by the number of live instances.
+    pub(crate) fn share_orders(&self) {
+        if let Some(version) = self.version.load().as_ref() {
+            let rate = version.document.limits.order_rate as f64;
+            let instances = self.fleet.load().live.len();
+            self.orders.set_share(rate, instances, self.now());
+        }
+    }
+
+    /// Sends a message to a peer process, if its address is known.
+    pub(crate) fn send_to(&self, holder: &HolderId, body: WireBody) {
+        match self.fleet.load().address(holder) {
+            Some(address) => self.links.send(address, Some(holder), body),
+            None => log::debug!("address of peer {holder} is not known"),
+        }
+    }
+
+    /// Sends a message to every live peer of the own domain.
+    pub(crate) fn send_to_domain(&self, body: &WireBody) {
+        let fleet = self.fleet.load();
+        let peers = fleet.live.iter().filter(|record| {
+            record.domain == self.settings.domain && record.holder != self.holder
+        });
+        for record in peers {
+            if let Ok(address) = record.address.parse() {
+                self.links.send(address, Some(&record.holder), body.clone());
+            }
+        }
+    }
+
+    /// Tells the peers of the domain which requests crashed upstreams.
+    pub(crate) fn share_reports(&self, reports: &[CrashReport]) {
+        for report in reports {
+            self.send_to_domain(&WireBody::CrashReport(WireCrashReport::new(
+                report.fingerprint.to_string(),
+                report.upstream.to_string(),
+                report.losses,
+            )));
+        }
+    }
+
+    /// Asks the ledger to start a refill now.
+    pub(crate) fn nudge_ledger(&self) {
+        if let Some(actors) = self.actors() {
+            // With a full mailbox, the ledger is about to run anyway.
+            let _ = actors.ledger.tell(LedgerEvent::Tick).try_send();
+        }
+    }
+
+    /// Sends the periodic ticks until the router stops.
+    pub(crate) async fn tick_ledger(&self, period: Duration) {
+        let mut interval = tokio::time::interval(period);
+        while let Some(actors) = self.next_tick(&mut interval).await {
+            let _ = actors.ledger.tell(LedgerEvent::Tick).await;
+        }
+    }
+
+    /// Sends the periodic ticks of the configuration until the router stops.
+    pub(crate) async fn tick_config(&self, period: Duration) {
+        let mut interval = tokio::time::interval(period);
+        while let Some(actors) = self.next_tick(&mut interval).await {
+            let _ = actors.config.tell(ConfigEvent::Tick).await;
+        }
+    }
+
+    /// Sends the periodic ticks of the member table until the router stops.
+    pub(crate) async fn tick_members(&self, period: Duration) {
+        let mut interval = tokio::time::interval(period);
+        let mut told = (0, 0);
+        while let Some(actors) = self.next_tick(&mut interval).await {
+            let version = self.version.load().as_ref().map_or(0, |version| version.number);
+            let load = u32::try_from(self.running()).unwrap_or(u32::MAX);
+            if told != (version, load) {
+                told = (version, load);
+                let _ = actors.members.tell(MemberEvent::ConfigVersion(version)).await;
+                let _ = actors.members.tell(MemberEvent::LoadChanged(load)).await;
+            }
+            let _ = actors.members.tell(MemberEvent::Tick).await;
+        }
+    }
+
+    async fn next_tick(&self, interval: &mut tokio::time::Interval) -> Option<&RouterActors> {
+        tokio::select! {
+            () = self.stop.cancelled() => None,
+            _ = interval.tick() => self.actors(),
+        }
+    }
+
+    /// Returns the number of requests in progress.
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub(crate) fn start_request(self: &Arc<Self>) -> RunningGuard {
+        self.running.fetch_add(1, Ordering::AcqRel);
+        RunningGuard {
+            state: Arc::clone(self),
+        }
+    }
+
+    /// Waits until no request is in progress.
+    pub(crate) async fn wait_idle(&self) {
+        let mut idle = self.idle.subscribe();
+        while self.running() > 0 {
+            if idle.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns the current time.
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+}
+
+/// Counts one request as in progress.
+pub(crate) struct RunningGuard {
+    state: Arc<RouterState>,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        if self.state.running.fetch_sub(1, Ordering::AcqRel) == 1 {
+            self.state.idle.send_replace(());
+        }
+    }
+}
+
+impl std::fmt::Debug for RouterState {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("RouterState")
+            .field("holder", &self.holder)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Builds the client for upstreams.
+pub(crate) fn build_client() -> reqwest::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(POOL_IDLE)
+        .pool_max_idle_per_host(usize::MAX)
+        .redirect(reqwest::redirect::Policy::none())
+        .tcp_nodelay(true)
+        .no_proxy()
+        .build()
+}
--- a/crates/router/src/request/chat_body.rs
+++ b/crates/router/src/request/chat_body.rs
@@ -30,6 +30,8 @@
     #[serde(default)]
     n: Option<u64>,
     #[serde(borrow, default)]
+    priority: Option<&'a RawValue>,
+    #[serde(borrow, default)]
     x_resume_from: Option<&'a RawValue>,
     #[serde(borrow, default)]
     x_resume_text: Option<&'a RawValue>,
@@ -48,6 +50,8 @@
     max_tokens: Option<u64>,
     /// Whether the upstream body carries `max_tokens` already.
     has_max_tokens: bool,
+    /// The messages, a part of the body.
+    messages: Bytes,
     /// The body as received, a JSON object.
     body: Bytes,
 }
@@ -61,8 +65,10 @@
     pub(crate) fn parse(body: Bytes) -> Result<Self, RequestRefusal> {
         let fields: ChatFields = serde_json::from_slice(&body)
             .map_err(|error| refuse(format!("body is not a chat request: {error}")))?;
-        if fields.x_resume_from.is_some() || fields.x_resume_text.is_some() {
-            return Err(refuse("x_resume_from and x_resume_text are reserved"));
+        let reserved = [fields.priority, fields.x_resume_from, fields.x_resume_text];
+        if reserved.iter().any(Option::is_some) {
+            let message = "priority, x_resume_from and x_resume_text are set by the router";
+            return Err(refuse(message));
         }
         if fields.n.is_some_and(|choices| choices != 1) {
             return Err(refuse("n must be 1"));
@@ -79,31 +85,38 @@
             return Err(refuse("max_tokens must be above 0"));
         }
         let tools = fields.tools.map_or(0, |tools| tools.get().len());
+        let prompt = body.slice_ref(messages.as_bytes());
         Ok(Self {
             model: ModelName::from(fields.model),
             stream: fields.stream.unwrap_or(false),
             prompt_bytes: (messages.len() + tools) as u64,
             max_tokens,
             has_max_tokens: fields.max_tokens.is_some(),
+            messages: prompt,
             body,
         })
     }
 
-    /// Returns the limit on generated tokens; `model_limit` applies if the caller gave none.
+    /// Returns the limit on generated tokens; `default` applies if the caller gave none.
     ///
     /// # Errors
     ///
-    /// Returns `malformed_request` if the caller's limit exceeds the model's.
-    pub(crate) fn max_tokens(&self, model_limit: u64) -> Result<u64, RequestRefusal> {
+    /// Returns `malformed_request` if the caller's limit exceeds `highest`.
+    pub(crate) fn max_tokens(&self, default: u64, highest: u64) -> Result<u64, RequestRefusal> {
         match self.max_tokens {
-            Some(limit) if limit > model_limit => Err(refuse(format!(
-                "max_tokens {limit} exceeds the model's limit {model_limit}"
+            Some(limit) if limit > highest => Err(refuse(format!(
+                "max_tokens {limit} exceeds the limit {highest}"
             ))),
             Some(limit) => Ok(limit),
-            None => Ok(model_limit),
+            None => Ok(default),
         }
     }
 
+    /// Returns the messages as received.
+    pub(crate) fn prompt(&self) -> &[u8] {
+        &self.messages
+    }
+
     /// Returns the highest possible cost of the request.
     pub(crate) fn highest_cost(&self, max_tokens: u64) -> TokenCount {
         TokenCount::new(self.prompt_bytes).saturating_add(TokenCount::new(max_tokens))
@@ -119,19 +132,28 @@
         &self.body
     }
 
-    /// Returns the body for an upstream; fields are inserted only where the caller's are missing.
-    pub(crate) fn upstream_body(&self, max_tokens: u64, resume: Option<(u64, &[u8])>) -> Bytes {
-        if self.has_max_tokens && resume.is_none() {
+    /// Returns the body for an upstream; fields are inserted only where they are needed.
+    pub(crate) fn upstream_body(
+        &self,
+        max_tokens: u64,
+        priority: i64,
+        resume: Option<(u64, &[u8])>,
+    ) -> Bytes {
+        if self.has_max_tokens && priority == 0 && resume.is_none() {
             return self.body.clone();
         }
         let text = resume.map_or(0, |(_, text)| text.len());
-        let mut body = BytesMut::with_capacity(self.body.len() + text + 96);
+        let mut body = BytesMut::with_capacity(self.body.len() + text + 128);
         body.put_u8(b'{');
         if !self.has_max_tokens {
             body.put_slice(format!("\"max_tokens\":{max_tokens},").as_bytes());
         }
+        if priority != 0 {
+            body.put_slice(format!("\"priority\":{priority},").as_bytes());
+        }
         if let Some((sequence, text)) = resume {
-            body.put_slice(format!("\"x_resume_from\":{sequence},\"x_resume_text\":\"").as_bytes());
+            let fields = format!("\"x_resume_from\":{sequence},\"x_resume_text\":\"");
+            body.put_slice(fields.as_bytes());
             // The text was taken from JSON strings and is still escaped.
             body.put_slice(text);
             body.put_slice(b"\",");
--- /dev/null
+++ b/crates/router/src/request/context.rs
@@ -0,0 +1,188 @@
+//! What is known about a request before its body is read.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::body::Body;
+use bytes::{Bytes, BytesMut};
+use cornelarch_core::{
+    base::{MonotonicTime, TokenCount},
+    config::{CustomerSection, KeyOwner},
+    error::ErrorKind,
+    limit::Priority,
+};
+use futures_util::StreamExt;
+use http::{HeaderMap, header::AUTHORIZATION};
+
+use crate::{
+    process::{RouterPhase, RouterState, RunningGuard},
+    request::{
+        RequestRefusal,
+        bill::{PartialCost, RequestBill},
+    },
+    version::ConfigVersion,
+};
+
+/// Header with the caller's time limit, in milliseconds.
+pub(crate) const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+/// Lowest customer priority that is served before others in the queue.
+const HIGH_PRIORITY: u64 = 7;
+/// Highest customer priority that is served after others in the queue.
+const LOW_PRIORITY: u64 = 2;
+
+/// Holds what every request needs: the version it runs under, its customer and its deadline.
+pub(crate) struct RequestContext {
+    pub(crate) state: Arc<RouterState>,
+    pub(crate) version: Arc<ConfigVersion>,
+    pub(crate) owner: KeyOwner,
+    pub(crate) customer: CustomerSection,
+    pub(crate) started: MonotonicTime,
+    pub(crate) deadline: MonotonicTime,
+    _running: RunningGuard,
+}
+
+impl RequestContext {
+    /// Accepts a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the router drains or has no configuration, if the key is missing or
+    /// unknown, or if the time limit is malformed.
+    pub(crate) fn open(
+        state: &Arc<RouterState>,
+        headers: &HeaderMap,
+    ) -> Result<Self, RequestRefusal> {
+        // The request is counted before the phase is read, so that a drain waits for every
+        // request that has seen an earlier phase.
+        let running = state.start_request();
+        if state.phase() == RouterPhase::Refusing {
+            let message = "the instance is shutting down";
+            return Err(RequestRefusal::new(ErrorKind::Draining, message));
+        }
+        let version = state.version.load_full().ok_or_else(|| {
+            RequestRefusal::new(ErrorKind::NotReady, "the instance has no configuration yet")
+        })?;
+        let key = read_key(headers)?;
+        let owner = version.key_owner(key).cloned().ok_or_else(|| {
+            RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known")
+        })?;
+        let customer = version.document.customers.get(&owner.customer);
+        let customer = customer.cloned().ok_or_else(|| {
+            RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known")
+        })?;
+        let started = state.now();
+        let limit = Duration::from_secs(version.document.limits.request_timeout_s)
+            .min(state.settings.request_timeout);
+        let deadline = started + read_timeout(headers)?.map_or(limit, |asked| asked.min(limit));
+        Ok(Self {
+            state: Arc::clone(state),
+            version,
+            owner,
+            customer,
+            started,
+            deadline,
+            _running: running,
+        })
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the body is too large, incomplete or too slow.
+    pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, RequestRefusal> {
+        let limit = usize::try_from(self.version.document.limits.body_bytes).unwrap_or(usize::MAX);
+        let deadline = self.state.clock.instant(self.deadline);
+        match tokio::time::timeout_at(deadline, collect_body(body, limit)).await {
+            Ok(result) => result,
+            Err(_) => Err(RequestRefusal::new(
+                ErrorKind::DeadlineExceeded,
+                "the body did not arrive in time",
+            )),
+        }
+    }
+
+    /// Reserves the highest cost of the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the ledger.
+    pub(crate) async fn reserve(
+        &self,
+        amount: TokenCount,
+        partial: PartialCost,
+    ) -> Result<RequestBill, RequestRefusal> {
+        let budget = self.version.budget_key(&self.owner.budget).ok_or_else(|| {
+            let message = format!("budget {} is not in the configuration", self.owner.budget);
+            RequestRefusal::new(ErrorKind::BudgetExhausted, message)
+        })?;
+        let wait = Duration::from_millis(self.version.document.limits.end_wait_ms);
+        let wait = wait.min(self.deadline.since(self.state.now()));
+        RequestBill::reserve(&self.state, budget, amount, partial, wait).await
+    }
+
+    /// Returns the place of the customer's requests in a queue.
+    pub(crate) fn queue_priority(&self) -> Priority {
+        match self.customer.priority {
+            HIGH_PRIORITY.. => Priority::High,
+            0..=LOW_PRIORITY => Priority::Low,
+            _ => Priority::Normal,
+        }
+    }
+
+    /// Returns the milliseconds until the deadline, for the upstream.
+    pub(crate) fn remaining_ms(&self) -> u64 {
+        let remaining = self.deadline.since(self.state.now());
+        u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+fn read_key(headers: &HeaderMap) -> Result<&str, RequestRefusal> {
+    let missing = || {
+        let message = "the header Authorization: Bearer KEY is required";
+        RequestRefusal::new(ErrorKind::MissingKey, message)
+    };
+    let value = headers.get(AUTHORIZATION).ok_or_else(missing)?;
+    let value = value.to_str().map_err(|_| missing())?;
+    let (scheme, key) = value.split_once(' ').ok_or_else(missing)?;
+    match key.trim() {
+        key if scheme.eq_ignore_ascii_case("bearer") && !key.is_empty() => Ok(key),
+        _ => Err(missing()),
+    }
+}
+
+fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, RequestRefusal> {
+    let Some(value) = headers.get(TIMEOUT_HEADER) else {
+        return Ok(None);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    match millis {
+        Some(millis) if millis > 0 => Ok(Some(Duration::from_millis(millis))),
+        _ => Err(RequestRefusal::new(
+            ErrorKind::MalformedRequest,
+            format!("{TIMEOUT_HEADER} must be a number of milliseconds above 0"),
+        )),
+    }
+}
+
+/// Joins the chunks of a body of at most `limit` bytes; a single chunk is not copied.
+async fn collect_body(body: Body, limit: usize) -> Result<Bytes, RequestRefusal> {
+    let mut chunks = body.into_data_stream();
+    let mut first = Bytes::new();
+    let mut joined = BytesMut::new();
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|_| {
+            RequestRefusal::new(ErrorKind::MalformedRequest, "the body is incomplete")
+        })?;
+        if first.len() + joined.len() + chunk.len() > limit {
+            let message = format!("the body exceeds {limit} bytes");
+            return Err(RequestRefusal::new(ErrorKind::BodyTooLarge, message));
+        }
+        if first.is_empty() && joined.is_empty() {
+            first = chunk;
+            continue;
+        }
+        joined.extend_from_slice(&std::mem::take(&mut first));
+        joined.extend_from_slice(&chunk);
+    }
+    Ok(if joined.is_empty() { first } else { joined.freeze() })
+}
--- /dev/null
+++ b/crates/router/src/request/service.rs
@@ -0,0 +1,316 @@
+//! Calls of plain services, passed through with method, headers and body.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    body::Body,
+    extract::{Request, State},
+    response::Response,
+};
+use bytes::{Bytes, BytesMut};
+use cornelarch_core::{
+    base::{ServiceName, TokenCount},
+    blocklist::Fingerprint,
+    config::ServiceSection,
+    error::{ErrorKind, RunState},
+    retry::AttemptOutcome,
+    routing::{RouteRequest, RouteTarget},
+};
+use futures_util::{StreamExt, stream};
+use http::{
+    HeaderMap, HeaderName, StatusCode, Uri,
+    header::{
+        AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
+        TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+use reqwest::Method;
+
+use crate::{
+    process::{MetricName, RouterState, UpstreamAttempt},
+    request::{
+        RequestRefusal,
+        attempt::{AttemptHead, AttemptPlan, UpstreamCall, check_blocked},
+        bill::{PartialCost, RequestBill},
+        context::{RequestContext, TIMEOUT_HEADER},
+        order::run_order,
+        refuse,
+        refusal::{RUN_HEADER, run_value},
+    },
+};
+
+/// Answers up to this size are read as a whole, so that a loss part way can be retried.
+const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
+/// Load of a service call relative to tokens, for the fair queue.
+const CALL_COST: u64 = 100;
+/// Longest wait of a service call in the queue.
+const QUEUE_WAIT: Duration = Duration::from_secs(10);
+/// Path below which services are called.
+const SERVICES_PREFIX: &str = "/services/";
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Holds one admitted service call.
+pub(crate) struct ServiceCall {
+    pub(crate) context: Arc<RequestContext>,
+    pub(crate) service: ServiceName,
+    pub(crate) section: ServiceSection,
+    pub(crate) method: Method,
+    /// The path below the service with its query, beginning with `/`.
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Answer of a service.
+pub(crate) struct ServiceAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: AnswerBody,
+}
+
+/// Body of a service's answer.
+pub(crate) enum AnswerBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A beginning, and the response that delivers the rest.
+    Partial(Bytes, UpstreamAttempt, reqwest::Response),
+}
+
+/// Serves `/services/{name}/{path}`.
+pub(crate) async fn serve_service(
+    State(state): State<Arc<RouterState>>,
+    request: Request<Body>,
+) -> Response {
+    state.metrics.count(MetricName::Requests);
+    match run_service(&state, request).await {
+        Ok(response) => response,
+        Err(refusal) => refuse(&state, refusal),
+    }
+}
+
+async fn run_service(
+    state: &Arc<RouterState>,
+    request: Request<Body>,
+) -> Result<Response, RequestRefusal> {
+    let (parts, body) = request.into_parts();
+    let context = RequestContext::open(state, &parts.headers)?;
+    let (service, path) = split_path(&parts.uri)?;
+    let section = find_service(&context, &service)?;
+    let body = context.read_body(body).await?;
+    let call = ServiceCall {
+        context: Arc::new(context),
+        service,
+        section,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+    };
+    check_blocked(&call.context, call.fingerprint())?;
+    if !call.section.is_idempotent(call.method.as_str(), &call.path) {
+        return run_order(call).await;
+    }
+    let bill = call.reserve().await?;
+    let (answer, bill) = call.answer(bill).await?;
+    bill.settle(call.section.cost_per_call);
+    state.metrics.count(MetricName::Answers);
+    Ok(answer.into_response())
+}
+
+impl ServiceCall {
+    /// Returns the fingerprint for the crash table.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let target = format!("{} {}{}", self.method, self.service, self.path);
+        Fingerprint::compute(&self.context.owner.customer, &target, &self.body)
+    }
+
+    /// Reserves the fixed cost.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the ledger.
+    pub(crate) async fn reserve(&self) -> Result<RequestBill, RequestRefusal> {
+        let cost: TokenCount = self.section.cost_per_call;
+        self.context.reserve(cost, PartialCost::Fixed(cost)).await
+    }
+
+    /// Plans the attempts.
+    pub(crate) fn plan(&self, idempotent: bool) -> AttemptPlan {
+        let context = &self.context;
+        let mut route = RouteRequest::new(RouteTarget::Service(self.service.clone()));
+        route.allowed = context.version.allowed_upstreams(&context.owner.customer);
+        let queue_deadline = context.state.now() + QUEUE_WAIT;
+        let fingerprint = self.fingerprint();
+        AttemptPlan::new(context, route, fingerprint, CALL_COST, queue_deadline, idempotent)
+    }
+
+    /// Returns the call for a service; the customer's key stays here.
+    pub(crate) fn upstream_call(&self) -> UpstreamCall {
+        let mut headers = self.headers.clone();
+        remove_connection_headers(&mut headers);
+        for name in [AUTHORIZATION, HOST, CONTENT_LENGTH] {
+            headers.remove(name);
+        }
+        headers.remove(TIMEOUT_HEADER);
+        UpstreamCall {
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers,
+            body: self.body.clone(),
+            timeout: Duration::from_millis(self.section.timeout_ms),
+        }
+    }
+
+    /// Sends an idempotent call until it is answered.
+    async fn answer(
+        &self,
+        mut bill: RequestBill,
+    ) -> Result<(ServiceAnswer, RequestBill), RequestRefusal> {
+        let mut plan = self.plan(true);
+        loop {
+            let attempt = plan.acquire().await?;
+            let upstream = attempt.upstream().cloned();
+            bill.mark_sent();
+            let outcome = match plan.send(attempt, self.upstream_call()).await {
+                AttemptHead::Answer(attempt, response) => {
+                    match self.read_answer(attempt, response).await {
+                        Ok(answer) => return Ok((answer, bill)),
+                        Err(outcome) => outcome,
+                    }
+                }
+                AttemptHead::Failed(outcome) => outcome,
+            };
+            if outcome.run_state() == RunState::NotRun && !plan.may_have_run() {
+                bill.mark_not_run();
+            }
+            plan.prepare_retry(upstream, outcome).await?;
+        }
+    }
+
+    /// Reads an answer up to the buffered size.
+    pub(crate) async fn read_answer(
+        &self,
+        attempt: UpstreamAttempt,
+        mut response: reqwest::Response,
+    ) -> Result<ServiceAnswer, AttemptOutcome> {
+        attempt.first_token();
+        let status = response.status();
+        let mut headers = std::mem::take(response.headers_mut());
+        remove_connection_headers(&mut headers);
+        let deadline = self.context.state.clock.instant(self.context.deadline);
+        let mut body = BytesMut::new();
+        loop {
+            match tokio::time::timeout_at(deadline, response.chunk()).await {
+                Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+                Ok(Ok(None)) => break,
+                Ok(Err(_)) => {
+                    attempt.finish(AttemptOutcome::LostMidStream, true);
+                    return Err(AttemptOutcome::LostMidStream);
+                }
+                Err(_) => {
+                    attempt.finish(AttemptOutcome::TimedOut, false);
+                    return Err(AttemptOutcome::TimedOut);
+                }
+            }
+            if body.len() > MAX_BUFFERED_BYTES {
+                let body = AnswerBody::Partial(body.freeze(), attempt, response);
+                return Ok(ServiceAnswer {
+                    status,
+                    headers,
+                    body,
+                });
+            }
+        }
+        attempt.finish(AttemptOutcome::Answered, false);
+        Ok(ServiceAnswer {
+            status,
+            headers,
+            body: AnswerBody::Whole(body.freeze()),
+        })
+    }
+}
+
+impl ServiceAnswer {
+    /// Builds the response for the caller.
+    pub(crate) fn into_response(self) -> Response {
+        let body = match self.body {
+            AnswerBody::Whole(bytes) => Body::from(bytes),
+            AnswerBody::Partial(bytes, attempt, response) => {
+                let first = stream::once(async move { Ok(bytes) });
+                let rest = Body::from_stream(first.chain(response.bytes_stream()));
+                // The attempt counts as in flight until the body has ended.
+                let rest = rest.into_data_stream().map(move |chunk| {
+                    let _ = &attempt;
+                    chunk
+                });
+                Body::from_stream(rest)
+            }
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+            .headers_mut()
+            .insert(RUN_HEADER, run_value(RunState::Ran));
+        response
+    }
+}
+
+fn split_path(uri: &Uri) -> Result<(ServiceName, String), RequestRefusal> {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, below) = rest.split_at(end);
+    // A service could resolve such a path to another service's or to an operation that is not
+    // the one in the configuration.
+    let plain = below.split('?').next().unwrap_or_default();
+    if plain.split('/').any(|segment| matches!(segment, "." | "..")) {
+        let message = "the path must not contain the segments . and ..";
+        return Err(RequestRefusal::new(ErrorKind::MalformedRequest, message));
+    }
+    let below = match below.as_bytes().first() {
+        Some(b'/') => below.to_owned(),
+        _ => format!("/{below}"),
+    };
+    Ok((ServiceName::new(name), below))
+}
+
+fn find_service(
+    context: &RequestContext,
+    service: &ServiceName,
+) -> Result<ServiceSection, RequestRefusal> {
+    let section = context.version.document.services.get(service);
+    let section = section.cloned().ok_or_else(|| {
+        let message = format!("service {service:?} does not exist");
+        RequestRefusal::new(ErrorKind::UnknownService, message)
+    })?;
+    if !context.customer.services.allows(service) {
+        let message = format!("service {service} is not permitted for this key");
+        return Err(RequestRefusal::new(ErrorKind::UpstreamForbidden, message));
+    }
+    Ok(section)
+}
+
+/// Removes headers that concern one connection only, also those that `Connection` names.
+fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/router/src/request/stream.rs
@@ -0,0 +1,547 @@
+//! Streamed chat answers: order, resumption, back-pressure and cancellation.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use axum::{
+    body::Body,
+    response::{IntoResponse, Response},
+};
+use bytes::{Bytes, BytesMut};
+use cornelarch_core::{
+    base::{MonotonicTime, TokenCount},
+    error::{ErrorKind, RunState},
+    retry::AttemptOutcome,
+    stream::{
+        AttemptNumber, StreamAssembler, StreamChunk, StreamEffect, StreamEvent, StreamId,
+        StreamOptions,
+    },
+};
+use futures_util::Stream;
+use http::{
+    HeaderValue,
+    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderName},
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Sleep, sleep_until},
+};
+
+use crate::{
+    process::{MetricName, RouterState, UpstreamAttempt, log_event},
+    request::{
+        RequestRefusal,
+        attempt::{AttemptHead, AttemptPlan, is_refusal},
+        bill::{PartialCost, RequestBill},
+        chat::{ChatRequest, finish_json, read_answer, read_usage},
+        refusal::{RUN_HEADER, run_value},
+        sse::{EventSplitter, event_payload, find_number, find_text, is_done},
+    },
+};
+
+/// Event that ends a complete answer.
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// Longest wait for the end of an upstream's connection after its last chunk.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Carries events to the caller with the number of tokens in them.
+#[derive(Debug)]
+struct StreamFrame {
+    bytes: Bytes,
+    tokens: u64,
+}
+
+/// Answer to the handler that waits for the first event.
+type StreamHead = Result<Option<Response>, RequestRefusal>;
+
+/// Lists how a stream ends without an error.
+enum StreamEnd {
+    Complete,
+    CallerGone,
+}
+
+/// Lists how the answer of one attempt ends.
+enum AttemptEnd {
+    Complete,
+    CallerGone,
+    Lost(AttemptOutcome),
+}
+
+/// Starts a stream, and returns the response when the first event has arrived.
+pub(crate) async fn start_stream(
+    chat: ChatRequest,
+    bill: RequestBill,
+) -> Result<Response, RequestRefusal> {
+    let state = Arc::clone(&chat.context.state);
+    let (sender, receiver) = mpsc::channel(state.settings.stream_buffer);
+    let (head_sender, head) = oneshot::channel();
+    let taken = Arc::new(AtomicU64::new(0));
+    let run = StreamRun::new(chat, bill, sender, head_sender, Arc::clone(&taken));
+    state.tasks.spawn(run.run());
+    match head.await {
+        Ok(Ok(None)) => Ok(build_response(CallerStream { receiver, taken })),
+        Ok(Ok(Some(response))) => Ok(response),
+        Ok(Err(refusal)) => Err(refusal),
+        Err(_) => Err(RequestRefusal::new(ErrorKind::Internal, "the stream failed")),
+    }
+}
+
+fn build_response(stream: CallerStream) -> Response {
+    let headers = [
+        (CONTENT_TYPE, HeaderValue::from_static("text/event-stream")),
+        (CACHE_CONTROL, HeaderValue::from_static("no-cache")),
+        (HeaderName::from_static(RUN_HEADER), run_value(RunState::Ran)),
+    ];
+    (headers, Body::from_stream(stream)).into_response()
+}
+
+/// Passes frames to the caller's connection, and counts the tokens that it has taken.
+struct CallerStream {
+    receiver: mpsc::Receiver<StreamFrame>,
+    taken: Arc<AtomicU64>,
+}
+
+impl Stream for CallerStream {
+    type Item = Result<Bytes, Infallible>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let frame = std::task::ready!(self.receiver.poll_recv(context));
+        Poll::Ready(frame.map(|frame| {
+            self.taken.fetch_add(frame.tokens, Ordering::Relaxed);
+            Ok(frame.bytes)
+        }))
+    }
+}
+
+/// Runs one streamed request.
+struct StreamRun {
+    chat: ChatRequest,
+    bill: RequestBill,
+    sender: mpsc::Sender<StreamFrame>,
+    head: Option<oneshot::Sender<StreamHead>>,
+    taken: Arc<AtomicU64>,
+    assembler: StreamAssembler<Bytes>,
+    attempt_number: u32,
+    /// The text so far as it stands in the JSON chunks, kept only if the model can resume.
+    text: BytesMut,
+    prompt_tokens: Option<u64>,
+    usage: Option<TokenCount>,
+    delivered: u64,
+}
+
+impl StreamRun {
+    fn new(
+        chat: ChatRequest,
+        bill: RequestBill,
+        sender: mpsc::Sender<StreamFrame>,
+        head: oneshot::Sender<StreamHead>,
+        taken: Arc<AtomicU64>,
+    ) -> Self {
+        let id = StreamId(chat.fingerprint.bits() as u64);
+        Self {
+            assembler: StreamAssembler::new(id, StreamOptions::default()),
+            chat,
+            bill,
+            sender,
+            head: Some(head),
+            taken,
+            attempt_number: 0,
+            text: BytesMut::new(),
+            prompt_tokens: None,
+            usage: None,
+            delivered: 0,
+        }
+    }
+
+    fn state(&self) -> &RouterState {
+        &self.chat.context.state
+    }
+
+    async fn run(mut self) {
+        let mut plan = self.chat.plan();
+        let result = self.run_attempts(&mut plan).await;
+        let metrics = &self.state().metrics;
+        match result {
+            Ok(StreamEnd::Complete) => {
+                metrics.count(MetricName::Answers);
+                self.settle();
+            }
+            Ok(StreamEnd::CallerGone) => {
+                metrics.count(MetricName::Disconnects);
+                self.delivered = self.taken.load(Ordering::Relaxed);
+                self.note_partial();
+            }
+            Err(refusal) => self.fail(refusal).await,
+        }
+    }
+
+    fn settle(self) {
+        let partial = self.partial();
+        let Self { bill, usage, .. } = self;
+        bill.settle(usage.unwrap_or_else(|| partial.amount()));
+    }
+
+    fn partial(&self) -> PartialCost {
+        let estimate = || self.chat.body.estimated_prompt_tokens();
+        PartialCost::Tokens {
+            prompt: self.prompt_tokens.unwrap_or_else(estimate),
+            delivered: self.delivered,
+        }
+    }
+
+    fn note_partial(&mut self) {
+        let partial = self.partial();
+        self.bill.set_partial(partial);
+    }
+
+    /// Tells the caller that there is no answer, or that it ends before it is complete.
+    async fn fail(mut self, refusal: RequestRefusal) {
+        self.note_partial();
+        match self.head.take() {
+            // A closed channel belongs to a caller that has gone.
+            Some(head) => drop(head.send(Err(refusal))),
+            None => {
+                self.state().metrics.count(MetricName::BrokenStreams);
+                log_event!(StreamBroken, "{}", refusal.message);
+                let bytes = Bytes::from(format!("event: error\ndata: {}\n\n", refusal.body()));
+                let deadline = tokio::time::Instant::now() + Duration::from_secs(1);
+                let frame = StreamFrame { bytes, tokens: 0 };
+                let _ = tokio::time::timeout_at(deadline, self.sender.send(frame)).await;
+            }
+        }
+    }
+
+    async fn run_attempts(&mut self, plan: &mut AttemptPlan) -> Result<StreamEnd, RequestRefusal> {
+        loop {
+            let sender = self.sender.clone();
+            let attempt = tokio::select! {
+                biased;
+                result = plan.acquire() => result?,
+                () = sender.closed() => return Ok(StreamEnd::CallerGone),
+            };
+            let upstream = attempt.upstream().cloned();
+            self.attach();
+            self.bill.mark_sent();
+            let resume = (self.delivered > 0)
+                .then(|| (self.assembler.next_sequence(), self.text.as_ref()));
+            let call = self.chat.call(resume);
+            let head = tokio::select! {
+                biased;
+                head = plan.send(attempt, call) => head,
+                () = sender.closed() => return Ok(StreamEnd::CallerGone),
+            };
+            let outcome = match self.take_head(head, plan).await {
+                AttemptEnd::Complete => return Ok(StreamEnd::Complete),
+                AttemptEnd::CallerGone => return Ok(StreamEnd::CallerGone),
+                AttemptEnd::Lost(outcome) => outcome,
+            };
+            if outcome.run_state() == RunState::NotRun && !plan.may_have_run() {
+                self.bill.mark_not_run();
+            }
+            self.note_partial();
+            plan.set_delivered(self.delivered, self.chat.model.resume);
+            tokio::select! {
+                biased;
+                result = plan.prepare_retry(upstream, outcome) => result?,
+                () = sender.closed() => return Ok(StreamEnd::CallerGone),
+            }
+            if self.delivered > 0 {
+                self.state().metrics.count(MetricName::Resumes);
+                log_event!(StreamResumed, "from chunk {}", self.assembler.next_sequence());
+            }
+        }
+    }
+
+    fn attach(&mut self) {
+        self.attempt_number += 1;
+        let number = AttemptNumber(self.attempt_number);
+        let now = self.state().now();
+        self.assembler.handle(StreamEvent::Attached(number), now);
+    }
+
+    async fn take_head(&mut self, head: AttemptHead, plan: &AttemptPlan) -> AttemptEnd {
+        let (attempt, response) = match head {
+            AttemptHead::Answer(attempt, response) => (attempt, response),
+            AttemptHead::Failed(outcome) => return AttemptEnd::Lost(outcome),
+        };
+        let status = response.status();
+        if status.is_success() {
+            return StreamPump::new(self, attempt).run(response).await;
+        }
+        if is_refusal(status) {
+            attempt.finish(AttemptOutcome::Refused, false);
+            return AttemptEnd::Lost(AttemptOutcome::Refused);
+        }
+        // An engine that rejects the request answers with JSON instead of a stream.
+        match read_answer(&self.chat, attempt, response).await {
+            Ok((status, body)) if self.head.is_some() && !plan.may_have_run() => {
+                self.usage = Some(read_usage(&body).unwrap_or_default());
+                let response = finish_json(&self.chat, status, body);
+                if let Some(head) = self.head.take() {
+                    let _ = head.send(Ok(Some(response)));
+                }
+                AttemptEnd::Complete
+            }
+            Ok(_) => AttemptEnd::Lost(AttemptOutcome::LostBeforeFirst),
+            Err(outcome) => AttemptEnd::Lost(outcome),
+        }
+    }
+
+    /// Takes a chunk that is next in order.
+    fn deliver(&mut self, sequence: u64, event: &Bytes, last: bool) {
+        let Some(payload) = event_payload(event) else {
+            return;
+        };
+        if sequence == 0 {
+            self.prompt_tokens = find_number(payload, "x_prompt_tokens");
+        }
+        if last {
+            self.usage = read_usage(payload);
+            return;
+        }
+        self.delivered += 1;
+        if self.chat.model.resume
+            && let Some(text) = find_text(payload, "content")
+        {
+            self.text.extend_from_slice(text);
+        }
+    }
+
+    /// Answers the handler when the first event has arrived.
+    fn open_head(&mut self) {
+        if let Some(head) = self.head.take() {
+            let state = self.state();
+            let latency = state.now().since(self.chat.context.started);
+            state.metrics.time(MetricName::FirstByte, latency);
+            let _ = head.send(Ok(None));
+        }
+    }
+}
+
+/// Moves the chunks of one attempt to the caller.
+struct StreamPump<'a> {
+    run: &'a mut StreamRun,
+    attempt: UpstreamAttempt,
+    splitter: EventSplitter,
+    /// The position of the next chunk, for engines that send no sequence numbers.
+    counted: u64,
+    last_chunk: MonotonicTime,
+    ready: Vec<Bytes>,
+    lost: Option<AttemptOutcome>,
+    complete: bool,
+}
+
+impl<'a> StreamPump<'a> {
+    fn new(run: &'a mut StreamRun, attempt: UpstreamAttempt) -> Self {
+        Self {
+            counted: run.assembler.next_sequence(),
+            last_chunk: run.state().now(),
+            run,
+            attempt,
+            splitter: EventSplitter::default(),
+            ready: Vec::new(),
+            lost: None,
+            complete: false,
+        }
+    }
+
+    async fn run(mut self, mut response: reqwest::Response) -> AttemptEnd {
+        let cancelled = self.attempt.cancelled();
+        let sender = self.run.sender.clone();
+        let mut closed = std::pin::pin!(sender.closed());
+        let mut timer = std::pin::pin!(sleep_until(self.next_due()));
+        loop {
+            tokio::select! {
+                biased;
+                chunk = response.chunk() => match chunk {
+                    Ok(Some(chunk)) => self.take_chunk(chunk),
+                    Ok(None) => return self.end_connection(false),
+                    Err(error) => {
+                        log::debug!("stream of an upstream broke: {error:?}");
+                        return self.end_connection(true);
+                    }
+                },
+                () = &mut closed => return self.finish_gone(),
+                () = cancelled.cancelled() => {
+                    self.attempt.finish(AttemptOutcome::Cancelled, false);
+                    return AttemptEnd::Lost(AttemptOutcome::Cancelled);
+                }
+                () = &mut timer => {
+                    self.check_timers();
+                    let due = self.next_due();
+                    timer.as_mut().reset(due);
+                }
+            }
+            if !self.send_ready().await {
+                return self.finish_gone();
+            }
+            if self.complete {
+                self.attempt.finish(AttemptOutcome::Answered, false);
+                drain_response(response).await;
+                return AttemptEnd::Complete;
+            }
+            if let Some(outcome) = self.lost {
+                self.attempt.finish(outcome, false);
+                return AttemptEnd::Lost(outcome);
+            }
+            self.advance_timer(timer.as_mut());
+        }
+    }
+
+    fn finish_gone(self) -> AttemptEnd {
+        // The end of the response cancels the request at the upstream.
+        self.attempt.finish(AttemptOutcome::Cancelled, false);
+        AttemptEnd::CallerGone
+    }
+
+    fn take_chunk(&mut self, chunk: Bytes) {
+        self.last_chunk = self.run.state().now();
+        self.splitter.push(chunk);
+        while let Some(event) = self.splitter.next_event() {
+            self.take_event(event);
+        }
+        if self.splitter.is_oversized() {
+            self.lost = Some(AttemptOutcome::LostMidStream);
+        }
+    }
+
+    fn take_event(&mut self, event: Bytes) {
+        let Some(payload) = event_payload(&event) else {
+            return;
+        };
+        if self.complete || is_done(payload) {
+            return;
+        }
+        let sequence = find_number(payload, "x_sequence").unwrap_or(self.counted);
+        self.counted = sequence + 1;
+        let chunk = StreamChunk {
+            stream: StreamId(self.run.chat.fingerprint.bits() as u64),
+            attempt: AttemptNumber(self.run.attempt_number),
+            sequence,
+            last: find_text(payload, "finish_reason").is_some(),
+            payload: event,
+        };
+        let event = StreamEvent::Chunk(chunk);
+        let effects = self.run.assembler.handle(event, self.last_chunk);
+        self.apply(effects);
+    }
+
+    fn apply(&mut self, effects: Vec<StreamEffect<Bytes>>) {
+        for effect in effects {
+            match effect {
+                StreamEffect::Deliver { sequence, payload } => {
+                    if self.run.delivered == 0 {
+                        self.attempt.first_token();
+                    }
+                    let last = event_payload(&payload)
+                        .is_some_and(|payload| find_text(payload, "finish_reason").is_some());
+                    self.run.deliver(sequence, &payload, last);
+                    self.ready.push(payload);
+                }
+                StreamEffect::Complete => {
+                    self.complete = true;
+                    self.ready.push(Bytes::from_static(DONE_EVENT));
+                }
+                StreamEffect::AttemptLost { outcome, .. } => self.lost = Some(outcome),
+                // The attempt ends with the pump, which closes its connection.
+                StreamEffect::Cancel(_) => {}
+            }
+        }
+    }
+
+    /// Sends what is ready to the caller; returns `false` if the caller has gone.
+    async fn send_ready(&mut self) -> bool {
+        if self.ready.is_empty() {
+            return true;
+        }
+        self.run.open_head();
+        self.run.note_partial();
+        let tokens = self.ready.len() as u64 - u64::from(self.complete);
+        let bytes = match self.ready.as_mut_slice() {
+            [event] => std::mem::take(event),
+            events => join_events(events),
+        };
+        self.ready.clear();
+        let deadline = self.run.state().clock.instant(self.run.chat.context.deadline);
+        let frame = StreamFrame { bytes, tokens };
+        match self.run.sender.try_send(frame) {
+            Ok(()) => true,
+            Err(mpsc::error::TrySendError::Closed(_)) => false,
+            Err(mpsc::error::TrySendError::Full(frame)) => {
+                let sent = tokio::time::timeout_at(deadline, self.run.sender.send(frame)).await;
+                // The wait for a slow caller is not the upstream's.
+                self.last_chunk = self.run.state().now();
+                matches!(sent, Ok(Ok(())))
+            }
+        }
+    }
+
+    fn end_connection(self, broken: bool) -> AttemptEnd {
+        let outcome = match self.run.assembler.next_sequence() {
+            0 => AttemptOutcome::LostBeforeFirst,
+            _ => AttemptOutcome::LostMidStream,
+        };
+        self.attempt.finish(outcome, broken);
+        AttemptEnd::Lost(outcome)
+    }
+
+    fn idle_limit(&self) -> Duration {
+        let model = &self.run.chat.model;
+        Duration::from_millis(match self.run.delivered {
+            0 => model.first_token_timeout_ms,
+            _ => model.chunk_timeout_ms,
+        })
+    }
+
+    fn next_due(&self) -> tokio::time::Instant {
+        let idle = self.last_chunk + self.idle_limit();
+        let due = idle.min(self.run.chat.context.deadline);
+        let gap = self.run.assembler.next_timer();
+        let due = gap.map_or(due, |gap| gap.min(due));
+        self.run.state().clock.instant(due)
+    }
+
+    fn check_timers(&mut self) {
+        let now = self.run.state().now();
+        let effects = self.run.assembler.handle(StreamEvent::Tick, now);
+        self.apply(effects);
+        let deadline = self.run.chat.context.deadline.min(self.last_chunk + self.idle_limit());
+        if self.lost.is_none() && now >= deadline {
+            self.lost = Some(AttemptOutcome::TimedOut);
+        }
+    }
+
+    /// Moves the timer forward for a missing chunk. Other moves wait until the timer fires,
+    /// because a reset per chunk costs more than a spare wake-up.
+    fn advance_timer(&self, timer: Pin<&mut Sleep>) {
+        if self.run.assembler.next_timer().is_some() {
+            let due = self.next_due();
+            if due < timer.deadline() {
+                timer.reset(due);
+            }
+        }
+    }
+}
+
+/// Reads the rest of a complete answer, so that its connection can be used again.
+async fn drain_response(mut response: reqwest::Response) {
+    let rest = async { while let Ok(Some(_)) = response.chunk().await {} };
+    let _ = tokio::time::timeout(DRAIN_TIMEOUT, rest).await;
+}
+
+fn join_events(events: &[Bytes]) -> Bytes {
+    let mut joined = BytesMut::with_capacity(events.iter().map(Bytes::len).sum());
+    for event in events {
+        joined.extend_from_slice(event);
+    }
+    joined.freeze()
+}
--- a/crates/router/src/version/mod.rs
+++ b/crates/router/src/version/mod.rs
@@ -4,10 +4,12 @@
 
 use cornelarch_core::{
     base::{BudgetName, CustomerName, MonotonicTime, UpstreamName},
-    budget::{BudgetKey, BudgetLedger},
+    budget::BudgetKey,
     config::{AllowedSet, Document, KeyDigest, KeyOwner, SectionChange, SectionKind},
 };
 
+use crate::process::{MetricName, RouterState};
+
 /// Maps budgets to their keys in the ledger.
 type BudgetKeys = Arc<HashMap<BudgetName, BudgetKey>>;
 
@@ -25,27 +27,28 @@
     pub(crate) since: MonotonicTime,
     /// The time from the write of the version to its use here, if the former is known.
     pub(crate) age: Option<Duration>,
+    /// The answers of this process under earlier versions.
+    pub(crate) answers_before: u64,
     budgets: BudgetKeys,
     upstreams: CustomerUpstreams,
 }
 
 impl ConfigVersion {
-    /// Derives a version from a document; `changes` are those since `previous`.
+    /// Derives a version from a document; `changes` are those since the version in force.
     pub(crate) fn build(
         number: u64,
         document: Arc<Document>,
         changes: Option<&[SectionChange]>,
-        previous: Option<&Self>,
-        ledger: &mut BudgetLedger,
-        since: MonotonicTime,
+        state: &RouterState,
         age: Option<Duration>,
     ) -> Self {
-        let budgets = match (changes, previous) {
+        let previous = state.version.load();
+        let budgets = match (changes, previous.as_ref()) {
             // Registering 100,000 budgets takes tens of milliseconds, so it is done on need only.
             (Some(changes), Some(previous)) if !touches(changes, SectionKind::Budget) => {
                 Arc::clone(&previous.budgets)
             }
-            _ => Arc::new(register_budgets(&document, ledger)),
+            _ => Arc::new(register_budgets(&document, state)),
         };
         let upstreams = document.customers.iter().filter_map(|(name, section)| {
             match &section.upstreams {
@@ -57,8 +60,9 @@
             number,
             upstreams: upstreams.collect(),
             document,
-            since,
+            since: state.now(),
             age,
+            answers_before: state.metrics.value(MetricName::Answers),
             budgets,
         }
     }
@@ -83,12 +87,9 @@
     changes.iter().any(|change| change.section.kind == kind)
 }
 
-fn register_budgets(
-    document: &Document,
-    ledger: &mut BudgetLedger,
-) -> HashMap<BudgetName, BudgetKey> {
+fn register_budgets(document: &Document, state: &RouterState) -> HashMap<BudgetName, BudgetKey> {
     let names = document.budgets.keys();
     names
-        .map(|name| (name.clone(), ledger.register(name.clone())))
+        .map(|name| (name.clone(), state.ledger.lock().register(name.clone())))
         .collect()
 }
