--- /dev/null
+++ b/crates/measure/src/routing/cost.rs
@@ -0,0 +1,77 @@
+//! Processor time of one selection.
+
+use std::{hint::black_box, time::Instant};
+
+use cornelarch_core::{
+    base::{ModelName, MonotonicTime},
+    retry::AttemptOutcome,
+    routing::{
+        LoadReport, PrefixHint, RouteRequest, RouteTarget, RoutingOptions, UpstreamSpec,
+        UpstreamTable,
+    },
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Upstreams in the tables that are measured.
+const SIZES: [usize; 3] = [12, 350, 4_200];
+/// Selections per measurement.
+const ROUNDS: u32 = 200_000;
+/// Domains at target size.
+const DOMAINS: usize = 12;
+
+/// Prints the processor time of one selection, and of a selection with its start and end.
+pub(super) fn print_cost(seed: u64) {
+    println!("\nprocessor time (one thread, {ROUNDS} rounds)");
+    println!("upstreams  select_ns  select_prefix_ns  select_start_finish_ns");
+    for size in SIZES {
+        let plain = measure(size, seed, false, false);
+        let prefix = measure(size, seed, true, false);
+        let whole = measure(size, seed, false, true);
+        println!("{size:9}  {plain:9.0}  {prefix:16.0}  {whole:22.0}");
+    }
+}
+
+fn measure(size: usize, seed: u64, has_prefix: bool, is_whole: bool) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut table = build_table(size, &mut rng);
+    let mut request = RouteRequest::new(RouteTarget::Model(ModelName::new("m")));
+    request.prompt_tokens = 600;
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let now = MonotonicTime::from_micros(1_000_000 + u64::from(round));
+        request.prefix = has_prefix.then(|| PrefixHint {
+            digest: rng.random(),
+            tokens: 400,
+        });
+        let selection = table.select(&request, now, &mut rng).expect("usable");
+        if is_whole {
+            let work = table.started(selection.key, &request, now);
+            table.first_token(work, now);
+            table.finished(work, AttemptOutcome::Answered, now);
+        }
+        black_box(&selection);
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+}
+
+fn build_table(size: usize, rng: &mut ChaCha8Rng) -> UpstreamTable {
+    let domains = DOMAINS.min(size / 4);
+    let specs: Vec<UpstreamSpec> = (0..size)
+        .map(|index| {
+            let domain = format!("d{}", index % domains);
+            let models = vec![ModelName::new("m")];
+            UpstreamSpec::engine(format!("e{index}").into(), domain.into(), models)
+        })
+        .collect();
+    let mut table = UpstreamTable::new(RoutingOptions::new("d0".into()));
+    table.apply(&specs, MonotonicTime::START);
+    for spec in &specs {
+        let report = LoadReport {
+            running: rng.random_range(0..60),
+            ..LoadReport::default()
+        };
+        table.load_report(&spec.name, report, MonotonicTime::from_millis(900));
+    }
+    table
+}
--- /dev/null
+++ b/crates/measure/src/routing/mod.rs
@@ -0,0 +1,40 @@
+//! Routing policies against small fakes of engines in virtual time.
+
+mod cost;
+mod engine;
+mod policy;
+mod report;
+mod router;
+mod scenario;
+mod simulation;
+mod stats;
+mod workload;
+
+use std::process::ExitCode;
+
+use getopts::Options;
+
+/// Runs the subcommand and returns the exit code.
+pub(crate) fn run(arguments: &[String]) -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "seed", "seed of all random choices", "N");
+    options.optflag("", "quick", "only the steady scenario and the overload");
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!(
+                "{error}\n{}",
+                options.usage("cornelarch-measure routing --seed N")
+            );
+            return ExitCode::FAILURE;
+        }
+    };
+    let seed = matches.opt_get_default("seed", 1);
+    match seed {
+        Ok(seed) => report::print_all(seed, matches.opt_present("quick")),
+        Err(error) => {
+            eprintln!("option --seed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/routing/report.rs
@@ -0,0 +1,165 @@
+//! Tables and targets.
+
+use std::process::ExitCode;
+
+use crate::routing::{
+    cost::print_cost,
+    policy::PolicyKind,
+    scenario::{Deployment, Scenario},
+    simulation::Simulation,
+    stats::RunStats,
+};
+
+/// Multiples of the capacity at which goodput is measured.
+const LOADS: [f64; 5] = [0.8, 1.0, 1.2, 1.5, 2.0];
+/// Largest 95th percentile relative to round robin.
+const ROUND_ROBIN_RATIO: f64 = 0.5;
+/// Largest 95th percentile relative to the omniscient policy.
+const OMNISCIENT_RATIO: f64 = 1.15;
+/// Smallest goodput at twice the capacity relative to the peak.
+const GOODPUT_RATIO: f64 = 0.9;
+/// Largest number of retries per request.
+const RETRY_RATE: f64 = 0.1;
+
+/// Collects the targets that were missed.
+#[derive(Debug, Default)]
+struct TargetList {
+    missed: u32,
+}
+
+impl TargetList {
+    fn check(&mut self, name: &str, value: f64, bound: f64, is_reached: bool) {
+        let verdict = if is_reached { "pass" } else { "MISS" };
+        self.missed += u32::from(!is_reached);
+        println!("  {verdict}  {name}: {value:.3} (bound {bound:.3})");
+    }
+}
+
+/// Prints every table and returns failure if a target is missed.
+pub(super) fn print_all(seed: u64, is_quick: bool) -> ExitCode {
+    let mut targets = TargetList::default();
+    for deployment in Deployment::all() {
+        print_header(&deployment, seed);
+        let scenarios = if is_quick {
+            &Scenario::COMPARED[..1]
+        } else {
+            &Scenario::COMPARED[..]
+        };
+        for scenario in scenarios {
+            print_scenario(*scenario, &deployment, seed, &mut targets);
+        }
+        print_goodput(&deployment, seed, &mut targets);
+    }
+    if !is_quick {
+        print_cost(seed);
+    }
+    println!("\ntargets missed: {}", targets.missed);
+    match targets.missed {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn print_header(deployment: &Deployment, seed: u64) {
+    println!(
+        "\ndeployment {}: {} domains, {} engines, {} routers, seed {seed}",
+        deployment.name,
+        deployment.domains,
+        deployment.engines.len(),
+        deployment.routers
+    );
+    println!(
+        "{:<16} {:<12} {:>8} {:>8} {:>8} {:>8} {:>7} {:>7} {:>6} {:>6} {:>8} {:>8} {:>9}",
+        "scenario",
+        "policy",
+        "p50_ms",
+        "p95_ms",
+        "p99_ms",
+        "small95",
+        "request",
+        "refused",
+        "failed",
+        "late",
+        "wasted",
+        "retries",
+        "good_t/s"
+    );
+}
+
+fn print_scenario(
+    scenario: Scenario,
+    deployment: &Deployment,
+    seed: u64,
+    targets: &mut TargetList,
+) {
+    let results: Vec<(PolicyKind, RunStats)> = PolicyKind::ALL
+        .into_iter()
+        .map(|policy| {
+            (
+                policy,
+                Simulation::new(scenario, policy, deployment, seed).run(),
+            )
+        })
+        .collect();
+    for (policy, stats) in &results {
+        print_row(&scenario.name(), policy.name(), stats);
+    }
+    let stats_of = |wanted: PolicyKind| {
+        let found = results.iter().find(|(policy, _)| *policy == wanted);
+        &found.expect("every policy was run").1
+    };
+    let design = stats_of(PolicyKind::Design);
+    if scenario == Scenario::Steady {
+        let p95 = design.first_ms(0.95);
+        let ratio = p95 / stats_of(PolicyKind::RoundRobin).first_ms(0.95);
+        let is_reached = ratio <= ROUND_ROBIN_RATIO;
+        targets.check(
+            "p95 / round robin p95",
+            ratio,
+            ROUND_ROBIN_RATIO,
+            is_reached,
+        );
+        let ratio = p95 / stats_of(PolicyKind::Omniscient).first_ms(0.95);
+        let is_reached = ratio <= OMNISCIENT_RATIO;
+        targets.check("p95 / omniscient p95", ratio, OMNISCIENT_RATIO, is_reached);
+    }
+    let rate = design.retry_rate();
+    targets.check("retries per request", rate, RETRY_RATE, rate <= RETRY_RATE);
+}
+
+fn print_goodput(deployment: &Deployment, seed: u64, targets: &mut TargetList) {
+    let mut peak: f64 = 0.0;
+    let mut last = 0.0;
+    for load in LOADS {
+        let scenario = Scenario::Constant(load);
+        let stats = Simulation::new(scenario, PolicyKind::Design, deployment, seed).run();
+        print_row(&scenario.name(), PolicyKind::Design.name(), &stats);
+        last = stats.goodput();
+        peak = peak.max(last);
+    }
+    let ratio = last / peak;
+    let is_reached = ratio >= GOODPUT_RATIO;
+    targets.check(
+        "goodput at twice the capacity / peak",
+        ratio,
+        GOODPUT_RATIO,
+        is_reached,
+    );
+}
+
+fn print_row(scenario: &str, policy: &str, stats: &RunStats) {
+    println!(
+        "{scenario:<16} {policy:<12} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>7} {:>7} {:>6} {:>6} {:>8} {:>8.4} {:>9.0}",
+        stats.first_ms(0.5),
+        stats.first_ms(0.95),
+        stats.first_ms(0.99),
+        stats.small_us.value_at_quantile(0.95) as f64 / 1e3,
+        stats.requests,
+        stats.refused,
+        stats.failed,
+        stats.late,
+        stats.wasted,
+        stats.retry_rate(),
+        stats.goodput(),
+    );
+}
--- /dev/null
+++ b/crates/measure/src/routing/router.rs
@@ -0,0 +1,200 @@
+//! Fake of a router: a policy, and the state machines of the core crate.
+
+use std::{collections::HashMap, time::Duration};
+
+use cornelarch_core::{
+    base::{CustomerName, DomainName, ModelName, MonotonicTime, UpstreamName},
+    limit::{AdmissionQueue, Priority, QueueOptions, QueueRequest, TicketKey},
+    retry::{AttemptOutcome, RetryBudget, RetryBudgetOptions},
+    routing::{
+        CacheEvent, LoadReport, PrefixHint, RouteRequest, RouteTarget, RoutingOptions, UpstreamKey,
+        UpstreamSpec, UpstreamTable, WorkKey,
+    },
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::routing::{
+    engine::{BATCH_MAX, RequestId},
+    policy::PolicyKind,
+    scenario::Deployment,
+    workload::RequestShape,
+};
+
+/// Weight of one answer in the mean duration.
+const SMOOTHING: f64 = 0.05;
+
+/// Tells what a router does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RouteChoice {
+    /// Sends it to an engine.
+    Send(usize),
+    /// Lets it wait.
+    Wait,
+    /// Refuses it.
+    Refuse,
+}
+
+/// Models one router.
+#[derive(Debug)]
+pub(super) struct RouterFake {
+    pub(super) domain: usize,
+    pub(super) table: UpstreamTable,
+    pub(super) queue: AdmissionQueue,
+    pub(super) budget: RetryBudget,
+    pub(super) tickets: HashMap<TicketKey, RequestId>,
+    pub(super) target: RouteTarget,
+    names: Vec<UpstreamName>,
+    own: Vec<u32>,
+    next: usize,
+    duration_s: f64,
+}
+
+impl RouterFake {
+    pub(super) fn new(index: usize, deployment: &Deployment) -> Self {
+        let domain = index % deployment.domains;
+        let model = ModelName::new("m");
+        let names: Vec<UpstreamName> = (0..deployment.engines.len())
+            .map(|engine| format!("e{engine}").into())
+            .collect();
+        let specs: Vec<UpstreamSpec> = deployment
+            .engines
+            .iter()
+            .zip(&names)
+            .map(|((_, domain), name)| UpstreamSpec {
+                concurrency: BATCH_MAX as u32,
+                ..UpstreamSpec::engine(name.clone(), domain_name(*domain), vec![model.clone()])
+            })
+            .collect();
+        let mut table = UpstreamTable::new(RoutingOptions {
+            routers: deployment.routers as u32,
+            remote_penalty: deployment.one_way * 2,
+            ..RoutingOptions::new(domain_name(domain))
+        });
+        table.apply(&specs, MonotonicTime::START);
+        Self {
+            domain,
+            table,
+            queue: AdmissionQueue::new(QueueOptions::default()),
+            budget: RetryBudget::new(RetryBudgetOptions::default()),
+            tickets: HashMap::new(),
+            target: RouteTarget::Model(model),
+            own: vec![0; names.len()],
+            names,
+            next: index,
+            duration_s: 0.0,
+        }
+    }
+
+    /// Chooses an engine by a policy that knows only own requests; `None` if all were tried.
+    pub(super) fn choose_simple(
+        &mut self,
+        policy: PolicyKind,
+        tried: &[usize],
+        rng: &mut ChaCha8Rng,
+    ) -> Option<usize> {
+        let free: Vec<usize> = (0..self.own.len())
+            .filter(|engine| !tried.contains(engine))
+            .collect();
+        if free.is_empty() {
+            return None;
+        }
+        let mut draw = || free[rng.random_range(0..free.len())];
+        match policy {
+            PolicyKind::RoundRobin => {
+                self.next += 1;
+                Some(free[self.next % free.len()])
+            }
+            PolicyKind::TwoChoices => {
+                let (first, second) = (draw(), draw());
+                let is_first = self.own[first] <= self.own[second];
+                Some(if is_first { first } else { second })
+            }
+            PolicyKind::Random | PolicyKind::Design | PolicyKind::Omniscient => Some(draw()),
+        }
+    }
+
+    pub(super) fn route_request(&self, shape: &RequestShape, tried: &[usize]) -> RouteRequest {
+        RouteRequest {
+            excluded: tried
+                .iter()
+                .map(|engine| self.names[*engine].clone())
+                .collect(),
+            prompt_tokens: shape.prompt,
+            answer_tokens: shape.answer,
+            prefix: shape
+                .prefix
+                .map(|(digest, tokens)| PrefixHint { digest, tokens }),
+            ..RouteRequest::new(self.target.clone())
+        }
+    }
+
+    pub(super) fn queue_request(
+        &self,
+        shape: &RequestShape,
+        deadline: MonotonicTime,
+    ) -> QueueRequest {
+        QueueRequest {
+            customer: customer_name(shape.customer),
+            weight: 1.0,
+            priority: Priority::Normal,
+            cost: u64::from(shape.prompt + shape.answer),
+            deadline,
+        }
+    }
+
+    pub(super) fn started(
+        &mut self,
+        engine: usize,
+        key: Option<UpstreamKey>,
+        request: &RouteRequest,
+        now: MonotonicTime,
+    ) -> Option<WorkKey> {
+        self.own[engine] += 1;
+        key.map(|key| self.table.started(key, request, now))
+    }
+
+    pub(super) fn finished(
+        &mut self,
+        engine: usize,
+        work: Option<WorkKey>,
+        outcome: AttemptOutcome,
+        elapsed: Duration,
+        now: MonotonicTime,
+    ) {
+        self.own[engine] -= 1;
+        if let Some(work) = work {
+            self.table.finished(work, outcome, now);
+        }
+        if outcome == AttemptOutcome::Answered {
+            let sample = elapsed.as_secs_f64();
+            self.duration_s += (sample - self.duration_s) * SMOOTHING;
+            self.queue
+                .set_service_time(Duration::from_secs_f64(self.duration_s));
+        }
+    }
+
+    pub(super) fn load_report(&mut self, engine: usize, report: LoadReport, now: MonotonicTime) {
+        self.table.load_report(&self.names[engine], report, now);
+    }
+
+    pub(super) fn cache_event(&mut self, engine: usize, event: CacheEvent) {
+        self.table.cache_event(&self.names[engine], event);
+    }
+
+    pub(super) fn engine_index(&self, name: &UpstreamName) -> usize {
+        self.names
+            .iter()
+            .position(|other| other == name)
+            .expect("the engine is listed")
+    }
+}
+
+fn domain_name(domain: usize) -> DomainName {
+    format!("d{domain}").into()
+}
+
+/// Returns the name of a customer.
+pub(super) fn customer_name(customer: usize) -> CustomerName {
+    format!("c{customer}").into()
+}
--- /dev/null
+++ b/crates/measure/src/routing/scenario.rs
@@ -0,0 +1,112 @@
+//! Deployments and scenarios.
+
+use std::time::Duration;
+
+/// Share of the capacity in the steady scenarios.
+const STEADY_LOAD: f64 = 0.8;
+
+/// Describes the machines of a deployment.
+#[derive(Clone, Debug)]
+pub(super) struct Deployment {
+    pub(super) name: &'static str,
+    /// Speed and domain of each engine.
+    pub(super) engines: Vec<(f64, usize)>,
+    pub(super) domains: usize,
+    pub(super) routers: usize,
+    /// Time from one domain to another.
+    pub(super) one_way: Duration,
+}
+
+impl Deployment {
+    /// Returns the two deployments of today.
+    pub(super) fn all() -> Vec<Self> {
+        let speeds = [2.0, 1.5, 1.5, 1.2, 1.0, 1.0, 0.8, 0.6, 0.5];
+        let build = |name, domains, one_way| Self {
+            name,
+            engines: (0..9)
+                .map(|index| (speeds[index], index % domains))
+                .collect(),
+            domains,
+            routers: 9,
+            one_way: Duration::from_micros(one_way),
+        };
+        vec![build("3x9", 3, 500), build("4x9", 4, 1_000)]
+    }
+
+    /// Returns the sum of the engines' speeds.
+    pub(super) fn speed(&self) -> f64 {
+        self.engines.iter().map(|(speed, _)| speed).sum()
+    }
+}
+
+/// Lists the scenarios.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Scenario {
+    /// 80% of the capacity.
+    Steady,
+    /// 80% of the capacity and load reports that are three seconds old.
+    LaggingReports,
+    /// The fastest engine crashes and is back after 15 s.
+    EngineCrash,
+    /// The fastest engine runs at a fifth of its speed for 60 s.
+    SlowEngine,
+    /// Half of the capacity, and 1.6 times the capacity for 20 s.
+    FlashCrowd,
+    /// A constant multiple of the capacity.
+    Constant(f64),
+    /// Most prompts begin with one of 40 prefixes.
+    PrefixHeavy,
+    /// One of ten customers sends ten times its share.
+    LargeCustomer,
+}
+
+impl Scenario {
+    /// The scenarios in which all policies are compared.
+    pub(super) const COMPARED: [Self; 8] = [
+        Self::Steady,
+        Self::LaggingReports,
+        Self::EngineCrash,
+        Self::SlowEngine,
+        Self::FlashCrowd,
+        Self::Constant(2.0),
+        Self::PrefixHeavy,
+        Self::LargeCustomer,
+    ];
+
+    pub(super) fn name(self) -> String {
+        match self {
+            Self::Steady => "steady-80%".to_owned(),
+            Self::LaggingReports => "lagging-reports".to_owned(),
+            Self::EngineCrash => "engine-crash".to_owned(),
+            Self::SlowEngine => "slow-engine".to_owned(),
+            Self::FlashCrowd => "flash-crowd".to_owned(),
+            Self::Constant(load) => format!("load-{load:.1}"),
+            Self::PrefixHeavy => "prefix-heavy".to_owned(),
+            Self::LargeCustomer => "large-customer".to_owned(),
+        }
+    }
+
+    /// Returns the offered load relative to the capacity.
+    pub(super) fn load(self, seconds: f64) -> f64 {
+        match self {
+            Self::Steady
+            | Self::LaggingReports
+            | Self::EngineCrash
+            | Self::SlowEngine
+            | Self::PrefixHeavy => STEADY_LOAD,
+            Self::FlashCrowd if (80.0..100.0).contains(&seconds) => 1.6,
+            Self::FlashCrowd => 0.5,
+            Self::Constant(load) => load,
+            // Nine customers at 70% of their share, and one at ten times its share.
+            Self::LargeCustomer => 0.63 + 1.0,
+        }
+    }
+
+    /// Returns the age of a load report.
+    pub(super) fn report_lag(self) -> Duration {
+        match self {
+            Self::LaggingReports => Duration::from_secs(3),
+            _ => Duration::from_millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/routing/simulation.rs
@@ -0,0 +1,555 @@
+//! Event loop of one run.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::Duration,
+};
+
+use cornelarch_core::{
+    base::MonotonicTime,
+    limit::QueueEffect,
+    retry::{AttemptOutcome, AttemptState, RetryDecision, RetryPolicy},
+    routing::{CacheEvent, LoadReport, SelectError, UpstreamKey, WorkKey},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::routing::{
+    engine::{EngineFake, EngineJob, EngineToken, RequestId},
+    policy::PolicyKind,
+    router::{RouteChoice, RouterFake, customer_name},
+    scenario::{Deployment, Scenario},
+    stats::RunStats,
+    workload::{RequestShape, Workload},
+};
+
+/// Virtual duration of a run, in microseconds.
+const RUN_US: u64 = 300_000_000;
+/// Start of the measurement, in microseconds.
+const WARM_US: u64 = 30_000_000;
+/// Time between two load reports of an engine to a router, in microseconds.
+const REPORT_US: u64 = 2_000_000;
+/// Start of a fault, in microseconds.
+const FAULT_US: u64 = 80_000_000;
+/// Time that a caller waits for the whole answer. The longest answer takes 58 s on the slowest
+/// engine with a full batch.
+const TIMEOUT: Duration = Duration::from_secs(60);
+/// Delay of a cache event.
+const CACHE_EVENT_DELAY_US: u64 = 1_000_000;
+/// Share of cache events that are lost.
+const CACHE_EVENT_LOSS: f64 = 0.2;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum SimulationEvent {
+    Arrival,
+    StepEnd { engine: usize, epoch: u32 },
+    Report { router: usize, engine: usize },
+    CacheStored { engine: usize, digest: u64 },
+    Retry { request: RequestId },
+    Deadline { request: RequestId },
+    Crash,
+    Restart,
+    SlowDown,
+    SpeedUp,
+}
+
+/// Holds one request on its way.
+#[derive(Clone, Debug)]
+struct SimulatedRequest {
+    shape: RequestShape,
+    router: usize,
+    arrived_us: u64,
+    sent_us: u64,
+    is_open: bool,
+    is_first_seen: bool,
+    may_have_run: bool,
+    attempts: u32,
+    done: u32,
+    tried: Vec<usize>,
+    engine: Option<usize>,
+    work: Option<WorkKey>,
+}
+
+/// Runs one policy in one scenario.
+pub(super) struct Simulation {
+    scenario: Scenario,
+    policy: PolicyKind,
+    workload: Workload,
+    one_way: Duration,
+    engines: Vec<EngineFake>,
+    routers: Vec<RouterFake>,
+    requests: Vec<SimulatedRequest>,
+    events: BinaryHeap<Reverse<(u64, u64, SimulationEvent)>>,
+    order: u64,
+    now_us: u64,
+    rng: ChaCha8Rng,
+    arrivals: ChaCha8Rng,
+    retry: RetryPolicy,
+    stats: RunStats,
+}
+
+impl Simulation {
+    pub(super) fn new(
+        scenario: Scenario,
+        policy: PolicyKind,
+        deployment: &Deployment,
+        seed: u64,
+    ) -> Self {
+        let routers = (0..deployment.routers).map(|index| RouterFake::new(index, deployment));
+        let engines = deployment.engines.iter();
+        Self {
+            scenario,
+            policy,
+            workload: Workload::new(scenario, deployment),
+            one_way: deployment.one_way,
+            engines: engines
+                .map(|(speed, domain)| EngineFake::new(*speed, *domain))
+                .collect(),
+            routers: routers.collect(),
+            requests: Vec::new(),
+            events: BinaryHeap::new(),
+            order: 0,
+            now_us: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            // Arrivals have their own generator, so that all policies see the same requests.
+            arrivals: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            retry: RetryPolicy::default(),
+            stats: RunStats::new((RUN_US - WARM_US) as f64 / 1e6 - TIMEOUT.as_secs_f64()),
+        }
+    }
+
+    /// Runs to the end and returns the results.
+    pub(super) fn run(mut self) -> RunStats {
+        self.schedule_start();
+        while let Some(Reverse((time, _, event))) = self.events.pop() {
+            if time > RUN_US {
+                break;
+            }
+            self.now_us = time;
+            self.handle(event);
+        }
+        self.stats
+    }
+
+    fn schedule_start(&mut self) {
+        self.schedule(1, SimulationEvent::Arrival);
+        for router in 0..self.routers.len() {
+            for engine in 0..self.engines.len() {
+                let phase = self.rng.random_range(0..REPORT_US);
+                self.schedule(phase, SimulationEvent::Report { router, engine });
+            }
+        }
+        match self.scenario {
+            Scenario::EngineCrash => {
+                self.schedule(FAULT_US, SimulationEvent::Crash);
+                self.schedule(FAULT_US + 15_000_000, SimulationEvent::Restart);
+            }
+            Scenario::SlowEngine => {
+                self.schedule(FAULT_US, SimulationEvent::SlowDown);
+                self.schedule(FAULT_US + 60_000_000, SimulationEvent::SpeedUp);
+            }
+            _ => {}
+        }
+    }
+
+    fn handle(&mut self, event: SimulationEvent) {
+        match event {
+            SimulationEvent::Arrival => self.arrive(),
+            SimulationEvent::StepEnd { engine, epoch } => self.end_step(engine, epoch),
+            SimulationEvent::Report { router, engine } => self.report(router, engine),
+            SimulationEvent::CacheStored { engine, digest } => {
+                for router in &mut self.routers {
+                    router.cache_event(engine, CacheEvent::Stored(digest));
+                }
+            }
+            SimulationEvent::Retry { request } => self.route(request),
+            SimulationEvent::Deadline { request } => self.time_out(request),
+            SimulationEvent::Crash => {
+                for job in self.engines[0].crash(self.now_us) {
+                    self.lose(&job);
+                }
+            }
+            SimulationEvent::Restart => self.engines[0].is_down = false,
+            SimulationEvent::SlowDown => self.engines[0].speed /= 5.0,
+            SimulationEvent::SpeedUp => self.engines[0].speed *= 5.0,
+        }
+    }
+
+    fn arrive(&mut self) {
+        let gap = self.workload.gap_us(self.now_us, &mut self.arrivals);
+        self.schedule(self.now_us + gap, SimulationEvent::Arrival);
+        let shape = self.workload.shape(&mut self.arrivals);
+        let router = self.arrivals.random_range(0..self.routers.len());
+        let request = self.requests.len();
+        self.requests.push(SimulatedRequest {
+            shape,
+            router,
+            arrived_us: self.now_us,
+            sent_us: self.now_us,
+            is_open: true,
+            is_first_seen: false,
+            may_have_run: false,
+            attempts: 0,
+            done: 0,
+            tried: Vec::new(),
+            engine: None,
+            work: None,
+        });
+        if self.is_measured(request) {
+            self.stats.requests += 1;
+            self.stats.small_requests += u64::from(shape.customer != 0);
+        }
+        let target = self.routers[router].target.clone();
+        self.routers[router]
+            .budget
+            .first_attempt(&customer_name(shape.customer), &target);
+        let deadline = self.now_us + TIMEOUT.as_micros() as u64;
+        self.schedule(deadline, SimulationEvent::Deadline { request });
+        self.route(request);
+    }
+
+    fn route(&mut self, request: RequestId) {
+        if !self.requests[request].is_open {
+            return;
+        }
+        let (choice, key) = match self.policy {
+            PolicyKind::Design => self.choose_design(request),
+            PolicyKind::Omniscient => (self.choose_omniscient(request), None),
+            policy => {
+                let SimulatedRequest { router, tried, .. } = &self.requests[request];
+                let router = &mut self.routers[*router];
+                let engine = router.choose_simple(policy, tried, &mut self.rng);
+                (engine.map_or(RouteChoice::Refuse, RouteChoice::Send), None)
+            }
+        };
+        match choice {
+            RouteChoice::Send(engine) => self.send(request, engine, key),
+            RouteChoice::Wait => {}
+            RouteChoice::Refuse => self.refuse(request),
+        }
+    }
+
+    fn choose_omniscient(&self, request: RequestId) -> RouteChoice {
+        let id = request;
+        let request = &self.requests[id];
+        let job = job_of(id, request);
+        let free = (0..self.engines.len()).filter(|engine| !request.tried.contains(engine));
+        let scored =
+            free.map(|engine| (engine, self.engines[engine].expected_us(&job, self.now_us)));
+        let best = scored.min_by(|left, right| left.1.total_cmp(&right.1));
+        best.map_or(RouteChoice::Refuse, |(engine, _)| RouteChoice::Send(engine))
+    }
+
+    fn choose_design(&mut self, request: RequestId) -> (RouteChoice, Option<UpstreamKey>) {
+        let now = self.now();
+        let SimulatedRequest {
+            shape,
+            router,
+            tried,
+            arrived_us,
+            ..
+        } = &self.requests[request];
+        let router = &mut self.routers[*router];
+        let must_wait = !router.queue.is_empty() && tried.is_empty();
+        let selection = if must_wait {
+            Err(SelectError::Full {
+                target: router.target.clone(),
+            })
+        } else {
+            router
+                .table
+                .select(&router.route_request(shape, tried), now, &mut self.rng)
+        };
+        match selection {
+            Ok(selection) => {
+                let engine = router.engine_index(&selection.upstream);
+                (RouteChoice::Send(engine), Some(selection.key))
+            }
+            Err(SelectError::Full { .. }) => {
+                let deadline = MonotonicTime::from_micros(*arrived_us) + TIMEOUT;
+                let offer = router
+                    .queue
+                    .offer(router.queue_request(shape, deadline), now);
+                let Ok((ticket, effects)) = offer else {
+                    return (RouteChoice::Refuse, None);
+                };
+                router.tickets.insert(ticket, request);
+                let index = self.requests[request].router;
+                self.apply_queue(index, effects);
+                (RouteChoice::Wait, None)
+            }
+            Err(_) => (RouteChoice::Refuse, None),
+        }
+    }
+
+    /// Lets waiting requests of a router run as far as engines are free.
+    fn pump(&mut self, router: usize) {
+        if self.policy != PolicyKind::Design {
+            return;
+        }
+        loop {
+            let now = self.now();
+            let fake = &mut self.routers[router];
+            if fake.queue.is_empty() {
+                return;
+            }
+            let free = fake.table.free_slots(&fake.target, now).min(1);
+            let effects = fake.queue.poll(free, now);
+            if effects.is_empty() {
+                return;
+            }
+            self.apply_queue(router, effects);
+        }
+    }
+
+    fn apply_queue(&mut self, router: usize, effects: Vec<QueueEffect>) {
+        let now = self.now();
+        for effect in effects {
+            let fake = &mut self.routers[router];
+            match effect {
+                QueueEffect::Admit(ticket) => {
+                    let request = fake.tickets.remove(&ticket).expect("a waiting request");
+                    let SimulatedRequest { shape, tried, .. } = &self.requests[request];
+                    let route = fake.route_request(shape, tried);
+                    match fake.table.select(&route, now, &mut self.rng) {
+                        Ok(selection) => {
+                            let engine = fake.engine_index(&selection.upstream);
+                            self.send(request, engine, Some(selection.key));
+                        }
+                        Err(_) => self.refuse(request),
+                    }
+                }
+                QueueEffect::Refuse(ticket, _) => {
+                    let request = fake.tickets.remove(&ticket).expect("a waiting request");
+                    self.refuse(request);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, request: RequestId, engine: usize, key: Option<UpstreamKey>) {
+        let now = self.now();
+        let entry = &mut self.requests[request];
+        entry.attempts += 1;
+        entry.engine = Some(engine);
+        entry.sent_us = self.now_us;
+        let router = &mut self.routers[entry.router];
+        let route = router.route_request(&entry.shape, &entry.tried);
+        entry.work = router.started(engine, key, &route, now);
+        entry.tried.push(engine);
+        let cost = u64::from(entry.shape.prompt + entry.shape.answer);
+        router.queue.drained(cost, now);
+        let job = job_of(request, entry);
+        if self.engines[engine].is_down {
+            self.end_attempt(request, AttemptOutcome::NotReached);
+        } else if !self.engines[engine].push(job, self.now_us) {
+            self.end_attempt(request, AttemptOutcome::Refused);
+        } else if self.engines[engine].is_idle() {
+            self.start_step(engine);
+        }
+    }
+
+    fn start_step(&mut self, engine: usize) {
+        let epoch = self.engines[engine].epoch;
+        if let Some(end) = self.engines[engine].start_step(self.now_us) {
+            self.schedule(end, SimulationEvent::StepEnd { engine, epoch });
+        }
+    }
+
+    fn end_step(&mut self, engine: usize, epoch: u32) {
+        if self.engines[engine].epoch != epoch {
+            return;
+        }
+        let tokens = self.engines[engine].end_step(self.now_us);
+        self.start_step(engine);
+        let mut routers = BTreeMap::new();
+        for token in tokens {
+            self.receive(engine, &token);
+            if token.is_last {
+                routers.insert(self.requests[token.job.request].router, ());
+            }
+        }
+        for router in routers.into_keys() {
+            self.pump(router);
+        }
+    }
+
+    fn receive(&mut self, engine: usize, token: &EngineToken) {
+        let now = self.now();
+        let id = token.job.request;
+        let is_measured = self.is_measured(id);
+        let entry = &mut self.requests[id];
+        if !entry.is_open || entry.attempts != token.job.attempt {
+            return;
+        }
+        entry.done = token.job.done;
+        let router = &mut self.routers[entry.router];
+        if token.is_first {
+            if let Some(work) = entry.work {
+                router.table.first_token(work, now);
+            }
+            if let Some((digest, _)) = entry.shape.prefix
+                && self.rng.random::<f64>() >= CACHE_EVENT_LOSS
+            {
+                let event = SimulationEvent::CacheStored { engine, digest };
+                self.events.push(Reverse((
+                    self.now_us + CACHE_EVENT_DELAY_US,
+                    u64::MAX,
+                    event,
+                )));
+            }
+            if !std::mem::replace(&mut entry.is_first_seen, true) && is_measured {
+                let is_remote = router.domain != self.engines[engine].domain;
+                let network = if is_remote {
+                    self.one_way * 2
+                } else {
+                    Duration::ZERO
+                };
+                let latency = self.now_us - entry.arrived_us + network.as_micros() as u64;
+                self.stats.record_first(latency, entry.shape.customer != 0);
+            }
+        }
+        if token.is_last {
+            self.end_attempt(id, AttemptOutcome::Answered);
+        }
+    }
+
+    fn lose(&mut self, job: &EngineJob) {
+        self.stats.wasted += job.worked;
+        let outcome = match self.requests[job.request].done {
+            0 => AttemptOutcome::LostBeforeFirst,
+            _ => AttemptOutcome::LostMidStream,
+        };
+        self.end_attempt(job.request, outcome);
+    }
+
+    /// Settles an attempt and decides what follows.
+    fn end_attempt(&mut self, id: RequestId, outcome: AttemptOutcome) {
+        let now = self.now();
+        let is_measured = self.is_measured(id);
+        let entry = &mut self.requests[id];
+        let Some(engine) = entry.engine.take() else {
+            return;
+        };
+        let router = &mut self.routers[entry.router];
+        let elapsed = Duration::from_micros(self.now_us - entry.sent_us);
+        router.finished(engine, entry.work.take(), outcome, elapsed, now);
+        if !entry.is_open {
+            return;
+        }
+        entry.may_have_run |= !matches!(
+            outcome,
+            AttemptOutcome::NotReached | AttemptOutcome::Refused
+        );
+        let state = AttemptState {
+            attempts: entry.attempts,
+            idempotent: true,
+            may_have_run: entry.may_have_run,
+            delivered: u64::from(entry.done),
+            resumable: true,
+            deadline: MonotonicTime::from_micros(entry.arrived_us) + TIMEOUT,
+        };
+        let customer = customer_name(entry.shape.customer);
+        match self.retry.decide(outcome, &state, now, &mut self.rng) {
+            RetryDecision::Done => self.answer(id),
+            RetryDecision::Retry { after }
+                if router.budget.try_retry(&customer, &router.target) =>
+            {
+                self.stats.retries += u64::from(is_measured);
+                let due = self.now_us + after.as_micros() as u64;
+                self.schedule(due, SimulationEvent::Retry { request: id });
+            }
+            RetryDecision::Retry { .. } | RetryDecision::GiveUp(_) => {
+                entry.is_open = false;
+                let is_refused = !entry.may_have_run;
+                self.stats.refused += u64::from(is_measured && is_refused);
+                self.stats.failed += u64::from(is_measured && !is_refused);
+            }
+        }
+    }
+
+    fn answer(&mut self, id: RequestId) {
+        let is_measured = self.is_measured(id);
+        let entry = &mut self.requests[id];
+        entry.is_open = false;
+        if is_measured {
+            self.stats.answered += 1;
+            self.stats.small_answered += u64::from(entry.shape.customer != 0);
+            self.stats.good_tokens += u64::from(entry.shape.answer);
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId) {
+        if !std::mem::replace(&mut self.requests[id].is_open, false) {
+            return;
+        }
+        self.stats.refused += u64::from(self.is_measured(id));
+    }
+
+    fn time_out(&mut self, id: RequestId) {
+        let now = self.now();
+        if !self.requests[id].is_open {
+            return;
+        }
+        self.requests[id].is_open = false;
+        self.stats.late += u64::from(self.is_measured(id));
+        if let Some(engine) = self.requests[id].engine {
+            self.stats.wasted += self.engines[engine].cancel(id, self.now_us);
+            self.end_attempt(id, AttemptOutcome::Cancelled);
+        }
+        let router = self.requests[id].router;
+        let effects = self.routers[router].queue.poll(0, now);
+        self.apply_queue(router, effects);
+        self.pump(router);
+    }
+
+    fn report(&mut self, router: usize, engine: usize) {
+        self.schedule(
+            self.now_us + REPORT_US,
+            SimulationEvent::Report { router, engine },
+        );
+        let lag = self.scenario.report_lag();
+        let at = self.now_us.saturating_sub(lag.as_micros() as u64);
+        if self.engines[engine].is_down {
+            return;
+        }
+        let (running, queued) = self.engines[engine].load_at(at);
+        let report = LoadReport {
+            running,
+            queued,
+            age: lag,
+            leaving: false,
+        };
+        let now = self.now();
+        self.routers[router].load_report(engine, report, now);
+        self.pump(router);
+    }
+
+    fn schedule(&mut self, time_us: u64, event: SimulationEvent) {
+        self.order += 1;
+        self.events.push(Reverse((time_us, self.order, event)));
+    }
+
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime::from_micros(self.now_us)
+    }
+
+    /// Requests that arrive too late to be answered within the run are not counted.
+    fn is_measured(&self, id: RequestId) -> bool {
+        let arrived = self.requests[id].arrived_us;
+        (WARM_US..RUN_US - TIMEOUT.as_micros() as u64).contains(&arrived)
+    }
+}
+
+fn job_of(id: RequestId, request: &SimulatedRequest) -> EngineJob {
+    let shape = &request.shape;
+    EngineJob::new(
+        id,
+        request.attempts,
+        shape.prompt,
+        shape.prefix,
+        request.done,
+        shape.answer,
+    )
+}
--- /dev/null
+++ b/crates/measure/src/routing/stats.rs
@@ -0,0 +1,68 @@
+//! Results of one run.
+
+use hdrhistogram::Histogram;
+
+/// Largest time to first token that is recorded, in microseconds.
+const LATENCY_MAX_US: u64 = 120_000_000;
+
+/// Counts what happened in one run after the warm-up.
+#[derive(Clone, Debug)]
+pub(super) struct RunStats {
+    pub(super) first_us: Histogram<u64>,
+    /// The same without the large customer.
+    pub(super) small_us: Histogram<u64>,
+    pub(super) requests: u64,
+    pub(super) answered: u64,
+    pub(super) refused: u64,
+    pub(super) failed: u64,
+    pub(super) late: u64,
+    pub(super) small_requests: u64,
+    pub(super) small_answered: u64,
+    pub(super) retries: u64,
+    pub(super) wasted: u64,
+    pub(super) good_tokens: u64,
+    pub(super) seconds: f64,
+}
+
+impl RunStats {
+    pub(super) fn new(seconds: f64) -> Self {
+        let histogram = || Histogram::new_with_bounds(1, LATENCY_MAX_US, 3).expect("valid bounds");
+        Self {
+            first_us: histogram(),
+            small_us: histogram(),
+            requests: 0,
+            answered: 0,
+            refused: 0,
+            failed: 0,
+            late: 0,
+            small_requests: 0,
+            small_answered: 0,
+            retries: 0,
+            wasted: 0,
+            good_tokens: 0,
+            seconds,
+        }
+    }
+
+    pub(super) fn record_first(&mut self, latency_us: u64, is_small: bool) {
+        self.first_us.saturating_record(latency_us.max(1));
+        if is_small {
+            self.small_us.saturating_record(latency_us.max(1));
+        }
+    }
+
+    /// Returns a quantile of the time to first token in milliseconds.
+    pub(super) fn first_ms(&self, quantile: f64) -> f64 {
+        self.first_us.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Returns the generated tokens per second of complete answers before their deadlines.
+    pub(super) fn goodput(&self) -> f64 {
+        self.good_tokens as f64 / self.seconds
+    }
+
+    /// Returns retries per request.
+    pub(super) fn retry_rate(&self) -> f64 {
+        self.retries as f64 / self.requests.max(1) as f64
+    }
+}
--- /dev/null
+++ b/crates/measure/src/routing/workload.rs
@@ -0,0 +1,90 @@
+//! Requests and their arrivals.
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::routing::{
+    engine::EngineFake,
+    scenario::{Deployment, Scenario},
+};
+
+/// Mean length of a prompt in tokens.
+const PROMPT_MEAN: f64 = 600.0;
+/// Mean length of an answer in tokens.
+const ANSWER_MEAN: f64 = 150.0;
+/// Length of a shared prefix in tokens.
+const PREFIX_TOKENS: u32 = 2_000;
+/// Number of shared prefixes.
+const PREFIXES: u64 = 40;
+/// Share of prefix hits for which the load is sized.
+const PREFIX_HITS: f64 = 0.7;
+/// Number of customers.
+pub(super) const CUSTOMERS: usize = 10;
+
+/// Describes a request as its caller sends it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RequestShape {
+    pub(super) customer: usize,
+    pub(super) prompt: u32,
+    pub(super) answer: u32,
+    pub(super) prefix: Option<(u64, u32)>,
+}
+
+/// Generates requests.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Workload {
+    scenario: Scenario,
+    capacity: f64,
+}
+
+impl Workload {
+    pub(super) fn new(scenario: Scenario, deployment: &Deployment) -> Self {
+        let prompt = match scenario {
+            Scenario::PrefixHeavy => {
+                PROMPT_MEAN / 3.0 + f64::from(PREFIX_TOKENS) * (1.0 - PREFIX_HITS)
+            }
+            _ => PROMPT_MEAN,
+        };
+        let capacity = deployment.speed() * EngineFake::capacity(prompt, ANSWER_MEAN);
+        Self { scenario, capacity }
+    }
+
+    /// Returns the time to the next arrival in microseconds.
+    pub(super) fn gap_us(&self, now_us: u64, rng: &mut ChaCha8Rng) -> u64 {
+        let rate = self.capacity * self.scenario.load(now_us as f64 / 1e6);
+        (exponential(1e6 / rate, rng) as u64).max(1)
+    }
+
+    pub(super) fn shape(&self, rng: &mut ChaCha8Rng) -> RequestShape {
+        let customer = match self.scenario {
+            Scenario::LargeCustomer if rng.random::<f64>() < 1.0 / 1.63 => 0,
+            Scenario::LargeCustomer => rng.random_range(1..CUSTOMERS),
+            _ => rng.random_range(0..CUSTOMERS),
+        };
+        let answer = exponential(ANSWER_MEAN, rng).clamp(8.0, 800.0) as u32;
+        let own =
+            |mean: f64, rng: &mut ChaCha8Rng| exponential(mean, rng).clamp(20.0, 4_000.0) as u32;
+        if self.scenario != Scenario::PrefixHeavy {
+            let prompt = own(PROMPT_MEAN, rng);
+            return RequestShape {
+                customer,
+                prompt,
+                answer,
+                prefix: None,
+            };
+        }
+        // A squared draw makes some prefixes more popular than others.
+        let draw = rng.random::<f64>();
+        let digest = (draw * draw * PREFIXES as f64) as u64;
+        RequestShape {
+            customer,
+            prompt: PREFIX_TOKENS + own(PROMPT_MEAN / 3.0, rng),
+            answer,
+            prefix: Some((digest, PREFIX_TOKENS)),
+        }
+    }
+}
+
+fn exponential(mean: f64, rng: &mut ChaCha8Rng) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
