Serve chat and idempotent service calls through the router

Cause: the demo, the measurements and the operator tool need a router that runs end to end. Calls that must not be repeated are refused until core order is merged.

--- a/crates/router/src/connection/inbound.rs
+++ b/crates/router/src/connection/inbound.rs
@@ -76,7 +76,10 @@
                 deliver(envelope).await;
             }
             Ok(envelope) => {
-                log::debug!("frame of {:?} is addressed to another incarnation", envelope.sender);
+                log::debug!(
+                    "frame of {:?} is addressed to another incarnation",
+                    envelope.sender
+                );
             }
             Err(error) => {
                 log_event!(PeerFrameRejected, "{error}");
--- a/crates/router/src/connection/link.rs
+++ b/crates/router/src/connection/link.rs
@@ -9,6 +9,7 @@
 };
 use futures_util::SinkExt;
 use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
     net::TcpStream,
     sync::mpsc::{self, error::TrySendError},
@@ -54,12 +55,7 @@
     }
 
     /// Queues a message; `recipient` is absent only if the peer's incarnation is not known yet.
-    pub(crate) fn send(
-        &self,
-        address: SocketAddr,
-        recipient: Option<&HolderId>,
-        body: WireBody,
-    ) {
+    pub(crate) fn send(&self, address: SocketAddr, recipient: Option<&HolderId>, body: WireBody) {
         let recipient = recipient.map(WireHolder::from);
         let mut envelope = WireEnvelope::new(self.sender.clone(), recipient, body);
         let mut queues = self.queues.lock();
@@ -104,6 +100,7 @@
 
 /// Connects, writes queued frames and connects again until the queue is idle.
 async fn run_link(address: SocketAddr, mut queue: mpsc::Receiver<WireEnvelope>) {
+    let mut generator = StdRng::from_os_rng();
     let mut backoff = MIN_BACKOFF;
     loop {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
@@ -124,7 +121,7 @@
         if queue.is_closed() {
             return;
         }
-        sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
+        sleep(backoff.mul_f64(generator.random_range(0.5..1.0))).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
@@ -152,7 +149,10 @@
                 return false;
             }
             Err(_) => {
-                log_event!(PeerLost, "{address}: a write took longer than {WRITE_TIMEOUT:?}");
+                log_event!(
+                    PeerLost,
+                    "{address}: a write took longer than {WRITE_TIMEOUT:?}"
+                );
                 return false;
             }
         }
--- a/crates/router/src/process/clock.rs
+++ b/crates/router/src/process/clock.rs
@@ -6,14 +6,14 @@
 
 /// Converts between the clock of the runtime and the time of the state machines.
 #[derive(Clone, Copy, Debug)]
-pub struct RouterClock {
+pub(crate) struct RouterClock {
     start: Instant,
 }
 
 impl RouterClock {
     /// Starts the clock.
     #[must_use]
-    pub fn start() -> Self {
+    pub(crate) fn start() -> Self {
         Self {
             start: Instant::now(),
         }
@@ -21,14 +21,14 @@
 
     /// Returns the time since the start.
     #[must_use]
-    pub fn now(&self) -> MonotonicTime {
+    pub(crate) fn now(&self) -> MonotonicTime {
         let micros = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
         MonotonicTime::from_micros(micros)
     }
 
     /// Returns the moment of the runtime's clock for `time`.
     #[must_use]
-    pub fn instant(&self, time: MonotonicTime) -> tokio::time::Instant {
+    pub(crate) fn instant(&self, time: MonotonicTime) -> tokio::time::Instant {
         tokio::time::Instant::from_std(self.start + Duration::from_micros(time.as_micros()))
     }
 }
--- a/crates/router/src/process/config.rs
+++ b/crates/router/src/process/config.rs
@@ -115,13 +115,8 @@
                 changes,
             } => {
                 let age = self.measure_age();
-                let next = ConfigVersion::build(
-                    version,
-                    document,
-                    changes.as_deref(),
-                    &self.state,
-                    age,
-                );
+                let next =
+                    ConfigVersion::build(version, document, changes.as_deref(), &self.state, age);
                 self.state.put_in_force(next);
             }
             ConfigEffect::Rejected { error } => log_event!(ConfigRejected, "{error}"),
@@ -186,7 +181,11 @@
 
 async fn read_head(state: Arc<RouterState>) -> ConfigEvent {
     state.metrics.count(MetricName::PlatformCalls);
-    match state.store.get(&head_key(&state.settings.environment)).await {
+    match state
+        .store
+        .get(&head_key(&state.settings.environment))
+        .await
+    {
         Ok(object) => decode_head(&object),
         Err(StoreError::NotFound { .. }) => ConfigEvent::HeadUnchanged,
         Err(_) => ConfigEvent::PlatformDown,
--- a/crates/router/src/process/desk.rs
+++ b/crates/router/src/process/desk.rs
@@ -267,7 +267,10 @@
         let (ticket, answer) = {
             let now = state.clock.now();
             let mut inner = self.inner.lock();
-            let is_first = inner.queues.get(&target).is_none_or(|queue| queue.queue.is_empty());
+            let is_first = inner
+                .queues
+                .get(&target)
+                .is_none_or(|queue| queue.queue.is_empty());
             let result = if is_first {
                 inner.start(&request, now)
             } else {
@@ -318,7 +321,10 @@
     pub(crate) fn pump_all(&self, state: &Arc<RouterState>) {
         let targets: Vec<RouteTarget> = {
             let inner = self.inner.lock();
-            let waiting = inner.queues.iter().filter(|(_, queue)| !queue.queue.is_empty());
+            let waiting = inner
+                .queues
+                .iter()
+                .filter(|(_, queue)| !queue.queue.is_empty());
             waiting.map(|(target, _)| target.clone()).collect()
         };
         for target in targets {
@@ -326,7 +332,13 @@
         }
     }
 
-    fn finish(&self, started: &StartedWork, outcome: AttemptOutcome, broken: bool, now: MonotonicTime) -> Vec<CrashReport> {
+    fn finish(
+        &self,
+        started: &StartedWork,
+        outcome: AttemptOutcome,
+        broken: bool,
+        now: MonotonicTime,
+    ) -> Vec<CrashReport> {
         let mut inner = self.inner.lock();
         inner.table.finished(started.work, outcome, now);
         inner.flights.remove(&started.flight);
@@ -355,7 +367,8 @@
             now,
         );
         let selection = if suspects.is_empty() {
-            self.table.select(&request.route, now, &mut self.generator)?
+            self.table
+                .select(&request.route, now, &mut self.generator)?
         } else {
             let mut route = request.route.clone();
             route.excluded.extend(suspects);
--- a/crates/router/src/process/members.rs
+++ b/crates/router/src/process/members.rs
@@ -44,7 +44,11 @@
             .clone()
             .find(|record| record.holder == *holder)
             // A message to an earlier process is dropped there, which its sender has to learn.
-            .or_else(|| members.clone().find(|record| record.holder.instance == holder.instance))?;
+            .or_else(|| {
+                members
+                    .clone()
+                    .find(|record| record.holder.instance == holder.instance)
+            })?;
         record.address.parse().ok()
     }
 }
@@ -123,7 +127,10 @@
             } => log_event!(MemberChanged, "{holder} in domain {domain} is {state:?}"),
             MemberEffect::PeerVersion { peer, version } => {
                 // The actor is gone only after the router was closed.
-                let _ = self.config.tell(ConfigEvent::PeerVersion { peer, version }).await;
+                let _ = self
+                    .config
+                    .tell(ConfigEvent::PeerVersion { peer, version })
+                    .await;
             }
         }
     }
@@ -138,7 +145,6 @@
             })
             .collect();
         self.state.desk.set_routers(live.len());
-        self.state.share_orders();
         let _ = self.ledger.tell(LedgerEvent::PeersChanged(live)).await;
         let _ = self.config.tell(ConfigEvent::MembersChanged(domain)).await;
     }
--- a/crates/router/src/process/operator.rs
+++ b/crates/router/src/process/operator.rs
@@ -25,7 +25,10 @@
         .route("/status", get(show_status))
         .route("/unblock/{fingerprint}", post(unblock))
         .route("/metrics-names", get(list_metrics))
-        .layer(middleware::from_fn_with_state(Arc::clone(&state), check_key))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&state),
+            check_key,
+        ))
         .with_state(state)
 }
 
--- a/crates/router/src/process/poll.rs
+++ b/crates/router/src/process/poll.rs
@@ -137,5 +137,6 @@
             _ = interval.tick() => {}
         }
         state.desk.pump_all(&state);
+        state.desk.expire(state.now());
     }
 }
--- a/crates/router/src/process/router.rs
+++ b/crates/router/src/process/router.rs
@@ -12,6 +12,7 @@
 use cornelarch_platform::{ClientOptions, HttpStore};
 use cornelarch_wire::peer::{WireBody, WireEnvelope};
 use kameo::actor::Spawn;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
@@ -64,7 +65,7 @@
     #[snafu(display("client of the platform cannot be set up: {source}"))]
     Platform {
         /// The cause.
-        source: cornelarch_platform::ClientError,
+        source: cornelarch_platform::client::ClientError,
     },
     /// The client for upstreams cannot be set up.
     #[snafu(display("client for upstreams cannot be set up: {source}"))]
@@ -116,8 +117,16 @@
     /// Logs what the end of the process interrupts.
     pub fn log_interrupted(&self) {
         let snapshot = self.state.ledger.lock().snapshot();
-        let held: u64 = snapshot.accounts.iter().map(|account| account.balance.get()).sum();
-        let reserved: u64 = snapshot.accounts.iter().map(|account| account.reserved.get()).sum();
+        let held: u64 = snapshot
+            .accounts
+            .iter()
+            .map(|account| account.balance.get())
+            .sum();
+        let reserved: u64 = snapshot
+            .accounts
+            .iter()
+            .map(|account| account.reserved.get())
+            .sum();
         log_event!(
             Interrupted,
             "{} requests in progress, {held} free and {reserved} reserved tokens stay held by {}",
@@ -157,10 +166,10 @@
             ..ClientOptions::default()
         })
         .context(PlatformSnafu)?;
-        let metrics =
-            RouterMetrics::open(&settings.metrics_prefix, settings.metrics).context(MetricsSnafu)?;
+        let metrics = RouterMetrics::open(&settings.metrics_prefix, settings.metrics)
+            .context(MetricsSnafu)?;
         let client = build_client().context(ClientSnafu)?;
-        let holder = HolderId::new(settings.instance.clone(), rand::random());
+        let holder = HolderId::new(settings.instance.clone(), StdRng::from_os_rng().random());
         let state = Arc::new(RouterState::new(settings, holder, metrics, store, client));
         let mut router = Self {
             state,
@@ -218,7 +227,11 @@
     /// running requests, hands balances back and ends.
     pub async fn close(self) {
         let settings = &self.state.settings;
-        log_event!(DrainStarted, "{} requests in progress", self.state.running());
+        log_event!(
+            DrainStarted,
+            "{} requests in progress",
+            self.state.running()
+        );
         self.state.enter_phase(RouterPhase::Leaving);
         if let Some(actors) = self.state.actors() {
             let _ = actors.members.tell(MemberEvent::LeaveStarted).await;
@@ -226,7 +239,10 @@
         tokio::time::sleep(settings.drain_grace).await;
         self.state.enter_phase(RouterPhase::Refusing);
         log_event!(DrainRefusing);
-        if timeout(settings.drain, self.state.wait_idle()).await.is_err() {
+        if timeout(settings.drain, self.state.wait_idle())
+            .await
+            .is_err()
+        {
             log_event!(DrainTimedOut, "{} requests", self.state.running());
         }
         self.hand_back().await;
@@ -258,7 +274,11 @@
         };
         if timeout(LEDGER_DRAIN, drained).await.is_err() {
             let snapshot = self.state.ledger.lock().snapshot();
-            let held: u64 = snapshot.accounts.iter().map(|account| account.balance.get()).sum();
+            let held: u64 = snapshot
+                .accounts
+                .iter()
+                .map(|account| account.balance.get())
+                .sum();
             log_event!(BalanceKept, "{held} tokens under {}", self.state.holder);
         }
     }
@@ -308,11 +328,17 @@
             move |envelope| deliver(Arc::clone(&inbox), envelope),
         ));
         let task = Arc::clone(state);
-        state.tasks.spawn(async move { task.tick_ledger(ledger::LEDGER_TICK).await });
+        state
+            .tasks
+            .spawn(async move { task.tick_ledger(ledger::LEDGER_TICK).await });
         let task = Arc::clone(state);
-        state.tasks.spawn(async move { task.tick_config(config::CONFIG_TICK).await });
+        state
+            .tasks
+            .spawn(async move { task.tick_config(config::CONFIG_TICK).await });
         let task = Arc::clone(state);
-        state.tasks.spawn(async move { task.tick_members(members::MEMBER_TICK).await });
+        state
+            .tasks
+            .spawn(async move { task.tick_members(members::MEMBER_TICK).await });
         state.tasks.spawn(poll::poll_loads(Arc::clone(state)));
         state.tasks.spawn(poll::poll_instances(Arc::clone(state)));
         state.tasks.spawn(poll::pump_queues(Arc::clone(state)));
@@ -354,7 +380,9 @@
             () = state.stop.cancelled() => return,
             _ = interval.tick() => {}
         }
-        state.metrics.set(MetricName::Running, state.running() as u64);
+        state
+            .metrics
+            .set(MetricName::Running, state.running() as u64);
         state.metrics.flush();
     }
 }
--- a/crates/router/src/process/settings.rs
+++ b/crates/router/src/process/settings.rs
@@ -268,7 +268,11 @@
             return Vec::new();
         };
         let mut seeds = Vec::new();
-        for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+        for part in text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty())
+        {
             match part.parse() {
                 Ok(seed) => seeds.push(seed),
                 Err(_) => self.fault("router", "seeds", &format!("{part:?} is not IP:port")),
@@ -312,7 +316,10 @@
         if let Ok(value) = value.parse() {
             return Some(value);
         }
-        let kind = std::any::type_name::<T>().rsplit("::").next().unwrap_or("value");
+        let kind = std::any::type_name::<T>()
+            .rsplit("::")
+            .next()
+            .unwrap_or("value");
         let message = match kind {
             "SocketAddr" => format!("{value:?} is not IP:port"),
             _ => format!("{value:?} is not a valid number"),
@@ -398,13 +405,19 @@
     let mut found = 1;
     for (index, line) in text.lines().enumerate() {
         let line = line.trim();
-        if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+        if let Some(name) = line
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'))
+        {
             current = name.trim();
             if current == section {
                 found = index + 1;
             }
         } else if current == section
-            && line.split(['=', ':']).next().is_some_and(|name| name.trim() == key)
+            && line
+                .split(['=', ':'])
+                .next()
+                .is_some_and(|name| name.trim() == key)
         {
             found = index + 1;
         }
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -26,7 +26,7 @@
 use crate::{
     connection::PeerLinks,
     process::{
-        ConfigActor, FleetView, LedgerActor, LedgerCell, MemberActor, MetricName, OrderDesk, RouterClock,
+        ConfigActor, FleetView, LedgerActor, LedgerCell, MemberActor, MetricName, RouterClock,
         RouterMetrics, RouterSettings, UpstreamDesk, log_event,
     },
     version::ConfigVersion,
@@ -68,7 +68,6 @@
     pub(crate) ready: watch::Sender<u64>,
     pub(crate) ledger: LedgerCell,
     pub(crate) desk: UpstreamDesk,
-    pub(crate) orders: OrderDesk,
     pub(crate) fleet: ArcSwap<FleetView>,
     pub(crate) client: reqwest::Client,
     pub(crate) store: HttpStore,
@@ -103,7 +102,6 @@
         );
         let clock = RouterClock::start();
         Self {
-            orders: OrderDesk::new(clock.now()),
             clock,
             metrics,
             version: ArcSwapOption::empty(),
@@ -166,7 +164,6 @@
             version.document.upstreams.len(),
         );
         self.version.store(Some(Arc::new(version)));
-        self.share_orders();
         self.ready.send_replace(number);
         log_event!(
             ConfigApplied,
@@ -174,15 +171,6 @@
         );
     }
 
-    /// Divides the fleet's rate of orders by the number of live instances.
-    pub(crate) fn share_orders(&self) {
-        if let Some(version) = self.version.load().as_ref() {
-            let rate = version.document.limits.order_rate as f64;
-            let instances = self.fleet.load().live.len();
-            self.orders.set_share(rate, instances, self.now());
-        }
-    }
-
     /// Sends a message to a peer process, if its address is known.
     pub(crate) fn send_to(&self, holder: &HolderId, body: WireBody) {
         match self.fleet.load().address(holder) {
@@ -194,9 +182,10 @@
     /// Sends a message to every live peer of the own domain.
     pub(crate) fn send_to_domain(&self, body: &WireBody) {
         let fleet = self.fleet.load();
-        let peers = fleet.live.iter().filter(|record| {
-            record.domain == self.settings.domain && record.holder != self.holder
-        });
+        let peers = fleet
+            .live
+            .iter()
+            .filter(|record| record.domain == self.settings.domain && record.holder != self.holder);
         for record in peers {
             if let Ok(address) = record.address.parse() {
                 self.links.send(address, Some(&record.holder), body.clone());
@@ -244,11 +233,18 @@
         let mut interval = tokio::time::interval(period);
         let mut told = (0, 0);
         while let Some(actors) = self.next_tick(&mut interval).await {
-            let version = self.version.load().as_ref().map_or(0, |version| version.number);
+            let version = self
+                .version
+                .load()
+                .as_ref()
+                .map_or(0, |version| version.number);
             let load = u32::try_from(self.running()).unwrap_or(u32::MAX);
             if told != (version, load) {
                 told = (version, load);
-                let _ = actors.members.tell(MemberEvent::ConfigVersion(version)).await;
+                let _ = actors
+                    .members
+                    .tell(MemberEvent::ConfigVersion(version))
+                    .await;
                 let _ = actors.members.tell(MemberEvent::LoadChanged(load)).await;
             }
             let _ = actors.members.tell(MemberEvent::Tick).await;
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -36,13 +36,8 @@
     pub(crate) timeout: Duration,
 }
 
-/// Result of one attempt until the head of the answer.
-pub(crate) enum AttemptHead {
-    /// The upstream answers.
-    Answer(UpstreamAttempt, Response),
-    /// The attempt is over.
-    Failed(AttemptOutcome),
-}
+/// Result of one attempt until the head of the answer: the answer, or how the attempt ended.
+pub(crate) type AttemptHead = Result<(UpstreamAttempt, Response), AttemptOutcome>;
 
 /// Plans the attempts of one request.
 pub(crate) struct AttemptPlan {
@@ -120,13 +115,19 @@
     }
 
     /// Sends a call and waits for the head of its answer.
-    pub(crate) async fn send(&mut self, attempt: UpstreamAttempt, call: UpstreamCall) -> AttemptHead {
+    pub(crate) async fn send(
+        &mut self,
+        attempt: UpstreamAttempt,
+        call: UpstreamCall,
+    ) -> AttemptHead {
         let Some(address) = attempt.address() else {
-            return AttemptHead::Failed(AttemptOutcome::NotReached);
+            return Err(AttemptOutcome::NotReached);
         };
         let context = Arc::clone(&self.context);
         let url = format!("http://{address}{}", call.path);
-        let timeout = call.timeout.min(context.deadline.since(context.state.now()));
+        let timeout = call
+            .timeout
+            .min(context.deadline.since(context.state.now()));
         let request = context
             .state
             .client
@@ -141,23 +142,23 @@
             result = tokio::time::timeout(timeout, request) => result,
             () = cancelled.cancelled() => {
                 attempt.finish(AttemptOutcome::Cancelled, false);
-                return AttemptHead::Failed(AttemptOutcome::Cancelled);
+                return Err(AttemptOutcome::Cancelled);
             }
         };
         match result {
-            Ok(Ok(response)) => AttemptHead::Answer(attempt, response),
+            Ok(Ok(response)) => Ok((attempt, response)),
             Ok(Err(error)) if error.is_connect() || error.is_builder() => {
                 attempt.finish(AttemptOutcome::NotReached, false);
-                AttemptHead::Failed(AttemptOutcome::NotReached)
+                Err(AttemptOutcome::NotReached)
             }
             Ok(Err(error)) => {
                 log::debug!("upstream {address} was lost: {error:?}");
                 attempt.finish(AttemptOutcome::LostBeforeFirst, true);
-                AttemptHead::Failed(AttemptOutcome::LostBeforeFirst)
+                Err(AttemptOutcome::LostBeforeFirst)
             }
             Err(_) => {
                 attempt.finish(AttemptOutcome::TimedOut, false);
-                AttemptHead::Failed(AttemptOutcome::TimedOut)
+                Err(AttemptOutcome::TimedOut)
             }
         }
     }
--- a/crates/router/src/request/bill.rs
+++ b/crates/router/src/request/bill.rs
@@ -166,11 +166,7 @@
     }
 }
 
-fn refuse_reserve(
-    state: &RouterState,
-    error: ReserveError,
-    amount: TokenCount,
-) -> RequestRefusal {
+fn refuse_reserve(state: &RouterState, error: ReserveError, amount: TokenCount) -> RequestRefusal {
     let kind = error.kind();
     let message = match kind {
         ErrorKind::BudgetExhausted => {
--- a/crates/router/src/request/chat.rs
+++ b/crates/router/src/request/chat.rs
@@ -27,12 +27,12 @@
     process::{MetricName, RouterState, UpstreamAttempt},
     request::{
         RequestRefusal,
-        attempt::{AttemptHead, AttemptPlan, UpstreamCall, check_blocked, is_refusal},
+        attempt::{AttemptPlan, UpstreamCall, check_blocked, is_refusal},
         bill::{PartialCost, RequestBill},
         chat_body::ChatBody,
         context::RequestContext,
-        refuse,
         refusal::{RUN_HEADER, run_value},
+        refuse,
         sse::find_number,
         stream::start_stream,
     },
@@ -167,27 +167,28 @@
 }
 
 /// Sends a request until it is answered, and returns the JSON answer.
-async fn answer_json(chat: &ChatRequest, mut bill: RequestBill) -> Result<Response, RequestRefusal> {
+async fn answer_json(
+    chat: &ChatRequest,
+    mut bill: RequestBill,
+) -> Result<Response, RequestRefusal> {
     let mut plan = chat.plan();
     loop {
         let attempt = plan.acquire().await?;
         let upstream = attempt.upstream().cloned();
         bill.mark_sent();
         let outcome = match plan.send(attempt, chat.call(None)).await {
-            AttemptHead::Answer(attempt, response) if is_refusal(response.status()) => {
+            Ok((attempt, response)) if is_refusal(response.status()) => {
                 attempt.finish(AttemptOutcome::Refused, false);
                 AttemptOutcome::Refused
             }
-            AttemptHead::Answer(attempt, response) => {
-                match read_answer(chat, attempt, response).await {
-                    Ok((status, body)) => {
-                        settle_json(chat, bill, status, &body);
-                        return Ok(finish_json(chat, status, body));
-                    }
-                    Err(outcome) => outcome,
+            Ok((attempt, response)) => match read_answer(chat, attempt, response).await {
+                Ok((status, body)) => {
+                    settle_json(chat, bill, status, &body);
+                    return Ok(finish_json(chat, status, body));
                 }
-            }
-            AttemptHead::Failed(outcome) => outcome,
+                Err(outcome) => outcome,
+            },
+            Err(outcome) => outcome,
         };
         if outcome.run_state() == RunState::NotRun && !plan.may_have_run() {
             bill.mark_not_run();
--- a/crates/router/src/request/context.rs
+++ b/crates/router/src/request/context.rs
@@ -62,13 +62,14 @@
             RequestRefusal::new(ErrorKind::NotReady, "the instance has no configuration yet")
         })?;
         let key = read_key(headers)?;
-        let owner = version.key_owner(key).cloned().ok_or_else(|| {
-            RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known")
-        })?;
+        let owner = version
+            .key_owner(key)
+            .cloned()
+            .ok_or_else(|| RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known"))?;
         let customer = version.document.customers.get(&owner.customer);
-        let customer = customer.cloned().ok_or_else(|| {
-            RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known")
-        })?;
+        let customer = customer
+            .cloned()
+            .ok_or_else(|| RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known"))?;
         let started = state.now();
         let limit = Duration::from_secs(version.document.limits.request_timeout_s)
             .min(state.settings.request_timeout);
@@ -154,7 +155,10 @@
     let Some(value) = headers.get(TIMEOUT_HEADER) else {
         return Ok(None);
     };
-    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
     match millis {
         Some(millis) if millis > 0 => Ok(Some(Duration::from_millis(millis))),
         _ => Err(RequestRefusal::new(
@@ -184,5 +188,9 @@
         joined.extend_from_slice(&std::mem::take(&mut first));
         joined.extend_from_slice(&chunk);
     }
-    Ok(if joined.is_empty() { first } else { joined.freeze() })
+    Ok(if joined.is_empty() {
+        first
+    } else {
+        joined.freeze()
+    })
 }
--- a/crates/router/src/request/service.rs
+++ b/crates/router/src/request/service.rs
@@ -30,12 +30,11 @@
     process::{MetricName, RouterState, UpstreamAttempt},
     request::{
         RequestRefusal,
-        attempt::{AttemptHead, AttemptPlan, UpstreamCall, check_blocked},
+        attempt::{AttemptPlan, UpstreamCall, check_blocked},
         bill::{PartialCost, RequestBill},
         context::{RequestContext, TIMEOUT_HEADER},
-        order::run_order,
-        refuse,
         refusal::{RUN_HEADER, run_value},
+        refuse,
     },
 };
 
@@ -83,7 +82,7 @@
     /// The whole body.
     Whole(Bytes),
     /// A beginning, and the response that delivers the rest.
-    Partial(Bytes, UpstreamAttempt, reqwest::Response),
+    Partial(Bytes, UpstreamAttempt, Box<reqwest::Response>),
 }
 
 /// Serves `/services/{name}/{path}`.
@@ -118,7 +117,8 @@
     };
     check_blocked(&call.context, call.fingerprint())?;
     if !call.section.is_idempotent(call.method.as_str(), &call.path) {
-        return run_order(call).await;
+        let message = "calls that must not be repeated are not supported yet";
+        return Err(RequestRefusal::new(ErrorKind::PlatformUnavailable, message));
     }
     let bill = call.reserve().await?;
     let (answer, bill) = call.answer(bill).await?;
@@ -151,7 +151,14 @@
         route.allowed = context.version.allowed_upstreams(&context.owner.customer);
         let queue_deadline = context.state.now() + QUEUE_WAIT;
         let fingerprint = self.fingerprint();
-        AttemptPlan::new(context, route, fingerprint, CALL_COST, queue_deadline, idempotent)
+        AttemptPlan::new(
+            context,
+            route,
+            fingerprint,
+            CALL_COST,
+            queue_deadline,
+            idempotent,
+        )
     }
 
     /// Returns the call for a service; the customer's key stays here.
@@ -182,13 +189,11 @@
             let upstream = attempt.upstream().cloned();
             bill.mark_sent();
             let outcome = match plan.send(attempt, self.upstream_call()).await {
-                AttemptHead::Answer(attempt, response) => {
-                    match self.read_answer(attempt, response).await {
-                        Ok(answer) => return Ok((answer, bill)),
-                        Err(outcome) => outcome,
-                    }
-                }
-                AttemptHead::Failed(outcome) => outcome,
+                Ok((attempt, response)) => match self.read_answer(attempt, response).await {
+                    Ok(answer) => return Ok((answer, bill)),
+                    Err(outcome) => outcome,
+                },
+                Err(outcome) => outcome,
             };
             if outcome.run_state() == RunState::NotRun && !plan.may_have_run() {
                 bill.mark_not_run();
@@ -223,7 +228,7 @@
                 }
             }
             if body.len() > MAX_BUFFERED_BYTES {
-                let body = AnswerBody::Partial(body.freeze(), attempt, response);
+                let body = AnswerBody::Partial(body.freeze(), attempt, Box::new(response));
                 return Ok(ServiceAnswer {
                     status,
                     headers,
@@ -274,7 +279,10 @@
     // A service could resolve such a path to another service's or to an operation that is not
     // the one in the configuration.
     let plain = below.split('?').next().unwrap_or_default();
-    if plain.split('/').any(|segment| matches!(segment, "." | "..")) {
+    if plain
+        .split('/')
+        .any(|segment| matches!(segment, "." | ".."))
+    {
         let message = "the path must not contain the segments . and ..";
         return Err(RequestRefusal::new(ErrorKind::MalformedRequest, message));
     }
--- a/crates/router/src/request/sse.rs
+++ b/crates/router/src/request/sse.rs
@@ -92,7 +92,10 @@
 /// Returns the value of the first field `name` that holds a non-negative integer.
 pub(crate) fn find_number(payload: &[u8], name: &str) -> Option<u64> {
     let value = find_field(payload, name)?;
-    let length = value.iter().take_while(|byte| byte.is_ascii_digit()).count();
+    let length = value
+        .iter()
+        .take_while(|byte| byte.is_ascii_digit())
+        .count();
     std::str::from_utf8(&value[..length]).ok()?.parse().ok()
 }
 
--- a/crates/router/src/request/stream.rs
+++ b/crates/router/src/request/stream.rs
@@ -91,7 +91,10 @@
         Ok(Ok(None)) => Ok(build_response(CallerStream { receiver, taken })),
         Ok(Ok(Some(response))) => Ok(response),
         Ok(Err(refusal)) => Err(refusal),
-        Err(_) => Err(RequestRefusal::new(ErrorKind::Internal, "the stream failed")),
+        Err(_) => Err(RequestRefusal::new(
+            ErrorKind::Internal,
+            "the stream failed",
+        )),
     }
 }
 
@@ -99,7 +102,10 @@
     let headers = [
         (CONTENT_TYPE, HeaderValue::from_static("text/event-stream")),
         (CACHE_CONTROL, HeaderValue::from_static("no-cache")),
-        (HeaderName::from_static(RUN_HEADER), run_value(RunState::Ran)),
+        (
+            HeaderName::from_static(RUN_HEADER),
+            run_value(RunState::Ran),
+        ),
     ];
     (headers, Body::from_stream(stream)).into_response()
 }
@@ -231,8 +237,8 @@
             let upstream = attempt.upstream().cloned();
             self.attach();
             self.bill.mark_sent();
-            let resume = (self.delivered > 0)
-                .then(|| (self.assembler.next_sequence(), self.text.as_ref()));
+            let resume =
+                (self.delivered > 0).then(|| (self.assembler.next_sequence(), self.text.as_ref()));
             let call = self.chat.call(resume);
             let head = tokio::select! {
                 biased;
@@ -256,7 +262,11 @@
             }
             if self.delivered > 0 {
                 self.state().metrics.count(MetricName::Resumes);
-                log_event!(StreamResumed, "from chunk {}", self.assembler.next_sequence());
+                log_event!(
+                    StreamResumed,
+                    "from chunk {}",
+                    self.assembler.next_sequence()
+                );
             }
         }
     }
@@ -270,8 +280,8 @@
 
     async fn take_head(&mut self, head: AttemptHead, plan: &AttemptPlan) -> AttemptEnd {
         let (attempt, response) = match head {
-            AttemptHead::Answer(attempt, response) => (attempt, response),
-            AttemptHead::Failed(outcome) => return AttemptEnd::Lost(outcome),
+            Ok((attempt, response)) => (attempt, response),
+            Err(outcome) => return AttemptEnd::Lost(outcome),
         };
         let status = response.status();
         if status.is_success() {
@@ -471,7 +481,11 @@
             events => join_events(events),
         };
         self.ready.clear();
-        let deadline = self.run.state().clock.instant(self.run.chat.context.deadline);
+        let deadline = self
+            .run
+            .state()
+            .clock
+            .instant(self.run.chat.context.deadline);
         let frame = StreamFrame { bytes, tokens };
         match self.run.sender.try_send(frame) {
             Ok(()) => true,
@@ -514,7 +528,12 @@
         let now = self.run.state().now();
         let effects = self.run.assembler.handle(StreamEvent::Tick, now);
         self.apply(effects);
-        let deadline = self.run.chat.context.deadline.min(self.last_chunk + self.idle_limit());
+        let deadline = self
+            .run
+            .chat
+            .context
+            .deadline
+            .min(self.last_chunk + self.idle_limit());
         if self.lost.is_none() && now >= deadline {
             self.lost = Some(AttemptOutcome::TimedOut);
         }
--- a/crates/router/src/version/mod.rs
+++ b/crates/router/src/version/mod.rs
@@ -50,12 +50,16 @@
             }
             _ => Arc::new(register_budgets(&document, state)),
         };
-        let upstreams = document.customers.iter().filter_map(|(name, section)| {
-            match &section.upstreams {
-                AllowedSet::All => None,
-                AllowedSet::Listed(names) => Some((name.clone(), names.iter().cloned().collect())),
-            }
-        });
+        let upstreams =
+            document
+                .customers
+                .iter()
+                .filter_map(|(name, section)| match &section.upstreams {
+                    AllowedSet::All => None,
+                    AllowedSet::Listed(names) => {
+                        Some((name.clone(), names.iter().cloned().collect()))
+                    }
+                });
         Self {
             number,
             upstreams: upstreams.collect(),
