--- a/crates/router/src/process/config.rs
+++ b/crates/router/src/process/config.rs
@@ -22,7 +22,7 @@
 use tokio::task::JoinHandle;
 
 use crate::{
-    process::{MetricName, RouterState, log_event},
+    process::{MetricName, RouterState, log_event, members::TellFleet},
     version::ConfigVersion,
 };
 
@@ -115,14 +115,28 @@
                 changes,
             } => {
                 let age = self.measure_age();
+                if self.state.version.load().is_none() {
+                    self.state.open_ledger(&document);
+                }
                 let next =
                     ConfigVersion::build(version, document, changes.as_deref(), &self.state, age);
                 self.state.put_in_force(next);
+                self.wake_members();
             }
             ConfigEffect::Rejected { error } => log_event!(ConfigRejected, "{error}"),
         }
     }
 
+    /// Lets the member table tell the fleet again, because the ledger may be a new one.
+    fn wake_members(&self) {
+        let state = Arc::clone(&self.state);
+        self.state.tasks.spawn(async move {
+            if let Some(actors) = state.actors() {
+                let _ = actors.members.tell(TellFleet).await;
+            }
+        });
+    }
+
     fn spawn_read<F, R>(&self, actor: &ActorRef<Self>, read: F)
     where
         F: FnOnce(Arc<RouterState>) -> R,
--- a/crates/router/src/process/ledger.rs
+++ b/crates/router/src/process/ledger.rs
@@ -136,6 +136,10 @@
     type Reply = ();
 
     async fn handle(&mut self, event: LedgerEvent, context: &mut Context<Self, ()>) {
+        // Without a configuration the ledger has no options yet, and owns nothing.
+        if self.state.version.load().is_none() {
+            return;
+        }
         let actor = context.actor_ref().clone();
         self.apply(event, &actor);
     }
--- a/crates/router/src/process/members.rs
+++ b/crates/router/src/process/members.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// Asks the member table to tell the ledger and the configuration who is live.
+pub(crate) struct TellFleet;
+
 /// Runs the member table.
 #[derive(Actor)]
 pub(crate) struct MemberActor {
@@ -145,6 +148,7 @@
             })
             .collect();
         self.state.desk.set_routers(live.len());
+        self.state.share_orders();
         let _ = self.ledger.tell(LedgerEvent::PeersChanged(live)).await;
         let _ = self.config.tell(ConfigEvent::MembersChanged(domain)).await;
     }
@@ -158,6 +162,18 @@
     }
 }
 
+impl Message<TellFleet> for MemberActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: TellFleet, _: &mut Context<Self, ()>) {
+        let domain = self.table.live_members(&self.state.settings.domain);
+        let domain = domain
+            .map(|record| record.holder.instance.clone())
+            .collect();
+        self.tell_members(domain).await;
+    }
+}
+
 fn encode_record(record: &MemberRecord) -> WireMember {
     WireMember::new(
         WireHolder::from(&record.holder),
--- /dev/null
+++ b/crates/router/src/process/order.rs
@@ -0,0 +1,81 @@
+//! Claims and rate of the orders of one process.
+
+use std::{sync::Arc, time::Duration};
+
+use cornelarch_core::{
+    base::MonotonicTime,
+    order::{ClaimId, ClaimTable, LocalClaim, OrderCall, OrderLimiter, OrderOptions},
+};
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::sync::watch;
+
+/// Orders per second of the fleet until a configuration is in force.
+const START_RATE: f64 = 0.0;
+
+/// Holds what the process knows about its own claims, and the rate of new ones.
+#[derive(Debug)]
+pub(crate) struct OrderDesk {
+    claims: Mutex<ClaimTable>,
+    limiter: Mutex<OrderLimiter>,
+    changed: watch::Sender<()>,
+    options: Arc<OrderOptions>,
+    generator: Mutex<StdRng>,
+}
+
+impl OrderDesk {
+    /// Creates a desk that admits no order until its share is set.
+    pub(crate) fn new(now: MonotonicTime) -> Self {
+        Self {
+            claims: Mutex::default(),
+            limiter: Mutex::new(OrderLimiter::new(START_RATE, now)),
+            changed: watch::Sender::new(()),
+            options: Arc::default(),
+            generator: Mutex::new(StdRng::from_os_rng()),
+        }
+    }
+
+    /// Draws the id of a new claim.
+    pub(crate) fn draw_claim(&self) -> ClaimId {
+        ClaimId(self.generator.lock().random())
+    }
+
+    /// Returns the options of every attempt.
+    pub(crate) fn options(&self) -> Arc<OrderOptions> {
+        Arc::clone(&self.options)
+    }
+
+    /// Sets the rate of the fleet in orders per second, and the number of live instances.
+    pub(crate) fn set_share(&self, fleet_per_s: f64, instances: usize, now: MonotonicTime) {
+        self.limiter.lock().set_share(fleet_per_s, instances, now);
+    }
+
+    /// Takes one order from the rate; returns whether it may proceed.
+    pub(crate) fn take(&self, now: MonotonicTime) -> bool {
+        self.limiter.lock().take(now)
+    }
+
+    /// Records the state of a call, after its opening and after each event.
+    pub(crate) fn track(&self, call: &OrderCall) {
+        self.claims.lock().track(call);
+        self.changed.send_replace(());
+    }
+
+    /// Returns what is known about a claim.
+    pub(crate) fn lookup(&self, claim: ClaimId) -> LocalClaim {
+        self.claims.lock().lookup(claim)
+    }
+
+    /// Waits until a claim of this process has ended, at most `timeout`.
+    pub(crate) async fn wait_claim(&self, claim: ClaimId, timeout: Duration) -> bool {
+        let mut changed = self.changed.subscribe();
+        let ended = async {
+            while self.lookup(claim) == LocalClaim::Running {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::time::timeout(timeout, ended).await.is_ok()
+    }
+}
--- a/crates/router/src/process/settings.rs
+++ b/crates/router/src/process/settings.rs
@@ -67,8 +67,6 @@
     pub load_poll: Duration,
     /// The number of ledger shards, the same for every router and tool of the environment.
     pub ledger_shards: u32,
-    /// The number of failure domains of the fleet.
-    pub domains: u32,
     /// The UDP address that receives metrics; none are sent without it.
     pub metrics: Option<SocketAddr>,
     /// The prefix of metric names.
@@ -96,7 +94,6 @@
             stream_buffer: 32,
             load_poll: Duration::from_secs(2),
             ledger_shards: 8,
-            domains: 1,
             metrics: None,
             metrics_prefix: "cornelarch".to_owned(),
         }
@@ -245,7 +242,6 @@
             stream_buffer: self.optional("limits", "stream_buffer", defaults.stream_buffer),
             load_poll: self.millis("limits", "load_poll_ms", defaults.load_poll),
             ledger_shards: self.optional("budgets", "ledger_shards", defaults.ledger_shards),
-            domains: self.optional("budgets", "domains", defaults.domains),
             metrics: self.take("metrics", "address"),
             metrics_prefix: self.optional("metrics", "prefix", defaults.metrics_prefix),
         };
@@ -298,9 +294,6 @@
         if settings.ledger_shards == 0 {
             self.fault("budgets", "ledger_shards", "must be above 0");
         }
-        if settings.domains == 0 {
-            self.fault("budgets", "domains", "must be above 0");
-        }
         if settings.load_poll.is_zero() {
             self.fault("limits", "load_poll_ms", "must be above 0");
         }
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -1,6 +1,7 @@
 //! State that all parts of one router share.
 
 use std::{
+    collections::BTreeSet,
     sync::{
         Arc, OnceLock,
         atomic::{AtomicU8, AtomicUsize, Ordering},
@@ -10,10 +11,10 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cornelarch_core::{
-    base::{HolderId, MonotonicTime},
+    base::{DomainName, HolderId, MonotonicTime},
     blocklist::CrashReport,
-    budget::{BudgetLedger, LedgerEvent, LedgerOptions},
-    config::ConfigEvent,
+    budget::{self, BudgetLedger, LedgerEvent, LedgerOptions},
+    config::{self, ConfigEvent, Document},
     membership::MemberEvent,
     routing::RoutingOptions,
 };
@@ -26,8 +27,8 @@
 use crate::{
     connection::PeerLinks,
     process::{
-        ConfigActor, FleetView, LedgerActor, LedgerCell, MemberActor, MetricName, RouterClock,
-        RouterMetrics, RouterSettings, UpstreamDesk, log_event,
+        ConfigActor, FleetView, LedgerActor, LedgerCell, MemberActor, MetricName, OrderDesk,
+        RouterClock, RouterMetrics, RouterSettings, UpstreamDesk, log_event,
     },
     version::ConfigVersion,
 };
@@ -68,6 +69,7 @@
     pub(crate) ready: watch::Sender<u64>,
     pub(crate) ledger: LedgerCell,
     pub(crate) desk: UpstreamDesk,
+    pub(crate) orders: OrderDesk,
     pub(crate) fleet: ArcSwap<FleetView>,
     pub(crate) client: reqwest::Client,
     pub(crate) store: HttpStore,
@@ -90,18 +92,10 @@
         client: reqwest::Client,
     ) -> Self {
         let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
-        let ledger = BudgetLedger::new(
-            holder.clone(),
-            LedgerOptions {
-                environment: settings.environment.clone(),
-                domain: settings.domain.clone(),
-                shards: settings.ledger_shards,
-                domains: settings.domains,
-                ..LedgerOptions::default()
-            },
-        );
+        let ledger = BudgetLedger::new(holder.clone(), LedgerOptions::default());
         let clock = RouterClock::start();
         Self {
+            orders: OrderDesk::new(clock.now()),
             clock,
             metrics,
             version: ArcSwapOption::empty(),
@@ -164,6 +158,7 @@
             version.document.upstreams.len(),
         );
         self.version.store(Some(Arc::new(version)));
+        self.share_orders();
         self.ready.send_replace(number);
         log_event!(
             ConfigApplied,
@@ -171,6 +166,43 @@
         );
     }
 
+    /// Creates the ledger for the first version in force.
+    ///
+    /// Until then the ledger owns nothing and ignores every event. Later changes of its options
+    /// take effect at the next start, because a ledger keeps its options.
+    pub(crate) fn open_ledger(&self, document: &Document) {
+        let domains = document.upstreams.values().map(|section| &section.domain);
+        let domains: BTreeSet<&DomainName> = domains.chain([&self.settings.domain]).collect();
+        let weights = &document.weights;
+        let options = LedgerOptions {
+            environment: self.settings.environment.clone(),
+            domain: self.settings.domain.clone(),
+            shards: self.settings.ledger_shards,
+            domains: u32::try_from(domains.len()).unwrap_or(u32::MAX),
+            weight: match weights.weight {
+                config::BudgetWeight::FalseRefusals => budget::BudgetWeight::FalseRefusals,
+                config::BudgetWeight::HeldMoney => budget::BudgetWeight::HeldMoney,
+            },
+            horizon: Duration::from_secs(weights.horizon_s),
+            outage_reserve: Duration::from_secs(weights.outage_reserve_s),
+            hold_cap: weights.hold_cap_percent as f64 / 100.0,
+            idle_flush: Duration::from_secs(weights.idle_flush_s),
+            read_rate: weights.read_rate as f64,
+            end_wait: Duration::from_millis(document.limits.end_wait_ms),
+            ..LedgerOptions::default()
+        };
+        *self.ledger.lock() = BudgetLedger::new(self.holder.clone(), options);
+    }
+
+    /// Divides the fleet's rate of orders by the number of live instances.
+    pub(crate) fn share_orders(&self) {
+        if let Some(version) = self.version.load().as_ref() {
+            let rate = version.document.limits.order_rate as f64;
+            let instances = self.fleet.load().live.len();
+            self.orders.set_share(rate, instances, self.now());
+        }
+    }
+
     /// Sends a message to a peer process, if its address is known.
     pub(crate) fn send_to(&self, holder: &HolderId, body: WireBody) {
         match self.fleet.load().address(holder) {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -82,15 +82,20 @@
     /// Starts a fleet and waits until every router has the first version.
     pub async fn start(plan: FleetPlan) -> Self {
         let mut fleet = Self::start_outside(plan).await;
-        let domains = fleet.plan.routers.clone();
+        fleet.start_routers().await;
+        fleet
+    }
+
+    /// Starts the routers of the plan and waits until each has the first version.
+    pub async fn start_routers(&mut self) {
+        let domains = self.plan.routers.clone();
         for domain in domains {
-            let router = fleet.start_router(domain).await;
-            fleet.routers.push(router);
+            let router = self.start_router(domain).await;
+            self.routers.push(router);
         }
-        for router in &fleet.routers {
+        for router in &self.routers {
             assert!(router.wait_version(1, WAIT).await, "no configuration");
         }
-        fleet
     }
 
     /// Starts the platform and the upstreams only.
