--- a/crates/core/src/budget/forecast.rs
+++ b/crates/core/src/budget/forecast.rs
@@ -10,6 +10,10 @@
 /// Weight of a new slope in the trend, per second of observation.
 const TREND_WEIGHT: f64 = 0.05;
 
+/// Time constant of the mean rate, in seconds. Reserves for hours follow the mean rate, because a
+/// single request would swing a fast one by more than the reserve.
+const MEAN_SECONDS: f64 = 300.0;
+
 /// Shortest time between two observations.
 const STEP: Duration = Duration::from_secs(1);
 
@@ -24,7 +28,8 @@
 pub struct BurnForecast {
     level: f64,
     trend: f64,
-    outflow: u64,
+    mean: f64,
+    outflow: i64,
     updated: MonotonicTime,
     is_started: bool,
 }
@@ -32,12 +37,12 @@
 impl BurnForecast {
     /// Counts tokens that left the balance.
     pub const fn add(&mut self, amount: TokenCount) {
-        self.outflow = self.outflow.saturating_add(amount.get());
+        self.outflow = self.outflow.saturating_add_unsigned(amount.get());
     }
 
     /// Subtracts tokens that came back, because a request cost less than it had reserved.
     pub const fn remove(&mut self, amount: TokenCount) {
-        self.outflow = self.outflow.saturating_sub(amount.get());
+        self.outflow = self.outflow.saturating_sub_unsigned(amount.get());
     }
 
     /// Takes the tokens counted since the last update into account, at most once per second.
@@ -47,9 +52,11 @@
             return;
         }
         let seconds = elapsed.as_secs_f64();
-        let rate = self.outflow as f64 / seconds;
-        self.outflow = 0;
+        let rate = self.outflow.max(0) as f64 / seconds;
+        // A surplus of refunds lowers the next rates.
+        self.outflow = self.outflow.min(0);
         self.updated = now;
+        self.mean += (rate - self.mean) * (1.0 - (-seconds / MEAN_SECONDS).exp());
         if !self.is_started {
             self.is_started = rate > 0.0;
             self.level = rate;
@@ -74,6 +81,12 @@
         TokenCount::new(tokens.ceil() as u64)
     }
 
+    /// Returns the tokens that leave the balance during `period` at the mean rate.
+    #[must_use]
+    pub fn predict_mean(&self, period: Duration) -> TokenCount {
+        TokenCount::new((self.mean * period.as_secs_f64()).ceil() as u64)
+    }
+
     /// Returns the smoothed rate, in tokens per second.
     #[must_use]
     pub const fn rate(&self) -> f64 {
--- /dev/null
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -0,0 +1,407 @@
+//! Lending between instances, and the steps for a budget that runs short.
+
+use super::{
+    BudgetKey, BudgetLedger,
+    account::{Account, BorrowDemand},
+};
+use crate::{
+    base::{BudgetName, HolderId, MonotonicTime, TokenCount},
+    budget::{BudgetMessage, BudgetTotals, DrawGoal, LedgerEffect},
+};
+
+/// Time for which a budget counts as scarce after a sign of it, in units of the end wait.
+const SCARCE_WAITS: u32 = 40;
+
+impl BudgetLedger {
+    /// Takes a message of a peer into account.
+    pub(super) fn receive(
+        &mut self,
+        from: &HolderId,
+        to: &HolderId,
+        message: BudgetMessage,
+        now: MonotonicTime,
+    ) {
+        // A transfer to an earlier incarnation is the property of that incarnation.
+        if *to != self.holder {
+            return;
+        }
+        match message {
+            BudgetMessage::BorrowRequest { budget, amount } => {
+                self.take_borrow(from, budget, amount, now);
+            }
+            BudgetMessage::Transfer {
+                sequence,
+                budget,
+                amount,
+                spent,
+            } => {
+                self.take_transfer(from, sequence, budget, (amount, spent), now);
+            }
+            BudgetMessage::TransferAck { sequence } => self.transfers.acknowledge(from, sequence),
+            BudgetMessage::ReturnIdle { budget } => self.take_return_idle(from, budget, now),
+        }
+    }
+
+    fn take_borrow(
+        &mut self,
+        from: &HolderId,
+        budget: BudgetName,
+        amount: TokenCount,
+        now: MonotonicTime,
+    ) {
+        if self.is_draining {
+            return;
+        }
+        let key = self.register(budget);
+        self.activate(key);
+        let given = self.lendable(key).min(amount);
+        self.give(key, from, given, now);
+        let rest = amount.saturating_sub(given);
+        if !self.is_owner(&self.accounts[key]) || rest.is_zero() {
+            return;
+        }
+        let work = self.accounts[key].work();
+        work.borrowers.retain(|demand| demand.holder != *from);
+        work.borrowers.push(BorrowDemand {
+            holder: from.clone(),
+            amount: rest,
+            asked_at: now,
+        });
+        self.urgent.insert(key);
+    }
+
+    fn take_transfer(
+        &mut self,
+        from: &HolderId,
+        sequence: u64,
+        budget: BudgetName,
+        (amount, spent): (TokenCount, TokenCount),
+        now: MonotonicTime,
+    ) {
+        let message = BudgetMessage::TransferAck { sequence };
+        self.effects.push(LedgerEffect::Send {
+            to: from.clone(),
+            message,
+        });
+        if !self.transfers.accept(from, sequence) {
+            return;
+        }
+        let key = self.register(budget);
+        self.activate(key);
+        let is_owner = self.is_owner(&self.accounts[key]);
+        let scarce_until = now + self.options.end_wait * SCARCE_WAITS;
+        let account = &mut self.accounts[key];
+        account.add_unreported(spent, now);
+        if !amount.is_zero() {
+            let wanted = account.wanted;
+            account.add_balance(amount);
+            account
+                .forecast
+                .remove(if is_owner { amount } else { TokenCount::ZERO });
+            let balance = account.balance;
+            let work = account.work();
+            work.borrowed = work.borrowed.saturating_add(amount);
+            work.asked_at = None;
+            if !is_owner && balance < wanted {
+                work.scarce_until = scarce_until;
+            }
+        }
+        self.urgent.insert(key);
+    }
+
+    fn take_return_idle(&mut self, from: &HolderId, budget: BudgetName, now: MonotonicTime) {
+        if self.is_draining {
+            return;
+        }
+        let Some(key) = self.names.get(&budget).copied() else {
+            return;
+        };
+        let scarce_until = now + self.options.end_wait * SCARCE_WAITS;
+        let lendable = self.lendable(key);
+        let account = &mut self.accounts[key];
+        let was_scarce = now < account.work().scarce_until;
+        account.work().scarce_until = scarce_until;
+        // Half of what is needed soon stays here, so that two busy domains share the rest.
+        let soon = account.forecast.predict(self.options.flush_period);
+        let idle = lendable.saturating_sub(soon).max(lendable.scaled(0.5));
+        self.give(key, from, idle, now);
+        self.urgent.insert(key);
+        let is_neighbour = self.peers.members(&self.options.domain).contains(from);
+        if !was_scarce && !is_neighbour && self.is_owner(&self.accounts[key]) {
+            self.ask_neighbours_back(key);
+        }
+    }
+
+    /// Asks the neighbours for their idle tokens, on behalf of another domain.
+    fn ask_neighbours_back(&mut self, key: BudgetKey) {
+        let budget = self.accounts[key].budget.clone();
+        for to in self.peers.members(&self.options.domain) {
+            if *to != self.holder {
+                let message = BudgetMessage::ReturnIdle {
+                    budget: budget.clone(),
+                };
+                self.effects.push(LedgerEffect::Send {
+                    to: to.clone(),
+                    message,
+                });
+            }
+        }
+    }
+
+    /// Returns the tokens that may be given to another instance.
+    fn lendable(&self, key: BudgetKey) -> TokenCount {
+        let account = &self.accounts[key];
+        match self.options.policy.is_lending() {
+            true => account.balance.saturating_sub(account.wanted),
+            false => TokenCount::ZERO,
+        }
+    }
+
+    /// Transfers tokens to another instance.
+    fn give(&mut self, key: BudgetKey, to: &HolderId, amount: TokenCount, now: MonotonicTime) {
+        self.transfer(key, to, amount, TokenCount::ZERO, now);
+    }
+
+    /// Transfers tokens, and spent tokens to be reported, to another instance.
+    fn transfer(
+        &mut self,
+        key: BudgetKey,
+        to: &HolderId,
+        amount: TokenCount,
+        spent: TokenCount,
+        now: MonotonicTime,
+    ) {
+        let account = &mut self.accounts[key];
+        let amount = amount.min(account.balance);
+        if amount.is_zero() && spent.is_zero() {
+            return;
+        }
+        account.balance = account.balance.saturating_sub(amount);
+        account.forecast.add(amount);
+        if !spent.is_zero() {
+            account.remove_unreported(spent, now);
+        }
+        let work = account.work();
+        work.lent = work.lent.saturating_add(amount);
+        let (budget, delay) = (account.budget.clone(), self.options.resend_first);
+        let message = self
+            .transfers
+            .open(to, budget, amount, spent, now + delay, delay);
+        self.effects.push(LedgerEffect::Send {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    /// Returns whether this instance is the shard owner of its domain for a budget.
+    pub(super) fn is_owner(&self, account: &Account) -> bool {
+        self.owner(account)
+            .is_none_or(|owner| *owner == self.holder)
+    }
+
+    fn owner(&self, account: &Account) -> Option<&HolderId> {
+        self.peers.owner(&self.options.domain, account.shard)
+    }
+
+    /// Returns whether this instance draws from the platform for itself.
+    pub(super) fn is_drawing(&self, account: &Account, now: MonotonicTime) -> bool {
+        let is_silent = |work: &super::account::AccountWork| now < work.silent_until;
+        !self.options.policy.is_lending()
+            || self.is_owner(account)
+            || account.work.as_deref().is_some_and(is_silent)
+    }
+
+    /// Serves waiting requests and borrowers of a budget, and asks other instances for tokens.
+    pub(super) fn visit(&mut self, key: BudgetKey, now: MonotonicTime) {
+        let account = &mut self.accounts[key];
+        account.forecast.update(now);
+        account.expire(self.options.end_wait, now);
+        self.serve(key, now);
+        if self.is_draining {
+            return self.hand_over(key, now);
+        }
+        if !self.options.policy.is_lending() {
+            return self.note_surplus(key, now);
+        }
+        if self.is_drawing(&self.accounts[key], now) {
+            self.search(key, now);
+        } else {
+            self.borrow(key, now);
+        }
+        self.note_surplus(key, now);
+    }
+
+    /// Wakes waiting requests after the balance has grown, and gives borrowers the rest.
+    fn serve(&mut self, key: BudgetKey, now: MonotonicTime) {
+        let account = &mut self.accounts[key];
+        let has_grown = account.work.as_ref().is_some_and(|work| work.has_grown);
+        if !has_grown || account.balance.is_zero() {
+            return;
+        }
+        account.work().has_grown = false;
+        let mut free = account.balance.saturating_sub(account.wanted);
+        if !account.wanted.is_zero() {
+            account.wanted = TokenCount::ZERO;
+            self.effects.push(LedgerEffect::Wake { budget: key });
+        }
+        let demands = std::mem::take(&mut self.accounts[key].work().borrowers);
+        for mut demand in demands {
+            let given = demand.amount.min(free);
+            free = free.saturating_sub(given);
+            self.give(key, &demand.holder, given, now);
+            demand.amount = demand.amount.saturating_sub(given);
+            if !demand.amount.is_zero() {
+                self.accounts[key].work().borrowers.push(demand);
+            }
+        }
+    }
+
+    /// Asks the shard owner for tokens, and turns to the platform if it does not answer.
+    fn borrow(&mut self, key: BudgetKey, now: MonotonicTime) {
+        let account = &self.accounts[key];
+        let goal = self.draw_goal(account, BudgetTotals::default(), now);
+        if account.balance >= goal.refill_below {
+            return;
+        }
+        let amount = goal.target.saturating_sub(account.balance);
+        let Some(owner) = self.owner(account).cloned() else {
+            return;
+        };
+        let timeout = self.options.borrow_timeout;
+        let silence = self.options.owner_silence;
+        let is_waiting = account.wanted > account.balance;
+        let work = self.accounts[key].work();
+        match work.asked_at {
+            Some(at) if now.since(at) < timeout => {}
+            Some(_) if is_waiting => {
+                work.asked_at = None;
+                work.silent_until = now + silence;
+                self.search(key, now);
+            }
+            _ => {
+                work.asked_at = Some(now);
+                let budget = self.accounts[key].budget.clone();
+                let message = BudgetMessage::BorrowRequest { budget, amount };
+                self.effects.push(LedgerEffect::Send { to: owner, message });
+            }
+        }
+    }
+
+    /// Asks all neighbours and the owners of other domains if the platform cannot help.
+    fn search(&mut self, key: BudgetKey, now: MonotonicTime) {
+        let account = &self.accounts[key];
+        let shortfall = account.need().saturating_sub(account.balance);
+        let totals = self.totals(account);
+        let available = totals.map(|totals| totals.available);
+        let is_covered = available.is_none_or(|available| available >= shortfall);
+        if shortfall.is_zero() || (is_covered && !self.platform.is_away()) {
+            return;
+        }
+        let searched_at = account.work.as_ref().and_then(|work| work.searched_at);
+        if searched_at.is_some_and(|at| now.since(at) < self.options.borrow_timeout) {
+            return;
+        }
+        let (budget, shard) = (account.budget.clone(), account.shard);
+        let scarce_until = now + self.options.end_wait * SCARCE_WAITS;
+        let work = self.accounts[key].work();
+        work.searched_at = Some(now);
+        work.scarce_until = scarce_until;
+        let domain = &self.options.domain;
+        for to in self
+            .peers
+            .members(domain)
+            .iter()
+            .filter(|to| **to != self.holder)
+        {
+            let message = BudgetMessage::BorrowRequest {
+                budget: budget.clone(),
+                amount: shortfall,
+            };
+            self.effects.push(LedgerEffect::Send {
+                to: to.clone(),
+                message,
+            });
+        }
+        for to in self.peers.other_owners(domain, shard) {
+            let message = BudgetMessage::ReturnIdle {
+                budget: budget.clone(),
+            };
+            self.effects.push(LedgerEffect::Send {
+                to: to.clone(),
+                message,
+            });
+        }
+    }
+
+    /// Notes since when the balance exceeds its goal, and hands surplus and reports of a neighbour
+    /// to the shard owner.
+    fn note_surplus(&mut self, key: BudgetKey, now: MonotonicTime) {
+        let account = &self.accounts[key];
+        let totals = self.totals(account).unwrap_or_default();
+        let goal = self.draw_goal(account, totals, now);
+        let has_surplus = account.balance > goal.keep;
+        let work = self.accounts[key].work();
+        work.surplus_since = match has_surplus {
+            true => work.surplus_since.or(Some(now)),
+            false => None,
+        };
+        let account = &self.accounts[key];
+        if self.is_drawing(account, now) {
+            return;
+        }
+        let Some(owner) = self.owner(account).cloned() else {
+            return;
+        };
+        let is_surplus_old = self.is_surplus_old(account, goal, now);
+        let amount = match is_surplus_old {
+            true => account.balance.saturating_sub(goal.target),
+            false => TokenCount::ZERO,
+        };
+        let dirty_since = account.work.as_ref().and_then(|work| work.dirty_since);
+        // The owner reports later in turn, so a neighbour hands its reports over earlier.
+        let delay = self.flush_delay(account, now) / 4;
+        let is_due = is_surplus_old || dirty_since.is_some_and(|since| now.since(since) >= delay);
+        if is_due {
+            let spent = account.unsent();
+            self.transfer(key, &owner, amount, spent, now);
+        }
+    }
+
+    /// Returns whether the balance has exceeded its goal long enough to be returned.
+    pub(super) fn is_surplus_old(
+        &self,
+        account: &Account,
+        goal: DrawGoal,
+        now: MonotonicTime,
+    ) -> bool {
+        let delay = match goal.is_scarce {
+            true => self.options.flush_period,
+            false => self.options.idle_return,
+        };
+        let since = account.work.as_ref().and_then(|work| work.surplus_since);
+        account.balance > goal.keep && since.is_some_and(|since| now.since(since) >= delay)
+    }
+
+    /// Hands balance and reports of a draining process to another one while the platform is away.
+    fn hand_over(&mut self, key: BudgetKey, now: MonotonicTime) {
+        if !self.platform.is_away() {
+            return;
+        }
+        let account = &self.accounts[key];
+        let (amount, spent) = (account.balance, account.unsent());
+        if let Some(heir) = self.find_heir(account).cloned() {
+            self.transfer(key, &heir, amount, spent, now);
+        }
+    }
+
+    /// Returns the instance that takes over from a draining one: the shard owner, another
+    /// neighbour, or an owner in another domain.
+    fn find_heir(&self, account: &Account) -> Option<&HolderId> {
+        let domain = &self.options.domain;
+        let is_other = |peer: &&HolderId| **peer != self.holder;
+        let owner = self.owner(account).filter(is_other);
+        let neighbour = self.peers.members(domain).iter().find(is_other);
+        let distant = self.peers.other_owners(domain, account.shard).next();
+        owner.or(neighbour).or(distant)
+    }
+}
--- a/crates/core/src/budget/ledger/mod.rs
+++ b/crates/core/src/budget/ledger/mod.rs
@@ -1,8 +1,12 @@
 //! Local ledger of an instance.
 
 mod account;
+mod digest;
+mod lending;
+mod plan;
+mod sync;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use slotmap::{SlotMap, new_key_type};
 use snafu::Snafu;
@@ -10,11 +14,13 @@
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
     budget::{
-        LedgerEffect, LedgerEvent, LedgerOptions, LedgerSnapshot, ShardNumber, TransferTable,
+        LedgerEffect, LedgerEvent, LedgerOptions, LedgerSnapshot, PeerTable, ShardNumber,
+        TransferTable,
     },
     error::ErrorKind,
 };
 use account::Account;
+use sync::{ReadQuota, ShardSync};
 
 new_key_type! {
     /// Identifies a registered budget of one ledger.
@@ -27,7 +33,8 @@
 /// Reports why a reservation is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum ReserveError {
-    /// The balance does not cover the amount. A refill was started if `retry` is true.
+    /// The balance does not cover the amount. The caller sends [`LedgerEvent::Tick`] at once, which
+    /// starts a refill.
     #[snafu(display("balance does not cover the reservation"))]
     Insufficient {
         /// Whether the caller may wait for [`LedgerEffect::Wake`] and try again.
@@ -90,13 +97,24 @@
     accounts: SlotMap<BudgetKey, Account>,
     reservations: SlotMap<ReservationKey, Reservation>,
     transfers: TransferTable,
+    peers: PeerTable,
+    shards: BTreeMap<ShardNumber, ShardSync>,
+    platform: sync::PlatformState,
+    quota: ReadQuota,
+    /// The budgets in use, which every sweep visits.
+    active: Vec<BudgetKey>,
+    /// The budgets that every event visits.
+    urgent: BTreeSet<BudgetKey>,
+    swept_at: MonotonicTime,
     is_draining: bool,
+    effects: Vec<LedgerEffect>,
 }
 
 impl BudgetLedger {
     /// Creates a ledger without tokens for one incarnation of a process.
     #[must_use]
     pub fn new(holder: HolderId, options: LedgerOptions) -> Self {
+        let peers = PeerTable::new(&holder, &options.domain, Vec::new());
         Self {
             holder,
             options,
@@ -104,7 +122,15 @@
             accounts: SlotMap::with_key(),
             reservations: SlotMap::with_key(),
             transfers: TransferTable::default(),
+            peers,
+            shards: BTreeMap::new(),
+            platform: sync::PlatformState::default(),
+            quota: ReadQuota::default(),
+            active: Vec::new(),
+            urgent: BTreeSet::new(),
+            swept_at: MonotonicTime::START,
             is_draining: false,
+            effects: Vec::new(),
         }
     }
 
@@ -122,6 +148,7 @@
         let shard = ShardNumber::of_budget(&budget, self.options.shards);
         let key = self.accounts.insert(Account::new(budget.clone(), shard));
         self.names.insert(budget, key);
+        self.shards.entry(shard).or_default().budgets.push(key);
         key
     }
 
@@ -129,8 +156,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReserveError::Insufficient`] if the balance is too small; the next tick or event
-    /// then starts a refill.
+    /// Returns [`ReserveError::Insufficient`] if the balance is too small,
+    /// [`ReserveError::Draining`] after [`LedgerEvent::DrainStarted`], and
+    /// [`ReserveError::UnknownBudget`] if the key is not from this ledger.
     pub fn reserve(
         &mut self,
         key: BudgetKey,
@@ -144,19 +172,50 @@
             .accounts
             .get_mut(key)
             .ok_or(ReserveError::UnknownBudget)?;
-        let _ = now;
-        let Some(balance) = account.balance.checked_sub(amount) else {
-            return Err(ReserveError::Insufficient {
+        if !account.is_active {
+            account.is_active = true;
+            self.active.push(key);
+        }
+        if account.reserve(amount) {
+            return Ok(self.reservations.insert(Reservation {
+                budget: key,
+                amount,
+            }));
+        }
+        let error = self.explain_refusal(key, amount, now);
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.add_wanted(amount, now);
+        }
+        self.urgent.insert(key);
+        Err(error)
+    }
+
+    /// Tells from the last read whether tokens may be found by waiting.
+    fn explain_refusal(
+        &self,
+        key: BudgetKey,
+        amount: TokenCount,
+        now: MonotonicTime,
+    ) -> ReserveError {
+        let account = &self.accounts[key];
+        let sync = self.shards.get(&account.shard);
+        let Some(cached) = sync.and_then(|sync| sync.cached.as_ref()) else {
+            return ReserveError::Insufficient {
                 retry: true,
                 kind: ErrorKind::BudgetUnavailable,
-            });
+            };
         };
-        account.balance = balance;
-        account.reserved = account.reserved.saturating_add(amount);
-        Ok(self.reservations.insert(Reservation {
-            budget: key,
-            amount,
-        }))
+        let totals = cached.value.totals(&account.budget);
+        let used = totals.spent.saturating_add(account.unsent());
+        let is_exhausted = totals.paid.saturating_sub(used) < amount;
+        let is_fresh = now.since(cached.read_at) < self.options.reread_period;
+        ReserveError::Insufficient {
+            retry: !(is_exhausted && is_fresh),
+            kind: match is_exhausted {
+                true => ErrorKind::BudgetExhausted,
+                false => ErrorKind::BudgetUnavailable,
+            },
+        }
     }
 
     /// Bills the actual cost of a request once and frees the rest of its reservation.
@@ -174,14 +233,13 @@
             .reservations
             .remove(reservation)
             .ok_or(SettleError::AlreadySettled)?;
-        let _ = now;
         let billed = actual.min(amount);
         if let Some(account) = self.accounts.get_mut(budget) {
-            account.reserved = account.reserved.saturating_sub(amount);
-            account.balance = account
-                .balance
-                .saturating_add(amount.saturating_sub(billed));
-            account.spent = account.spent.saturating_add(billed);
+            account.settle(amount, billed, now);
+            // A budget becomes inactive only without reservations, so it is still swept.
+            if self.is_draining || !account.need().is_zero() {
+                self.urgent.insert(budget);
+            }
         }
         Ok(Settlement {
             billed,
@@ -198,27 +256,115 @@
 
     /// Reacts to an event.
     pub fn handle(&mut self, event: LedgerEvent, now: MonotonicTime) -> Vec<LedgerEffect> {
-        let _ = (event, now);
-        Vec::new()
+        match event {
+            LedgerEvent::Tick => self.sweep(now),
+            LedgerEvent::ShardRead {
+                shard,
+                version,
+                value,
+            } => {
+                self.take_read(shard, version, value, now);
+            }
+            LedgerEvent::WriteAccepted { shard, version } => {
+                self.take_accepted(shard, version, now);
+            }
+            LedgerEvent::WriteConflict { shard } => self.take_unresolved(shard, true, now),
+            LedgerEvent::WriteUnknown { shard } => self.take_unresolved(shard, false, now),
+            LedgerEvent::PlatformDown { shard } => self.take_down(shard, now),
+            LedgerEvent::PeersChanged(peers) => {
+                self.peers = PeerTable::new(&self.holder, &self.options.domain, peers);
+            }
+            LedgerEvent::Received { from, to, message } => self.receive(&from, &to, message, now),
+            LedgerEvent::DrainStarted => self.start_drain(),
+        }
+        self.visit_urgent(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Resends due transfers and, once per flush period, visits the budgets in use.
+    fn sweep(&mut self, now: MonotonicTime) {
+        for (to, message) in self.transfers.due(now, self.options.resend_max) {
+            self.effects.push(LedgerEffect::Send { to, message });
+        }
+        if now.since(self.swept_at) < self.options.flush_period {
+            return;
+        }
+        self.swept_at = now;
+        let mut keys = std::mem::take(&mut self.active);
+        for key in &keys {
+            self.visit(*key, now);
+        }
+        for key in &keys {
+            self.sync_shard(self.accounts[*key].shard, now);
+        }
+        let accounts = &mut self.accounts;
+        keys.retain(|key| {
+            let account = &mut accounts[*key];
+            account.is_active = !account.is_idle();
+            account.is_active
+        });
+        keys.append(&mut self.active);
+        self.active = keys;
+    }
+
+    /// Visits the budgets that requests, borrowers or a drain wait for.
+    fn visit_urgent(&mut self, now: MonotonicTime) {
+        let keys = std::mem::take(&mut self.urgent);
+        for key in keys {
+            self.activate(key);
+            self.visit(key, now);
+            self.sync_shard(self.accounts[key].shard, now);
+            let account = &self.accounts[key];
+            let is_leaving = self.is_draining && (!account.is_idle() || account.has_row());
+            if is_leaving || !account.need().is_zero() {
+                self.urgent.insert(key);
+            }
+        }
+    }
+
+    fn activate(&mut self, key: BudgetKey) {
+        let account = &mut self.accounts[key];
+        if !account.is_active {
+            account.is_active = true;
+            self.active.push(key);
+        }
+    }
+
+    fn start_drain(&mut self) {
+        self.is_draining = true;
+        let accounts = self.accounts.iter();
+        let leaving = accounts.filter(|(_, account)| !account.is_idle() || account.has_row());
+        self.urgent.extend(leaving.map(|(key, _)| key));
     }
 
     /// Returns whether a draining ledger has given up everything it can: no reservation is open,
     /// all tokens and reports left, and every transfer to a live peer arrived.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        self.is_draining && self.reservations.is_empty() && self.transfers.is_empty()
+        let is_away = self.platform.is_away();
+        let has_left = |account: &Account| account.is_idle() && (is_away || !account.has_row());
+        let mut transfers = self.transfers.open_transfers();
+        self.is_draining
+            && self.reservations.is_empty()
+            && transfers.all(|transfer| !self.peers.contains(&transfer.to))
+            && self.accounts.values().all(has_left)
     }
 
     /// Describes the state of the ledger for the dump.
     #[must_use]
     pub fn snapshot(&self) -> LedgerSnapshot {
+        let accounts = self.names.values().map(|key| &self.accounts[*key]);
+        let used = accounts.filter(|account| account.work.is_some());
+        let available = |account| self.totals(account).map(|totals| totals.available);
         LedgerSnapshot {
             holder: self.holder.clone(),
-            is_platform_away: false,
+            is_platform_away: self.platform.is_away(),
             is_draining: self.is_draining,
             budgets: self.accounts.len(),
-            accounts: self.accounts.values().map(Account::snapshot).collect(),
-            transfers: Vec::new(),
+            accounts: used
+                .map(|account| account.snapshot(available(account)))
+                .collect(),
+            transfers: self.transfers.open_transfers().collect(),
         }
     }
 }
--- a/crates/core/src/budget/message.rs
+++ b/crates/core/src/budget/message.rs
@@ -34,8 +34,8 @@
         budget: BudgetName,
         /// The tokens that the receiver owns from now on.
         amount: TokenCount,
-        /// The spent tokens that the receiver reports to the platform instead of the sender. It is
-        /// zero unless the sender drains while the platform is away.
+        /// The spent tokens that the receiver reports to the platform instead of the sender, so
+        /// that only shard owners write to the platform.
         spent: TokenCount,
     },
     /// Tells that a transfer has arrived.
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod message;
 mod options;
+mod peer;
 mod policy;
 mod row;
 mod shard;
@@ -16,8 +17,9 @@
 pub use forecast::BurnForecast;
 pub use ledger::{BudgetKey, BudgetLedger, ReservationKey, ReserveError, SettleError, Settlement};
 pub use message::{BudgetMessage, DomainPeer, LedgerEffect, LedgerEvent};
-pub use options::{BudgetWeight, LedgerOptions, LedgerRule};
-pub use policy::DrawPolicy;
+pub use options::{BudgetWeight, LedgerOptions};
+pub use peer::PeerTable;
+pub use policy::{DrawGoal, DrawInput, DrawPolicy};
 pub use row::{FoldedRows, HolderRow};
 pub use shard::{
     BudgetEntry, BudgetTotals, OperationKind, OperationRecord, ShardError, ShardNumber, ShardValue,
--- a/crates/core/src/budget/options.rs
+++ b/crates/core/src/budget/options.rs
@@ -17,26 +17,6 @@
     HeldMoney,
 }
 
-/// Selects a rule set. All but [`LedgerRule::Sound`] are wrong on purpose and exist only so that
-/// the model check can show that it finds the fault.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-#[non_exhaustive]
-pub enum LedgerRule {
-    /// The rules of the design.
-    #[default]
-    Sound,
-    /// Adds a drawn amount to the balance before the write is confirmed.
-    SpendUnconfirmed,
-    /// Applies a repeated transfer again.
-    ApplyTransferTwice,
-    /// Gives up a write whose answer was lost while an attempt may still arrive.
-    ForgetLostWrite,
-    /// Reclaims a transfer that was not acknowledged.
-    ReclaimTransfer,
-    /// Accepts transfers to an earlier incarnation.
-    AcceptOldIncarnation,
-}
-
 /// Configures a [`BudgetLedger`](crate::budget::BudgetLedger).
 #[derive(Clone, Debug, PartialEq)]
 pub struct LedgerOptions {
@@ -71,14 +51,18 @@
     pub urgent_period: Duration,
     /// The time after which spent tokens are reported without a draw.
     pub idle_flush: Duration,
-    /// The time for which a surplus is kept before it is returned.
+    /// The time for which a surplus is kept before it is returned. A shorter time costs a draw and
+    /// a return for each request of a rarely used budget.
     pub idle_return: Duration,
     /// The age up to which a shard value is used for a write without a new read.
     pub cache_age: Duration,
     /// The least time between reads of a shard whose budget is exhausted.
     pub reread_period: Duration,
-    /// The time after which an instance stops waiting for the shard owner.
+    /// The time after which an instance stops waiting for the shard owner, and the least time
+    /// between two rounds of asking every neighbour.
     pub borrow_timeout: Duration,
+    /// How long an instance draws for itself after the shard owner did not answer.
+    pub owner_silence: Duration,
     /// The time after which a transfer is sent again; doubles up to `resend_max`.
     pub resend_first: Duration,
     /// The longest time between two sendings of a transfer.
@@ -87,10 +71,6 @@
     pub platform_retry: Duration,
     /// The longest time between two attempts at a platform that is away.
     pub platform_retry_max: Duration,
-    /// The time after which an unanswered platform call counts as lost.
-    pub call_timeout: Duration,
-    /// The rule set; anything but the default is for tests of the model check.
-    pub rule: LedgerRule,
 }
 
 impl Default for LedgerOptions {
@@ -111,16 +91,15 @@
             flush_period: Duration::from_secs(1),
             urgent_period: Duration::from_millis(50),
             idle_flush: Duration::from_secs(1_200),
-            idle_return: Duration::from_secs(60),
+            idle_return: Duration::from_secs(1_200),
             cache_age: Duration::from_secs(1),
             reread_period: Duration::from_secs(1),
             borrow_timeout: Duration::from_millis(60),
+            owner_silence: Duration::from_secs(5),
             resend_first: Duration::from_millis(200),
             resend_max: Duration::from_secs(30),
             platform_retry: Duration::from_millis(500),
             platform_retry_max: Duration::from_secs(5),
-            call_timeout: Duration::from_secs(10),
-            rule: LedgerRule::Sound,
         }
     }
 }
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -1,6 +1,32 @@
 //! Policies that choose how many tokens a holder draws.
 
-use crate::base::TokenCount;
+use std::time::Duration;
+
+use crate::{
+    base::TokenCount,
+    budget::{BudgetTotals, BudgetWeight, BurnForecast, LedgerOptions},
+};
+
+/// Requests that one draw should cover, so that draws stay far below one per request.
+const DRAW_REQUESTS: u64 = 20;
+
+/// Requests that a loan to a neighbour should cover.
+const LOAN_REQUESTS: u64 = 4;
+
+/// Part of the paid amount below which the available tokens count as nearly exhausted.
+const SCARCE_PART: f64 = 0.1;
+
+/// Part of horizon, reserve and cap that remains when held money matters more.
+const HELD_MONEY_SCALE: f64 = 0.25;
+
+/// Time for which a holder keeps tokens of a nearly exhausted budget.
+const SCARCE_HORIZON: Duration = Duration::from_secs(5);
+
+/// Period in which a holder that does not expect a request counts as idle.
+const IDLE_PERIOD: Duration = Duration::from_secs(60);
+
+/// Factor on the refill delay, because the delay varies.
+const DELAY_MARGIN: u32 = 2;
 
 /// Chooses the amount of a draw.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -23,3 +49,155 @@
     #[default]
     Predictive,
 }
+
+/// Describes the state of a budget at a holder that may draw.
+#[derive(Clone, Copy, Debug)]
+pub struct DrawInput {
+    /// The state at the platform at the last read.
+    pub totals: BudgetTotals,
+    /// The free tokens of the holder.
+    pub balance: TokenCount,
+    /// The tokens that requests and borrowers wait for.
+    pub need: TokenCount,
+    /// The tokens that the holder has drawn since its start.
+    pub drawn: TokenCount,
+    /// The mean reservation of a request, in tokens.
+    pub request_size: TokenCount,
+    /// The measured delay of a platform call.
+    pub delay: Duration,
+    /// Whether another holder asked for idle tokens lately.
+    pub is_scarce: bool,
+}
+
+/// Describes the balance that a holder should have, in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrawGoal {
+    /// A refill starts below this balance.
+    pub refill_below: TokenCount,
+    /// The balance after a refill or a return.
+    pub target: TokenCount,
+    /// A return starts above this balance.
+    pub keep: TokenCount,
+    /// Whether the budget is nearly exhausted.
+    pub is_scarce: bool,
+}
+
+impl DrawPolicy {
+    /// Returns whether instances lend to each other.
+    #[must_use]
+    pub const fn is_lending(self) -> bool {
+        matches!(self, Self::LowWater { .. } | Self::Predictive)
+    }
+
+    /// Returns the balance that a holder that draws from the platform should have.
+    #[must_use]
+    pub fn goal(
+        self,
+        input: &DrawInput,
+        forecast: &BurnForecast,
+        options: &LedgerOptions,
+    ) -> DrawGoal {
+        let need = input.need;
+        match self {
+            Self::StaticSplit { instances } => {
+                let share = input.totals.paid.get() / u64::from(instances.max(1));
+                let rest = TokenCount::new(share).saturating_sub(input.drawn);
+                DrawGoal {
+                    refill_below: need,
+                    target: input.balance.saturating_add(rest),
+                    keep: TokenCount::MAX,
+                    is_scarce: false,
+                }
+            }
+            Self::PerRequest => DrawGoal {
+                refill_below: need,
+                target: need,
+                keep: need,
+                is_scarce: false,
+            },
+            Self::LowWater { low, high } => DrawGoal {
+                refill_below: low.saturating_add(need),
+                target: high.saturating_add(need),
+                keep: high.scaled(2.0).saturating_add(need),
+                is_scarce: input.is_scarce,
+            },
+            Self::Predictive => predict_goal(input, forecast, options),
+        }
+    }
+
+    /// Returns the balance that a holder that borrows from the shard owner should have.
+    #[must_use]
+    pub fn loan_goal(
+        self,
+        input: &DrawInput,
+        forecast: &BurnForecast,
+        options: &LedgerOptions,
+    ) -> DrawGoal {
+        let need = input.need;
+        if input.is_scarce {
+            return DrawGoal {
+                refill_below: need,
+                target: need,
+                keep: need,
+                is_scarce: true,
+            };
+        }
+        let (low, high) = match self {
+            Self::LowWater { low, high } => (low, high),
+            Self::StaticSplit { .. } | Self::PerRequest => (TokenCount::ZERO, TokenCount::ZERO),
+            Self::Predictive => {
+                let few = TokenCount::new(input.request_size.get().saturating_mul(LOAN_REQUESTS));
+                let lead = options.borrow_timeout * DELAY_MARGIN + options.flush_period;
+                (
+                    forecast.predict(lead),
+                    forecast.predict(options.borrow_horizon).max(few),
+                )
+            }
+        };
+        DrawGoal {
+            refill_below: low.saturating_add(need),
+            target: high.saturating_add(need),
+            keep: high.scaled(2.0).saturating_add(need),
+            is_scarce: false,
+        }
+    }
+}
+
+fn predict_goal(input: &DrawInput, forecast: &BurnForecast, options: &LedgerOptions) -> DrawGoal {
+    let scale = match options.weight {
+        BudgetWeight::FalseRefusals => 1.0,
+        BudgetWeight::HeldMoney => HELD_MONEY_SCALE,
+    };
+    let domains = f64::from(options.domains.max(1));
+    let reachable = input.totals.available.saturating_add(input.balance);
+    let is_scarce =
+        input.is_scarce || input.totals.available < input.totals.paid.scaled(SCARCE_PART);
+    let lead = (input.delay + options.flush_period) * DELAY_MARGIN;
+    let refill_below = forecast.predict(lead);
+    let is_busy = !input.need.is_zero() || forecast.predict(IDLE_PERIOD) >= input.request_size;
+    let (wish, cap) = if is_scarce {
+        // Half the fair share, so that what this domain takes leaves enough for the others.
+        (
+            forecast.predict(SCARCE_HORIZON),
+            reachable.scaled(0.5 / domains),
+        )
+    } else {
+        let soon = forecast.predict(options.horizon.mul_f64(scale));
+        let outage = forecast.predict_mean(options.outage_reserve.mul_f64(scale));
+        let batch = match is_busy {
+            true => input.request_size.get().saturating_mul(DRAW_REQUESTS),
+            false => 0,
+        };
+        let cap = reachable.scaled((options.hold_cap * scale / domains).min(1.0));
+        (soon.saturating_add(outage).max(TokenCount::new(batch)), cap)
+    };
+    let stock = wish.min(cap);
+    // A stock that lasts for hours is refilled at half its size, not at the last moment.
+    let refill_below = refill_below.max(stock.scaled(0.5)).min(stock);
+    DrawGoal {
+        refill_below: refill_below.saturating_add(input.need),
+        target: stock.saturating_add(input.need),
+        keep: stock.scaled(1.5).saturating_add(input.need),
+        is_scarce,
+    }
+}
--- a/crates/core/src/budget/snapshot.rs
+++ b/crates/core/src/budget/snapshot.rs
@@ -18,7 +18,7 @@
     pub is_draining: bool,
     /// The number of registered budgets.
     pub budgets: usize,
-    /// The budgets that are in use, ordered by name.
+    /// The budgets that this process has used, ordered by name.
     pub accounts: Vec<AccountSnapshot>,
     /// The transfers that were not acknowledged.
     pub transfers: Vec<TransferSnapshot>,
@@ -47,6 +47,8 @@
     pub wanted: TokenCount,
     /// A draw whose write is not confirmed; it cannot be spent yet.
     pub drawing: TokenCount,
+    /// The part of `unreported` whose write is not confirmed.
+    pub reporting: TokenCount,
     /// A return whose write is not confirmed.
     pub returning: TokenCount,
     /// The predicted burn, in tokens per second.
@@ -66,4 +68,6 @@
     pub budget: BudgetName,
     /// The amount in tokens.
     pub amount: TokenCount,
+    /// The spent tokens that the receiver is to report.
+    pub spent: TokenCount,
 }
--- a/crates/core/src/budget/transfer.rs
+++ b/crates/core/src/budget/transfer.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
-    budget::BudgetMessage,
+    budget::{BudgetMessage, TransferSnapshot},
 };
 
 /// Holds a transfer that its receiver has not acknowledged.
@@ -116,11 +116,15 @@
         messages
     }
 
-    /// Returns the receiver, budget and amount in tokens of every open transfer.
-    pub fn open_transfers(&self) -> impl Iterator<Item = (&HolderId, &BudgetName, TokenCount)> {
+    /// Describes every transfer that was not acknowledged.
+    pub fn open_transfers(&self) -> impl Iterator<Item = TransferSnapshot> {
         self.outboxes.iter().flat_map(|(to, outbox)| {
-            let open = outbox.open.values();
-            open.map(move |transfer| (to, &transfer.budget, transfer.amount))
+            outbox.open.values().map(|transfer| TransferSnapshot {
+                to: to.clone(),
+                budget: transfer.budget.clone(),
+                amount: transfer.amount,
+                spent: transfer.spent,
+            })
         })
     }
 
--- /dev/null
+++ b/crates/core/tests/budget/ledger.rs
@@ -0,0 +1,311 @@
+//! Tests of single steps of the ledger.
+
+use std::time::Duration;
+
+use cornelarch_core::{
+    base::{BudgetName, HolderId, InstanceName, MonotonicTime, TokenCount},
+    budget::{
+        BudgetKey, BudgetLedger, BudgetMessage, HolderRow, LedgerEffect, LedgerEvent,
+        LedgerOptions, ReserveError, SettleError, ShardNumber, ShardValue,
+    },
+    error::ErrorKind,
+};
+
+const SHARD: ShardNumber = ShardNumber(0);
+
+fn budget() -> BudgetName {
+    BudgetName::new("gold")
+}
+
+fn holder(epoch: u64) -> HolderId {
+    HolderId::new(InstanceName::new("r1"), epoch)
+}
+
+fn tokens(amount: u64) -> TokenCount {
+    TokenCount::new(amount)
+}
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn paid_shard(paid: u64) -> ShardValue {
+    let mut value = ShardValue::default();
+    value
+        .set_initial_paid(&budget(), tokens(paid))
+        .expect("amount fits");
+    value
+}
+
+fn new_ledger() -> (BudgetLedger, BudgetKey) {
+    let options = LedgerOptions {
+        shards: 1,
+        ..LedgerOptions::default()
+    };
+    let mut ledger = BudgetLedger::new(holder(1), options);
+    let key = ledger.register(budget());
+    (ledger, key)
+}
+
+/// Answers the read that follows a refused reservation and returns the write that it leads to.
+fn read_and_write(ledger: &mut BudgetLedger, value: &ShardValue, millis: u64) -> ShardValue {
+    let effects = ledger.handle(LedgerEvent::Tick, at(millis));
+    assert_eq!(effects, [LedgerEffect::ReadShard { shard: SHARD }]);
+    let value = value.clone();
+    let read = LedgerEvent::ShardRead {
+        shard: SHARD,
+        version: 1,
+        value,
+    };
+    let effects = ledger.handle(read, at(millis + 3));
+    match effects.as_slice() {
+        [
+            LedgerEffect::WriteShard {
+                expected_version: 1,
+                value,
+                ..
+            },
+        ] => value.clone(),
+        _ => panic!("expected a write, got {effects:?}"),
+    }
+}
+
+fn funded_ledger() -> (BudgetLedger, BudgetKey) {
+    let (mut ledger, key) = new_ledger();
+    let refused = ledger.reserve(key, tokens(100), at(0));
+    assert!(matches!(
+        refused,
+        Err(ReserveError::Insufficient { retry: true, .. })
+    ));
+    read_and_write(&mut ledger, &paid_shard(10_000), 0);
+    let accepted = LedgerEvent::WriteAccepted {
+        shard: SHARD,
+        version: 2,
+    };
+    let effects = ledger.handle(accepted, at(5));
+    assert!(effects.contains(&LedgerEffect::Wake { budget: key }));
+    (ledger, key)
+}
+
+/// Guards against billing a request twice, or more than it reserved.
+#[test]
+fn request_is_billed_once_and_within_its_reservation() {
+    let (mut ledger, key) = funded_ledger();
+    let reservation = ledger
+        .reserve(key, tokens(100), at(10))
+        .expect("balance suffices");
+    let settlement = ledger
+        .settle(reservation, tokens(130), at(20))
+        .expect("is open");
+    assert_eq!(
+        (settlement.billed, settlement.excess),
+        (tokens(100), tokens(30))
+    );
+    let second = ledger.settle(reservation, tokens(1), at(30));
+    assert_eq!(second, Err(SettleError::AlreadySettled));
+    ledger.cancel(reservation, at(30));
+    assert_eq!(ledger.snapshot().accounts[0].spent, tokens(100));
+}
+
+/// Guards against spending a draw whose write may be refused.
+#[test]
+fn draw_is_spendable_only_when_confirmed() {
+    let (mut ledger, key) = new_ledger();
+    assert!(ledger.reserve(key, tokens(100), at(0)).is_err());
+    read_and_write(&mut ledger, &paid_shard(10_000), 0);
+    assert!(ledger.reserve(key, tokens(100), at(4)).is_err());
+    ledger.handle(LedgerEvent::WriteUnknown { shard: SHARD }, at(5));
+    assert!(ledger.reserve(key, tokens(100), at(6)).is_err());
+}
+
+/// Guards against a changed write while an earlier sending may still arrive, and against a write
+/// that is given up although it took effect.
+#[test]
+fn lost_answer_is_resolved_by_reading() {
+    let (mut ledger, key) = new_ledger();
+    assert!(ledger.reserve(key, tokens(100), at(0)).is_err());
+    let before = paid_shard(10_000);
+    let written = read_and_write(&mut ledger, &before, 0);
+    let effects = ledger.handle(LedgerEvent::WriteUnknown { shard: SHARD }, at(5));
+    assert_eq!(effects, [LedgerEffect::ReadShard { shard: SHARD }]);
+    let read = LedgerEvent::ShardRead {
+        shard: SHARD,
+        version: 1,
+        value: before,
+    };
+    let effects = ledger.handle(read, at(8));
+    let resend = LedgerEffect::WriteShard {
+        shard: SHARD,
+        expected_version: 1,
+        value: written.clone(),
+    };
+    assert_eq!(effects, [resend], "the identical rows are sent again");
+    ledger.handle(LedgerEvent::WriteConflict { shard: SHARD }, at(9));
+    let read = LedgerEvent::ShardRead {
+        shard: SHARD,
+        version: 2,
+        value: written,
+    };
+    ledger.handle(read, at(12));
+    assert!(ledger.reserve(key, tokens(100), at(13)).is_ok());
+}
+
+/// Guards against a refusal of the wrong kind: only a spent budget is `budget_exhausted`.
+#[test]
+fn refusal_tells_exhausted_from_unreachable() {
+    let (mut ledger, key) = new_ledger();
+    let error = ledger
+        .reserve(key, tokens(100), at(0))
+        .expect_err("no tokens yet");
+    assert_eq!(error.kind(), ErrorKind::BudgetUnavailable);
+    ledger.handle(LedgerEvent::Tick, at(0));
+    let read = LedgerEvent::ShardRead {
+        shard: SHARD,
+        version: 1,
+        value: paid_shard(50),
+    };
+    ledger.handle(read, at(3));
+    let error = ledger
+        .reserve(key, tokens(100), at(4))
+        .expect_err("budget is too small");
+    assert_eq!(
+        error,
+        ReserveError::Insufficient {
+            retry: false,
+            kind: ErrorKind::BudgetExhausted
+        }
+    );
+}
+
+/// Guards against reading an exhausted shard at the rate of the requests.
+#[test]
+fn exhausted_shard_is_read_once_per_second() {
+    let (mut ledger, key) = new_ledger();
+    let mut reads = 0;
+    for millis in (0..10_000).step_by(50) {
+        // Every request is refused; only the reads matter.
+        let _ = ledger.reserve(key, tokens(100), at(millis));
+        for effect in ledger.handle(LedgerEvent::Tick, at(millis)) {
+            if effect == (LedgerEffect::ReadShard { shard: SHARD }) {
+                reads += 1;
+                let value = paid_shard(0);
+                let read = LedgerEvent::ShardRead {
+                    shard: SHARD,
+                    version: 1,
+                    value,
+                };
+                ledger.handle(read, at(millis + 3));
+            }
+        }
+    }
+    assert!((8..=11).contains(&reads), "{reads} reads in 10 s");
+}
+
+/// Guards against a paused holder that writes to a row which an operator has sealed, and against
+/// the loss of the balance that it still owns.
+#[test]
+fn sealed_holder_reports_in_its_next_row() {
+    let (mut ledger, key) = funded_ledger();
+    let reservation = ledger
+        .reserve(key, tokens(100), at(10))
+        .expect("balance suffices");
+    ledger
+        .settle(reservation, tokens(60), at(20))
+        .expect("is open");
+    let mut value = paid_shard(10_000);
+    let granted = ledger.snapshot().accounts[0].balance.get() + 60;
+    let row = HolderRow {
+        sequence: 1,
+        granted: tokens(granted),
+        ..HolderRow::empty(holder(1), 0)
+    };
+    value
+        .budgets
+        .get_mut(&budget())
+        .expect("entry exists")
+        .put_row(row);
+    value
+        .release(&budget(), &holder(1), "op-1", false)
+        .expect("row is open");
+    ledger.handle(LedgerEvent::DrainStarted, at(2_000));
+    let read = LedgerEvent::ShardRead {
+        shard: SHARD,
+        version: 3,
+        value,
+    };
+    let effects = ledger.handle(read, at(2_003));
+    let [LedgerEffect::WriteShard { value, .. }] = effects.as_slice() else {
+        panic!("expected a write, got {effects:?}");
+    };
+    let next = value.budgets[&budget()]
+        .row(&holder(1), 1)
+        .expect("next generation");
+    assert_eq!(
+        (next.spent, next.returned),
+        (tokens(60), tokens(granted - 60))
+    );
+    assert_eq!(value.totals(&budget()).available, tokens(10_000 - 60));
+}
+
+/// Guards against transfers to an earlier incarnation, which belong to nobody who is alive.
+#[test]
+fn transfer_to_an_earlier_incarnation_is_dropped() {
+    let (mut ledger, _) = new_ledger();
+    let peer = HolderId::new(InstanceName::new("r2"), 5);
+    let message = BudgetMessage::Transfer {
+        sequence: 1,
+        budget: budget(),
+        amount: tokens(10),
+        spent: TokenCount::ZERO,
+    };
+    for (epoch, balance) in [(0, 0), (1, 10), (1, 10)] {
+        let (from, to, message) = (peer.clone(), holder(epoch), message.clone());
+        let effects = ledger.handle(LedgerEvent::Received { from, to, message }, at(0));
+        assert_eq!(effects.is_empty(), epoch == 0);
+        let accounts = ledger.snapshot().accounts;
+        let owned = accounts.first().map_or(0, |account| account.balance.get());
+        assert_eq!(owned, balance);
+    }
+}
+
+/// Guards against an idle holder that keeps tokens for good.
+#[test]
+fn idle_balance_is_returned() {
+    let (mut ledger, _) = funded_ledger();
+    let mut value = None;
+    for second in 1..2_000 {
+        for effect in ledger.handle(LedgerEvent::Tick, at(second * 1_000)) {
+            if effect == (LedgerEffect::ReadShard { shard: SHARD }) {
+                let mut shard = paid_shard(10_000);
+                let row = HolderRow {
+                    sequence: 1,
+                    granted: ledger.snapshot().accounts[0].balance,
+                    ..HolderRow::empty(holder(1), 0)
+                };
+                shard
+                    .budgets
+                    .get_mut(&budget())
+                    .expect("entry exists")
+                    .put_row(row);
+                let read = LedgerEvent::ShardRead {
+                    shard: SHARD,
+                    version: 2,
+                    value: shard,
+                };
+                let time = at(second * 1_000) + Duration::from_millis(3);
+                value = ledger.handle(read, time).into_iter().next();
+            }
+        }
+        if value.is_some() {
+            break;
+        }
+    }
+    let Some(LedgerEffect::WriteShard { value, .. }) = value else {
+        panic!("expected a write, got {value:?}");
+    };
+    assert!(
+        value.totals(&budget()).held.get() < 2_000,
+        "{:?}",
+        value.totals(&budget())
+    );
+}
--- /dev/null
+++ b/crates/core/tests/budget/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the budget ledger.
+
+mod ledger;
+mod shard;
--- /dev/null
+++ b/crates/core/tests/budget/shard.rs
@@ -0,0 +1,111 @@
+//! Tests of the operators' steps on a shard value.
+
+use cornelarch_core::{
+    base::{BudgetName, HolderId, InstanceName, TokenCount},
+    budget::{HolderRow, ShardError, ShardNumber, ShardValue},
+};
+use rstest::rstest;
+
+fn budget() -> BudgetName {
+    BudgetName::new("gold")
+}
+
+fn holder() -> HolderId {
+    HolderId::new(InstanceName::new("r1"), 7)
+}
+
+fn tokens(amount: u64) -> TokenCount {
+    TokenCount::new(amount)
+}
+
+/// Returns a shard whose holder drew 60 of 100 tokens and spent 10.
+fn drawn_shard() -> ShardValue {
+    let mut value = ShardValue::default();
+    value
+        .set_initial_paid(&budget(), tokens(100))
+        .expect("amount fits");
+    let entry = value.budgets.get_mut(&budget()).expect("entry exists");
+    let mut row = HolderRow::empty(holder(), 0);
+    (row.sequence, row.granted, row.spent) = (1, tokens(60), tokens(10));
+    entry.put_row(row);
+    value
+}
+
+/// Guards against a payment that counts twice because the operator repeats the command.
+#[test]
+fn top_up_counts_once_per_operation_id() {
+    let mut value = drawn_shard();
+    assert_eq!(value.top_up(&budget(), tokens(50), "op-1"), Ok(true));
+    assert_eq!(value.top_up(&budget(), tokens(50), "op-1"), Ok(false));
+    assert_eq!(value.totals(&budget()).paid, tokens(150));
+    let reused = value.top_up(&budget(), tokens(51), "op-1");
+    assert!(matches!(reused, Err(ShardError::OperationReused { .. })));
+}
+
+/// Guards against an initial amount that is paid again after many operations or with a changed
+/// document.
+#[test]
+fn initial_amount_is_paid_once() {
+    let mut value = drawn_shard();
+    for number in 0..200 {
+        value
+            .top_up(&budget(), tokens(1), &format!("op-{number}"))
+            .expect("amount fits");
+    }
+    assert_eq!(value.set_initial_paid(&budget(), tokens(900)), Ok(false));
+    assert_eq!(value.totals(&budget()).paid, tokens(300));
+    assert_eq!(value.top_up(&budget(), tokens(1), "op-199"), Ok(false));
+}
+
+/// Guards against a paid amount that wraps.
+#[test]
+fn overflow_is_refused() {
+    let mut value = drawn_shard();
+    let result = value.top_up(&budget(), TokenCount::MAX, "op-1");
+    assert!(matches!(result, Err(ShardError::Overflow { .. })));
+    assert_eq!(value.totals(&budget()).paid, tokens(100));
+}
+
+/// Guards against a release that frees tokens, or that credits more than the holder has.
+#[rstest]
+#[case::without_credit(false, 100, 40)]
+#[case::with_credit(true, 150, 90)]
+fn release_labels_the_remainder(#[case] credit: bool, #[case] paid: u64, #[case] available: u64) {
+    let mut value = drawn_shard();
+    for _ in 0..2 {
+        let amount = value.release(&budget(), &holder(), "op-1", credit);
+        assert_eq!(amount, Ok(tokens(50)));
+        let totals = value.totals(&budget());
+        assert_eq!((totals.paid, totals.held), (tokens(paid), tokens(50)));
+        assert_eq!(
+            (totals.available, totals.written_off),
+            (tokens(available), tokens(50))
+        );
+    }
+    let again = value.release(&budget(), &holder(), "op-2", credit);
+    assert!(matches!(again, Err(ShardError::UnknownHolder { .. })));
+    assert!(value.fold_sealed(&budget(), &holder()));
+    assert_eq!(value.totals(&budget()).held, tokens(50));
+    assert!(value.budgets[&budget()].rows.is_empty());
+}
+
+/// Guards against a stored form that another version of the program cannot read.
+#[test]
+fn stored_form_is_stable() {
+    let text = serde_json::to_string(&drawn_shard()).expect("serialises");
+    let expected = r#"{"budgets":{"gold":{"paid":100,"operations":[{"id":"initial/gold","#;
+    assert!(text.starts_with(expected), "{text}");
+    let row = r#"{"holder":"r1~0000000000000007","generation":0,"sequence":1,"granted":60,"#;
+    assert!(text.contains(row), "{text}");
+    assert_eq!(
+        serde_json::from_str::<ShardValue>(&text).expect("parses"),
+        drawn_shard()
+    );
+}
+
+/// Guards against a hash that moves budgets to other shards, which would lose their entries.
+#[test]
+fn shard_of_a_budget_is_stable() {
+    assert_eq!(ShardNumber::of_budget(&budget(), 8), ShardNumber(3));
+    assert_eq!(ShardNumber(3).object_key(&"trial".into()), "ledger/trial/3");
+}
