--- a/crates/core/tests/budget/main.rs
+++ b/crates/core/tests/budget/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the budget ledger.
 
 mod ledger;
+mod model;
+mod model_world;
 mod shard;
--- /dev/null
+++ b/crates/core/tests/budget/model_world.rs
@@ -0,0 +1,713 @@
+//! World of the model check: three ledgers in two domains, one budget, a platform and a network
+//! that lose, repeat and delay.
+
+use std::{
+    collections::BTreeSet,
+    hash::{Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+
+use cornelarch_core::{
+    base::{BudgetName, DomainName, HolderId, InstanceName, MonotonicTime, TokenCount},
+    budget::{
+        AccountSnapshot, BudgetKey, BudgetLedger, BudgetMessage, DomainPeer, DrawPolicy, HolderRow,
+        LedgerEffect, LedgerEvent, LedgerOptions, ReservationKey, SettleError, ShardNumber,
+        ShardValue,
+    },
+};
+use xxhash_rust::xxh3::Xxh3Default;
+
+const NOW: MonotonicTime = MonotonicTime::START;
+const SHARD: ShardNumber = ShardNumber(0);
+const DOMAINS: [&str; 3] = ["a", "a", "b"];
+
+/// Sequence offset by which a broken variant hides that a transfer was applied before.
+const FORGED_SEQUENCE: u64 = 1_000;
+
+/// Selects a fault of the protocol that the check must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Broken {
+    None,
+    /// Treats a draw as confirmed when its write is sent.
+    SpendUnconfirmed,
+    /// Gives up a write whose answer was lost and later sends another one.
+    ForgetLostWrite,
+    /// Applies a repeated transfer again.
+    ApplyTwice,
+    /// Takes a transfer back that was not acknowledged.
+    ReclaimTransfer,
+    /// Applies transfers to an earlier incarnation.
+    AcceptOldIncarnation,
+}
+
+/// Bounds of one run. Each count is used up by one fault or request.
+#[derive(Clone, Copy, Debug, Hash)]
+pub(crate) struct Limits {
+    pub(crate) paid: u64,
+    pub(crate) requests: u8,
+    pub(crate) losses: u8,
+    pub(crate) repeats: u8,
+    pub(crate) crashes: u8,
+    pub(crate) lost_answers: u8,
+    pub(crate) downs: u8,
+    pub(crate) top_ups: u8,
+    pub(crate) cuts: u8,
+    pub(crate) drains: u8,
+    pub(crate) releases: u8,
+    pub(crate) idle_flush: Duration,
+    pub(crate) broken: Broken,
+}
+
+impl Limits {
+    pub(crate) const NONE: Self = Self {
+        paid: 3,
+        requests: 2,
+        losses: 0,
+        repeats: 0,
+        crashes: 0,
+        lost_answers: 0,
+        downs: 0,
+        top_ups: 0,
+        cuts: 0,
+        drains: 0,
+        releases: 0,
+        idle_flush: Duration::from_secs(1),
+        broken: Broken::None,
+    };
+}
+
+#[derive(Clone, Debug, Hash)]
+enum Call {
+    ReadSent,
+    ReadDone(u64, Arc<ShardValue>),
+    WriteSent(u64, Arc<ShardValue>),
+    WriteDone(Option<u64>),
+}
+
+#[derive(Clone, Debug, Hash)]
+struct Node {
+    ledger: BudgetLedger,
+    key: BudgetKey,
+    open: Vec<ReservationKey>,
+    call: Option<Call>,
+    /// The last own row that was written, to see whether a pending change has taken effect.
+    last_row: Option<LastRow>,
+    is_draining: bool,
+}
+
+/// The own row of a write: its generation, and its sequence unless the write closes the row.
+#[derive(Clone, Debug, Hash)]
+struct LastRow {
+    holder: HolderId,
+    generation: u32,
+    sequence: Option<u64>,
+}
+
+#[derive(Clone, Debug, Hash)]
+struct DeadNode {
+    ledger: BudgetLedger,
+    last_row: Option<LastRow>,
+}
+
+#[derive(Clone, Debug, Hash)]
+pub(crate) struct World {
+    version: u64,
+    value: Arc<ShardValue>,
+    nodes: Vec<Arc<Node>>,
+    dead: Vec<Arc<DeadNode>>,
+    network: BTreeSet<(HolderId, HolderId, BudgetMessage)>,
+    late_writes: Vec<(u64, Arc<ShardValue>)>,
+    cut: Option<usize>,
+    billed: u64,
+    limits: Limits,
+    fault: Option<String>,
+}
+
+/// A world with the digest by which the search recognises it.
+#[derive(Clone)]
+pub(crate) struct State {
+    pub(crate) world: Arc<World>,
+    digest: u128,
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &Self) -> bool {
+        self.digest == other.digest
+    }
+}
+
+impl Eq for State {}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.digest.hash(hasher);
+    }
+}
+
+impl State {
+    fn new(world: World) -> Self {
+        let mut hasher = Xxh3Default::new();
+        world.hash(&mut hasher);
+        let digest = hasher.digest128();
+        Self {
+            world: Arc::new(world),
+            digest,
+        }
+    }
+
+    pub(crate) fn start(limits: Limits) -> Self {
+        Self::new(World::new(limits))
+    }
+
+    /// Returns every state that one step leads to. Stops at a state that breaks an invariant.
+    pub(crate) fn successors(&self) -> Vec<Self> {
+        if self.world.fault.is_some() {
+            return Vec::new();
+        }
+        let mut next = Vec::new();
+        self.world.list_steps(&mut next);
+        next.into_iter()
+            .map(|mut world| {
+                world.fault = world.find_fault();
+                Self::new(world)
+            })
+            .collect()
+    }
+
+    pub(crate) fn fault(&self) -> Option<&str> {
+        self.world.fault.as_deref()
+    }
+}
+
+fn budget() -> BudgetName {
+    BudgetName::new("b")
+}
+
+fn holder(index: usize, epoch: u64) -> HolderId {
+    HolderId::new(InstanceName::new(&format!("n{index}")), epoch)
+}
+
+fn options(index: usize, limits: &Limits) -> LedgerOptions {
+    LedgerOptions {
+        shards: 1,
+        domain: DomainName::new(DOMAINS[index]),
+        domains: 2,
+        policy: DrawPolicy::LowWater {
+            low: TokenCount::ZERO,
+            high: TokenCount::new(1),
+        },
+        end_wait: Duration::ZERO,
+        read_rate: 0.0,
+        flush_period: Duration::ZERO,
+        urgent_period: Duration::ZERO,
+        idle_flush: limits.idle_flush,
+        idle_return: Duration::ZERO,
+        cache_age: Duration::ZERO,
+        reread_period: Duration::ZERO,
+        borrow_timeout: Duration::ZERO,
+        resend_first: Duration::ZERO,
+        resend_max: Duration::ZERO,
+        platform_retry: Duration::ZERO,
+        platform_retry_max: Duration::ZERO,
+        ..LedgerOptions::default()
+    }
+}
+
+impl Node {
+    fn new(index: usize, epoch: u64, limits: &Limits) -> Self {
+        let mut ledger = BudgetLedger::new(holder(index, epoch), options(index, limits));
+        let key = ledger.register(budget());
+        Self {
+            ledger,
+            key,
+            open: Vec::new(),
+            call: None,
+            last_row: None,
+            is_draining: false,
+        }
+    }
+}
+
+fn find_account(ledger: &BudgetLedger) -> Option<AccountSnapshot> {
+    ledger.snapshot().accounts.into_iter().next()
+}
+
+impl World {
+    fn new(limits: Limits) -> Self {
+        let mut value = ShardValue::default();
+        value
+            .set_initial_paid(&budget(), TokenCount::new(limits.paid))
+            .expect("amount fits");
+        let nodes = (0..DOMAINS.len())
+            .map(|index| Arc::new(Node::new(index, 1, &limits)))
+            .collect();
+        let mut world = Self {
+            version: 1,
+            value: Arc::new(value),
+            nodes,
+            dead: Vec::new(),
+            network: BTreeSet::new(),
+            late_writes: Vec::new(),
+            cut: None,
+            billed: 0,
+            limits,
+            fault: None,
+        };
+        world.announce_peers();
+        world
+    }
+
+    fn node(&mut self, index: usize) -> &mut Node {
+        Arc::make_mut(&mut self.nodes[index])
+    }
+
+    fn announce_peers(&mut self) {
+        let list: Vec<DomainPeer> = self
+            .nodes
+            .iter()
+            .zip(DOMAINS)
+            .map(|(node, domain)| DomainPeer {
+                holder: node.ledger.holder().clone(),
+                domain: DomainName::new(domain),
+            })
+            .collect();
+        for index in 0..self.nodes.len() {
+            self.feed(index, LedgerEvent::PeersChanged(list.clone()));
+        }
+    }
+
+    fn feed(&mut self, index: usize, event: LedgerEvent) {
+        let effects = self.node(index).ledger.handle(event, NOW);
+        let own = self.nodes[index].ledger.holder().clone();
+        for effect in effects {
+            match effect {
+                LedgerEffect::ReadShard { .. } => {
+                    self.start_call(index, Call::ReadSent);
+                }
+                LedgerEffect::WriteShard {
+                    expected_version,
+                    value,
+                    ..
+                } => {
+                    let entry = value.budgets.get(&budget()).cloned().unwrap_or_default();
+                    let account =
+                        find_account(&self.nodes[index].ledger).expect("a writer has an account");
+                    let row = entry.row(&own, account.generation);
+                    self.node(index).last_row = Some(LastRow {
+                        holder: own.clone(),
+                        generation: account.generation,
+                        sequence: row.map(|row| row.sequence),
+                    });
+                    if self.limits.broken == Broken::SpendUnconfirmed {
+                        self.late_writes.push((expected_version, Arc::new(value)));
+                        let version = expected_version + 1;
+                        self.feed(
+                            index,
+                            LedgerEvent::WriteAccepted {
+                                shard: SHARD,
+                                version,
+                            },
+                        );
+                    } else {
+                        self.start_call(index, Call::WriteSent(expected_version, Arc::new(value)));
+                    }
+                }
+                LedgerEffect::Send { to, message } => {
+                    self.network.insert((own.clone(), to, message));
+                }
+                LedgerEffect::Wake { .. } => {}
+            }
+        }
+    }
+
+    fn start_call(&mut self, index: usize, call: Call) {
+        if self.nodes[index].call.is_some() {
+            self.fault = Some("two calls for one shard are open".to_owned());
+        }
+        self.node(index).call = Some(call);
+    }
+
+    fn branch(&self, next: &mut Vec<Self>, step: impl FnOnce(&mut Self)) {
+        let mut world = self.clone();
+        step(&mut world);
+        next.push(world);
+    }
+
+    fn list_steps(&self, next: &mut Vec<Self>) {
+        for index in 0..self.nodes.len() {
+            self.list_request_steps(index, next);
+            self.list_call_steps(index, next);
+            self.branch(next, |world| world.feed(index, LedgerEvent::Tick));
+            if self.limits.crashes > 0 {
+                self.branch(next, |world| world.crash(index));
+            }
+            if self.limits.drains > 0 && !self.nodes[index].is_draining {
+                self.branch(next, |world| {
+                    world.limits.drains -= 1;
+                    world.node(index).is_draining = true;
+                    world.feed(index, LedgerEvent::DrainStarted);
+                });
+            }
+            if self.limits.cuts > 0 && self.cut.is_none() {
+                self.branch(next, |world| {
+                    world.limits.cuts -= 1;
+                    world.cut = Some(index);
+                });
+            }
+            if self.limits.releases > 0 {
+                self.branch(next, |world| world.release(index));
+            }
+        }
+        for message in &self.network {
+            self.list_message_steps(message, next);
+        }
+        for late in 0..self.late_writes.len() {
+            self.branch(next, |world| {
+                let (expected, value) = world.late_writes.remove(late);
+                world.write(expected, value);
+            });
+        }
+        if self.cut.is_some() {
+            self.branch(next, |world| world.cut = None);
+        }
+        if self.limits.top_ups > 0 {
+            self.branch(next, |world| {
+                let id = format!("t{}", world.limits.top_ups);
+                world.limits.top_ups -= 1;
+                Arc::make_mut(&mut world.value)
+                    .top_up(&budget(), TokenCount::new(1), &id)
+                    .expect("amount fits");
+                world.version += 1;
+            });
+        }
+    }
+
+    fn list_request_steps(&self, index: usize, next: &mut Vec<Self>) {
+        let node = &self.nodes[index];
+        let account = find_account(&node.ledger);
+        let wanted = account.as_ref().map_or(0, |account| account.wanted.get());
+        let balance = account.as_ref().map_or(0, |account| account.balance.get());
+        let may_ask = wanted == 0 || balance > 0;
+        if self.limits.requests > 0 && may_ask && !node.is_draining {
+            self.branch(next, |world| world.submit(index));
+        }
+        if !node.open.is_empty() {
+            self.branch(next, |world| world.settle(index, 1));
+            self.branch(next, |world| world.settle(index, 0));
+        }
+    }
+
+    fn submit(&mut self, index: usize) {
+        let node = self.node(index);
+        match node.ledger.reserve(node.key, TokenCount::new(1), NOW) {
+            Ok(reservation) => {
+                node.open.push(reservation);
+                self.limits.requests -= 1;
+            }
+            Err(_) => self.feed(index, LedgerEvent::Tick),
+        }
+    }
+
+    fn settle(&mut self, index: usize, actual: u64) {
+        let node = self.node(index);
+        let reservation = node.open.remove(0);
+        let actual = TokenCount::new(actual);
+        let settlement = node
+            .ledger
+            .settle(reservation, actual, NOW)
+            .expect("is open");
+        let second = node.ledger.settle(reservation, actual, NOW);
+        self.billed += settlement.billed.get();
+        if second != Err(SettleError::AlreadySettled) {
+            self.fault = Some("a request was billed twice".to_owned());
+        }
+    }
+
+    fn write(&mut self, expected: u64, value: Arc<ShardValue>) -> Option<u64> {
+        if expected != self.version {
+            return None;
+        }
+        self.version += 1;
+        self.value = value;
+        Some(self.version)
+    }
+
+    fn list_call_steps(&self, index: usize, next: &mut Vec<Self>) {
+        let Some(call) = self.nodes[index].call.clone() else {
+            return;
+        };
+        let is_cut = self.cut == Some(index);
+        let is_sent = matches!(call, Call::ReadSent | Call::WriteSent(..));
+        if is_cut || (is_sent && self.limits.downs > 0) {
+            self.branch(next, |world| {
+                world.limits.downs -= u8::from(!is_cut);
+                let call = world.node(index).call.take();
+                let event = match call {
+                    Some(Call::WriteDone(_)) => LedgerEvent::WriteUnknown { shard: SHARD },
+                    _ => LedgerEvent::PlatformDown { shard: SHARD },
+                };
+                world.feed(index, event);
+            });
+        }
+        let is_write = matches!(call, Call::WriteSent(..) | Call::WriteDone(_));
+        if is_write && self.limits.lost_answers > 0 {
+            self.branch(next, |world| world.lose_answer(index));
+        }
+        if !is_cut {
+            self.branch(next, |world| world.advance_call(index));
+        }
+    }
+
+    fn lose_answer(&mut self, index: usize) {
+        self.limits.lost_answers -= 1;
+        if let Some(Call::WriteSent(expected, value)) = self.node(index).call.take() {
+            self.late_writes.push((expected, value));
+        }
+        let event = match self.limits.broken {
+            Broken::ForgetLostWrite => LedgerEvent::PlatformDown { shard: SHARD },
+            _ => LedgerEvent::WriteUnknown { shard: SHARD },
+        };
+        self.feed(index, event);
+    }
+
+    fn advance_call(&mut self, index: usize) {
+        let shard = SHARD;
+        match self.node(index).call.take() {
+            Some(Call::ReadSent) => {
+                self.node(index).call = Some(Call::ReadDone(self.version, self.value.clone()));
+            }
+            Some(Call::WriteSent(expected, value)) => {
+                let result = self.write(expected, value);
+                self.node(index).call = Some(Call::WriteDone(result));
+            }
+            Some(Call::ReadDone(version, value)) => {
+                self.feed(
+                    index,
+                    LedgerEvent::ShardRead {
+                        shard,
+                        version,
+                        value: ShardValue::clone(&value),
+                    },
+                );
+            }
+            Some(Call::WriteDone(Some(version))) => {
+                self.feed(index, LedgerEvent::WriteAccepted { shard, version });
+            }
+            Some(Call::WriteDone(None)) => self.feed(index, LedgerEvent::WriteConflict { shard }),
+            None => {}
+        }
+    }
+
+    fn list_message_steps(
+        &self,
+        message: &(HolderId, HolderId, BudgetMessage),
+        next: &mut Vec<Self>,
+    ) {
+        let is_at =
+            |index: usize, id: &HolderId| self.nodes[index].ledger.holder().instance == id.instance;
+        let is_cut = self
+            .cut
+            .is_some_and(|cut| is_at(cut, &message.0) || is_at(cut, &message.1));
+        if is_cut || self.limits.losses > 0 {
+            self.branch(next, |world| {
+                world.limits.losses -= u8::from(!is_cut);
+                world.network.remove(message);
+            });
+        }
+        if is_cut {
+            return;
+        }
+        self.branch(next, |world| {
+            world.network.remove(message);
+            world.deliver(message.clone());
+        });
+        if self.limits.repeats > 0 {
+            self.branch(next, |world| {
+                world.limits.repeats -= 1;
+                world.repeat(message);
+            });
+        }
+    }
+
+    /// Delivers a message of which another copy stays in the network.
+    fn repeat(&mut self, message: &(HolderId, HolderId, BudgetMessage)) {
+        let (from, to, content) = message;
+        let broken = self.limits.broken;
+        match (broken, content) {
+            (Broken::ReclaimTransfer, BudgetMessage::Transfer { sequence, .. }) => {
+                let forged = forge_sequence(content, *sequence);
+                self.deliver((to.clone(), from.clone(), forged));
+            }
+            (Broken::ApplyTwice, BudgetMessage::Transfer { sequence, .. }) => {
+                let forged = forge_sequence(content, *sequence);
+                self.deliver((from.clone(), to.clone(), forged));
+            }
+            _ => self.deliver(message.clone()),
+        }
+    }
+
+    fn deliver(&mut self, (from, to, message): (HolderId, HolderId, BudgetMessage)) {
+        let mut nodes = self.nodes.iter();
+        let place = nodes.position(|node| node.ledger.holder().instance == to.instance);
+        let index = place.expect("every instance exists");
+        let to = match self.limits.broken {
+            Broken::AcceptOldIncarnation => self.nodes[index].ledger.holder().clone(),
+            _ => to,
+        };
+        self.feed(index, LedgerEvent::Received { from, to, message });
+    }
+
+    /// Replaces a process by its next incarnation; its last write may still arrive.
+    fn crash(&mut self, index: usize) {
+        self.limits.crashes -= 1;
+        let epoch = self.nodes[index].ledger.holder().epoch + 1;
+        let fresh = Node::new(index, epoch, &self.limits);
+        let old = std::mem::replace(&mut self.nodes[index], Arc::new(fresh));
+        if let Some(Call::WriteSent(expected, value)) = old.call.clone() {
+            self.late_writes.push((expected, value));
+        }
+        self.dead.push(Arc::new(DeadNode {
+            ledger: old.ledger.clone(),
+            last_row: old.last_row.clone(),
+        }));
+        self.announce_peers();
+    }
+
+    fn release(&mut self, index: usize) {
+        let own = self.nodes[index].ledger.holder().clone();
+        let id = format!("r{}", self.limits.releases);
+        self.limits.releases -= 1;
+        // Without an open row the operator gets an error and nothing changes.
+        if Arc::make_mut(&mut self.value)
+            .release(&budget(), &own, &id, false)
+            .is_ok()
+        {
+            self.version += 1;
+        }
+    }
+
+    fn find_fault(&self) -> Option<String> {
+        if self.fault.is_some() {
+            return self.fault.clone();
+        }
+        let entry = &self.value.budgets[&budget()];
+        let rows = entry.rows.iter();
+        let sum = |field: fn(&HolderRow) -> TokenCount| -> u64 {
+            rows.clone().map(|row| field(row).get()).sum()
+        };
+        let granted = sum(|row| row.granted) + entry.folded.granted.get();
+        let returned = sum(|row| row.returned) + entry.folded.returned.get();
+        let spent = sum(|row| row.spent) + entry.folded.spent.get();
+        let paid = entry.paid.get();
+        if returned + spent > granted || granted - returned > paid {
+            return Some(format!(
+                "{granted} granted, {returned} returned, {spent} spent of {paid}"
+            ));
+        }
+        if self.billed > paid {
+            return Some(format!("{} tokens were spent of {paid} paid", self.billed));
+        }
+        if spent > self.billed {
+            return Some(format!(
+                "{spent} tokens are reported, {} were billed",
+                self.billed
+            ));
+        }
+        self.find_leak(granted - returned, spent)
+    }
+
+    /// Compares the tokens outside the platform with what processes and the network have.
+    fn find_leak(&self, unavailable: u64, reported: u64) -> Option<String> {
+        let live = self
+            .nodes
+            .iter()
+            .map(|node| (find_account(&node.ledger), &node.last_row));
+        let dead = self
+            .dead
+            .iter()
+            .map(|node| (find_account(&node.ledger), &node.last_row));
+        let (mut owned, mut lent, mut borrowed, mut unreported, mut spent) = (0, 0, 0, 0, 0);
+        for (account, last_row) in live.chain(dead) {
+            let Some(account) = account else {
+                continue;
+            };
+            owned += account.balance.get() + account.reserved.get() + account.spent.get();
+            lent += account.lent.get();
+            borrowed += account.borrowed.get();
+            spent += account.spent.get();
+            unreported += account.unreported.get();
+            if self.has_effect(last_row) {
+                owned += account.drawing.get();
+                unreported -= account.reporting.get();
+            } else {
+                owned += account.returning.get();
+            }
+        }
+        if spent != self.billed {
+            return Some(format!(
+                "ledgers count {spent} spent, {} were billed",
+                self.billed
+            ));
+        }
+        if borrowed > lent {
+            return Some(format!("{borrowed} tokens were received, {lent} were sent"));
+        }
+        if owned + lent - borrowed != unavailable {
+            return Some(format!(
+                "{owned} owned and {} in transit, {unavailable} granted",
+                lent - borrowed
+            ));
+        }
+        let known = reported + unreported;
+        let handed = spent.checked_sub(known);
+        // Reports that are handed to a shard owner are in transit until it has applied them.
+        match handed {
+            None => Some(format!(
+                "{known} tokens are reported or kept, {spent} were billed"
+            )),
+            Some(handed) if handed > 0 && self.limits.broken == Broken::None => {
+                let open: u64 = self.network_spent();
+                (open < handed).then(|| format!("{handed} billed tokens are reported nowhere"))
+            }
+            Some(_) => None,
+        }
+    }
+
+    /// Returns an upper bound of the spent tokens in transfers that may not have been applied. The
+    /// transfers of a dead process are not known.
+    fn network_spent(&self) -> u64 {
+        if !self.dead.is_empty() {
+            return u64::MAX;
+        }
+        let open = self
+            .nodes
+            .iter()
+            .flat_map(|node| node.ledger.snapshot().transfers);
+        open.map(|transfer| transfer.spent.get()).sum()
+    }
+
+    fn has_effect(&self, last_row: &Option<LastRow>) -> bool {
+        let Some(last) = last_row else {
+            return false;
+        };
+        let entry = &self.value.budgets[&budget()];
+        let found = entry.row(&last.holder, last.generation);
+        match (found, last.sequence) {
+            (Some(row), Some(sequence)) => row.sequence >= sequence,
+            (None, Some(_)) | (Some(_), None) => false,
+            (None, None) => true,
+        }
+    }
+}
+
+fn forge_sequence(message: &BudgetMessage, sequence: u64) -> BudgetMessage {
+    let mut forged = message.clone();
+    if let BudgetMessage::Transfer {
+        sequence: place, ..
+    } = &mut forged
+    {
+        *place = sequence + FORGED_SEQUENCE;
+    }
+    forged
+}
