Compare only comparable latencies in the concurrency limit

Cause: the gradient limit compared the time to first token of long prompts with that of short ones, and with single steps of the batch, so that it shrank without overload and requests queued.

Change: latencies are scaled to a common prompt length and averaged before they are compared with the learnt minimum; the fixed part of a request counts as 500 prompt tokens instead of 64.

--- a/crates/core/src/limit/concurrency.rs
+++ b/crates/core/src/limit/concurrency.rs
@@ -6,6 +6,9 @@
 const DEFAULT_MIN: f64 = 2.0;
 /// Ratio of observed to learnt minimum latency that is tolerated without shrinking.
 const DEFAULT_TOLERANCE: f64 = 2.0;
+/// Weight of one latency in the average that is compared with the learnt minimum. Single latencies
+/// vary by more than the tolerance with the phase of the engine's step.
+const LATENCY_SMOOTHING: f64 = 0.1;
 /// Weight of one new limit value.
 const SMOOTHING: f64 = 0.1;
 /// Largest shrink of one step.
@@ -42,6 +45,7 @@
 pub struct ConcurrencyLimit {
     options: ConcurrencyOptions,
     limit: f64,
+    average_s: Option<f64>,
     minimum_s: Option<f64>,
 }
 
@@ -52,6 +56,7 @@
         Self {
             limit: options.max.max(1.0),
             options,
+            average_s: None,
             minimum_s: None,
         }
     }
@@ -69,8 +74,13 @@
     }
 
     /// Records the latency of a request that was sent with `in_flight` requests in flight.
+    ///
+    /// Latencies of requests of different length must be made comparable first.
     pub fn observe(&mut self, latency: Duration, in_flight: u32) {
-        let latency_s = latency.as_secs_f64().max(1e-6);
+        let sample_s = latency.as_secs_f64().max(1e-6);
+        let average_s = self.average_s.unwrap_or(sample_s);
+        let latency_s = average_s + (sample_s - average_s) * LATENCY_SMOOTHING;
+        self.average_s = Some(latency_s);
         let minimum_s = match self.minimum_s {
             Some(minimum_s) => (minimum_s * MINIMUM_DRIFT).min(latency_s),
             None => latency_s,
--- a/crates/core/src/routing/speed.rs
+++ b/crates/core/src/routing/speed.rs
@@ -13,8 +13,8 @@
 const SMOOTHING: f64 = 0.1;
 /// Weight of one sample above the peak.
 const PEAK_SMOOTHING: f64 = 0.3;
-/// Prompt tokens that stand for the fixed cost of a request.
-const FIXED_TOKENS: f64 = 64.0;
+/// Prompt tokens that take as long as the steps of a batch before the first token.
+const FIXED_TOKENS: f64 = 500.0;
 
 /// Learns the time to first token per prompt token and the duration of whole answers.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -16,6 +16,9 @@
     },
 };
 
+/// Effective prompt length to which latencies are scaled before they are compared.
+const REFERENCE_TOKENS: f64 = 1_000.0;
+
 new_key_type! {
     /// Identifies an upstream in the table.
     pub struct UpstreamKey;
@@ -132,7 +135,8 @@
         let latency = now.since(work.started);
         let service_s = latency.as_secs_f64() - work.expected_wait_s;
         entry.speed.first_token(service_s, work.tokens, now);
-        entry.limit.observe(latency, work.load as u32);
+        let comparable = latency.mul_f64(REFERENCE_TOKENS / work.tokens);
+        entry.limit.observe(comparable, work.load as u32);
         if let Some(digest) = work.prefix {
             entry.prefixes.store(digest);
         }
