--- a/crates/router/src/process/desk.rs
+++ b/crates/router/src/process/desk.rs
@@ -1,9 +1,9 @@
 //! Upstream desk: selection, admission queues, retry budget and crash table behind one mutex.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
-    base::{CustomerName, MonotonicTime, UpstreamName},
+    base::{CustomerName, DomainName, MonotonicTime, UpstreamName},
     blocklist::{
         CrashEffect, CrashEntry, CrashOptions, CrashReport, CrashTable, CrashVerdict, Fingerprint,
         FlightKey,
@@ -78,6 +78,7 @@
 #[derive(Debug)]
 struct DeskState {
     table: UpstreamTable,
+    configured: bool,
     contacts: HashMap<UpstreamName, UpstreamContact>,
     queues: HashMap<RouteTarget, DeskQueue>,
     queue_options: QueueOptions,
@@ -104,10 +105,11 @@
 
 impl UpstreamDesk {
     /// Creates a desk without upstreams.
-    pub(crate) fn new(options: RoutingOptions, capacity: f64) -> Self {
+    pub(crate) fn new(domain: DomainName, capacity: f64) -> Self {
         Self {
             inner: Mutex::new(DeskState {
-                table: UpstreamTable::new(options),
+                table: UpstreamTable::new(RoutingOptions::new(domain)),
+                configured: false,
                 contacts: HashMap::new(),
                 queues: HashMap::new(),
                 queue_options: QueueOptions {
@@ -142,6 +144,9 @@
             })
             .collect();
         let mut inner = self.inner.lock();
+        if !std::mem::replace(&mut inner.configured, true) {
+            inner.open_tables(document);
+        }
         inner.table.apply(&specs, now);
         inner.queue_options.entries_max =
             usize::try_from(document.limits.queue_requests).unwrap_or(usize::MAX);
@@ -355,17 +360,37 @@
 }
 
 impl DeskState {
+    /// Creates the tables with the options of the first document in force. The tables keep their
+    /// options, so later changes of them take effect at the next start.
+    fn open_tables(&mut self, document: &Document) {
+        let limits = &document.limits;
+        self.table = UpstreamTable::new(RoutingOptions {
+            remote_penalty: Duration::from_millis(limits.remote_penalty_ms),
+            ..self.table.options().clone()
+        });
+        self.crash = CrashTable::new(CrashOptions {
+            losses_max: u32::try_from(limits.block_losses).unwrap_or(u32::MAX),
+            block: Duration::from_secs(limits.block_s),
+            ..CrashOptions::default()
+        });
+        self.retry = RetryBudget::new(RetryBudgetOptions {
+            ratio: limits.retry_percent as f64 / 100.0,
+            ..RetryBudgetOptions::default()
+        });
+    }
+
     /// Selects an upstream and records the start of an attempt.
     fn start(
         &mut self,
         request: &DeskRequest,
         now: MonotonicTime,
     ) -> Result<StartedWork, SelectError> {
-        let suspects = self.crash.excluded(
-            request.fingerprint,
-            self.table.upstreams(&request.route.target),
-            now,
-        );
+        let route = &request.route;
+        let usable = self.table.usable(&route.target, now).filter(|name| {
+            let allowed = route.allowed.as_ref();
+            allowed.is_none_or(|allowed| allowed.contains(name)) && !route.excluded.contains(name)
+        });
+        let suspects = self.crash.excluded(request.fingerprint, usable, now);
         let selection = if suspects.is_empty() {
             self.table
                 .select(&request.route, now, &mut self.generator)?
--- a/crates/router/src/process/mod.rs
+++ b/crates/router/src/process/mod.rs
@@ -9,7 +9,6 @@
 mod members;
 mod metrics;
 mod operator;
-mod order;
 mod poll;
 mod router;
 mod settings;
@@ -21,7 +20,6 @@
 pub(crate) use event::log_event;
 pub(crate) use ledger::{LedgerActor, LedgerCell};
 pub(crate) use members::{FleetView, MemberActor};
-pub(crate) use order::OrderDesk;
 pub(crate) use state::{RouterPhase, RouterState, RunningGuard};
 
 pub use event::LogEvent;
--- a/crates/router/src/request/mod.rs
+++ b/crates/router/src/request/mod.rs
@@ -5,7 +5,6 @@
 mod chat;
 mod chat_body;
 mod context;
-mod order;
 mod refusal;
 mod service;
 mod sse;
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -36,6 +36,8 @@
 pub struct FleetPlan {
     /// Engines.
     pub engines: Vec<EngineOptions>,
+    /// Domains of the engines, `a` for those without one.
+    pub engine_domains: Vec<&'static str>,
     /// Instances of the service `shop`.
     pub services: Vec<ServiceOptions>,
     /// Domains of the routers.
@@ -56,6 +58,7 @@
     fn default() -> Self {
         Self {
             engines: vec![EngineOptions::default()],
+            engine_domains: Vec::new(),
             services: vec![ServiceOptions::default()],
             routers: vec!["a"],
             paid: 1_000_000,
@@ -144,9 +147,10 @@
         );
         for (index, engine) in self.engines.iter().enumerate() {
             let address = engine.address();
+            let domain = self.plan.engine_domains.get(index).unwrap_or(&"a");
             text.push_str(&format!(
-                "[upstream engine-{index}]\nkind = engine\naddress = {address}\ndomain = a\n\
-                 models = tiny\n{upstream}\n"
+                "[upstream engine-{index}]\nkind = engine\naddress = {address}\n\
+                 domain = {domain}\nmodels = tiny\n{upstream}\n"
             ));
         }
         for (index, service) in self.services.iter().enumerate() {
--- a/crates/router/tests/refusals.rs
+++ b/crates/router/tests/refusals.rs
@@ -18,7 +18,14 @@
 #[case::no_json(Method::POST, CHAT, Some(KEY), "hello", 400, "malformed_request")]
 #[case::empty(Method::POST, CHAT, Some(KEY), "", 400, "malformed_request")]
 #[case::not_utf8(Method::POST, CHAT, Some(KEY), "\u{0}", 400, "malformed_request")]
-#[case::no_model(Method::POST, CHAT, Some(KEY), r#"{"messages":[{}]}"#, 400, "malformed_request")]
+#[case::no_model(
+    Method::POST,
+    CHAT,
+    Some(KEY),
+    r#"{"messages":[{}]}"#,
+    400,
+    "malformed_request"
+)]
 #[case::no_messages(
     Method::POST,
     CHAT,
@@ -102,14 +109,7 @@
 #[case::empty_budget(Method::POST, CHAT, Some("other-key"), GOOD, 402, "budget_exhausted")]
 #[case::wrong_method(Method::GET, CHAT, Some(KEY), "", 404, "unknown_path")]
 #[case::wrong_path(Method::GET, "/v2/models", Some(KEY), "", 404, "unknown_path")]
-#[case::unknown_service(
-    Method::GET,
-    "/services/none/x",
-    Some(KEY),
-    "",
-    404,
-    "unknown_service"
-)]
+#[case::unknown_service(Method::GET, "/services/none/x", Some(KEY), "", 404, "unknown_service")]
 #[case::forbidden_service(
     Method::GET,
     "/services/vault/x",
@@ -172,7 +172,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_time_limit_is_refused(#[case] limit: &str) {
     let fleet = TestFleet::start(FleetPlan::default()).await;
-    let request = fleet.chat(0, "x", false).header("x-request-timeout-ms", limit);
+    let request = fleet
+        .chat(0, "x", false)
+        .header("x-request-timeout-ms", limit);
     let refusal = read_refusal(request.send().await.unwrap()).await;
     assert_eq!(refusal.2, "malformed_request");
 }
@@ -182,7 +184,9 @@
 async fn dot_segments_do_not_reach_a_service() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let fleet = TestFleet::start(FleetPlan::default()).await;
-    let mut stream = tokio::net::TcpStream::connect(fleet.callers(0)).await.unwrap();
+    let mut stream = tokio::net::TcpStream::connect(fleet.callers(0))
+        .await
+        .unwrap();
     let request = format!(
         "GET /services/shop/a/../b HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
          connection: close\r\n\r\n"
@@ -210,10 +214,15 @@
     let first = tokio::spawn(fleet.chat(0, "long [tokens=1500]", true).send());
     let engine = &fleet.engines[0];
     wait_until("the engine works", async || engine.counts().started == 1).await;
-    let request = fleet.chat(0, "second", false).header("x-request-timeout-ms", 50);
+    let request = fleet
+        .chat(0, "second", false)
+        .header("x-request-timeout-ms", 50);
     let refusal = read_refusal(request.send().await.unwrap()).await;
     assert_eq!(refusal.0, 504);
-    assert_eq!((refusal.1.as_str(), refusal.2.as_str()), ("not_run", "deadline_exceeded"));
+    assert_eq!(
+        (refusal.1.as_str(), refusal.2.as_str()),
+        ("not_run", "deadline_exceeded")
+    );
     assert_eq!(engine.counts().received, 1);
     drop(first.await.unwrap().unwrap());
 }
@@ -232,6 +241,9 @@
     assert_eq!(response.headers()["retry-after"], "1");
     let refusal = read_refusal(response).await;
     assert_eq!(refusal.0, 503);
-    assert_eq!((refusal.1.as_str(), refusal.2.as_str()), ("not_run", "no_upstream"));
+    assert_eq!(
+        (refusal.1.as_str(), refusal.2.as_str()),
+        ("not_run", "no_upstream")
+    );
     assert_eq!(fleet.close().await.spent.get(), 0);
 }
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -19,37 +19,41 @@
 
 /// Guards against lost, repeated or reordered text after faults of the upstream.
 #[rstest]
-#[case::duplicate(EngineFaults { duplicate_chunk: 1, ..EngineFaults::default() }, 0)]
-#[case::reorder(EngineFaults { reorder_chunk: 1, ..EngineFaults::default() }, 0)]
-#[case::skip(EngineFaults { skip_chunk: 1, ..EngineFaults::default() }, 1)]
-#[case::loss_before_first(EngineFaults { reset_before_first: 1, ..EngineFaults::default() }, 0)]
+#[case::duplicate(EngineFaults { duplicate_chunk: 1, ..EngineFaults::default() }, 0, 0)]
+#[case::reorder(EngineFaults { reorder_chunk: 1, ..EngineFaults::default() }, 0, 0)]
+#[case::skip(EngineFaults { skip_chunk: 1, ..EngineFaults::default() }, 1, 1)]
+#[case::loss_before_first(EngineFaults { reset_before_first: 1, ..EngineFaults::default() }, 1, 0)]
 #[case::loss_mid_stream(
-    EngineFaults { reset_mid_stream: 1, reset_after_tokens: 30, ..EngineFaults::default() }, 1
+    EngineFaults { reset_mid_stream: 1, reset_after_tokens: 30, ..EngineFaults::default() }, 1, 1
 )]
 #[tokio::test(flavor = "multi_thread")]
-async fn faulty_stream_is_complete(#[case] faults: EngineFaults, #[case] resumes: u64) {
-    let fleet = TestFleet::start(two_engines()).await;
-    fleet.engines[0].set_faults(faults.clone());
-    // Several requests at once reach both engines.
-    let prompts: Vec<String> = (0..8).map(|index| format!("{index}: {PROMPT}")).collect();
-    let requests = prompts.iter().map(|prompt| fleet.chat(0, prompt, true).send());
-    let responses = futures_util::future::join_all(requests).await;
-    let mut billed = 0;
-    for (prompt, response) in prompts.iter().zip(responses) {
-        let response = response.unwrap();
-        assert_eq!(response.status(), 200);
-        let stream = read_stream(response).await;
-        assert!(stream.done, "{stream:?}");
-        assert_eq!(stream.text, answer_text(&[prompt], 2_000));
-        assert_eq!(stream.sequences, (0..=120).collect::<Vec<_>>());
-        billed += stream.usage.unwrap();
-    }
-    let left = fleet.engines[0].faults();
-    assert_ne!(left, faults, "engine 0 got no request");
+async fn faulty_stream_is_complete(
+    #[case] faults: EngineFaults,
+    #[case] retries: u64,
+    #[case] resumes: u64,
+) {
+    let fleet = TestFleet::start(FleetPlan {
+        engine_domains: vec!["a", "b"],
+        limits: "remote_penalty_ms = 60000",
+        ..two_engines()
+    })
+    .await;
+    // Engine 1 is in another domain, so it gets only what engine 0 has lost.
+    fleet.engines[0].set_faults(faults);
+    let response = fleet.chat(0, PROMPT, true).send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    let stream = read_stream(response).await;
+    assert!(stream.done, "{stream:?}");
+    assert_eq!(stream.text, answer_text(&[PROMPT], 2_000));
+    assert_eq!(stream.sequences, (0..=120).collect::<Vec<_>>());
+    assert_eq!(fleet.engines[0].faults().reset_mid_stream, 0);
+    assert_eq!(fleet.engines[1].counts().received, retries);
     let view = fleet.routers[0].view();
+    assert_eq!(view.metric(MetricName::Retries), retries);
     assert_eq!(view.metric(MetricName::Resumes), resumes);
     let totals = fleet.close().await;
-    assert_eq!((totals.spent.get(), totals.held.get()), (billed, 0));
+    assert_eq!(Some(totals.spent.get()), stream.usage);
+    assert_eq!(totals.held.get(), 0);
 }
 
 /// Guards against an incomplete answer that looks complete, and against its full price.
@@ -96,7 +100,10 @@
     assert!(first.starts_with(b"data: "));
     drop(body);
     let engine = &fleet.engines[0];
-    wait_until("the engine cancels", async || engine.counts().cancelled == 1).await;
+    wait_until("the engine cancels", async || {
+        engine.counts().cancelled == 1
+    })
+    .await;
     let view = fleet.routers[0].view();
     wait_until("the request ends", async || view.running() == 0).await;
     assert_eq!(view.metric(MetricName::Disconnects), 1);
@@ -120,7 +127,10 @@
     let request = tokio::spawn(fleet.chat(0, "quiet [tokens=1900]", false).send());
     wait_until("the engine works", async || engine.counts().started == 1).await;
     request.abort();
-    wait_until("the engine cancels", async || engine.counts().cancelled == 1).await;
+    wait_until("the engine cancels", async || {
+        engine.counts().cancelled == 1
+    })
+    .await;
     let view = fleet.routers[0].view();
     wait_until("the request ends", async || view.running() == 0).await;
     let spent = fleet.close().await.spent.get();
@@ -140,13 +150,23 @@
         let response = fleet.chat(0, "[crash]", false).send().await.unwrap();
         refusals.push(read_refusal(response).await);
     }
-    let crashes: u64 = fleet.engines.iter().map(|engine| engine.counts().crashes).sum();
+    let crashes: u64 = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.counts().crashes)
+        .sum();
     assert_eq!(crashes, 2, "{refusals:?}");
     assert_eq!(refusals[0].1, "unknown", "{refusals:?}");
     let last = refusals.last().unwrap();
-    assert_eq!((last.0, last.1.as_str(), last.2.as_str()), (422, "not_run", "request_blocked"));
+    assert_eq!(
+        (last.0, last.1.as_str(), last.2.as_str()),
+        (422, "not_run", "request_blocked")
+    );
     let dump = fleet.operator(0, "/dump").await;
-    let fingerprint = dump["crash_table"][0]["fingerprint"].as_str().unwrap().to_owned();
+    let fingerprint = dump["crash_table"][0]["fingerprint"]
+        .as_str()
+        .unwrap()
+        .to_owned();
     let url = format!(
         "http://{}/unblock/{fingerprint}",
         fleet.routers[0].addresses().operator
