--- a/crates/core/tests/budget/main.rs
+++ b/crates/core/tests/budget/main.rs
@@ -3,4 +3,6 @@
 mod ledger;
 mod model;
 mod model_world;
+mod property;
+mod random_fleet;
 mod shard;
--- /dev/null
+++ b/crates/core/tests/budget/random_fleet.rs
@@ -0,0 +1,554 @@
+//! Fleet of ledgers in virtual time under a random schedule of requests and faults.
+
+use std::time::Duration;
+
+use cornelarch_core::{
+    base::{BudgetName, DomainName, HolderId, InstanceName, MonotonicTime, TokenCount},
+    budget::{
+        BudgetLedger, BudgetMessage, DomainPeer, LedgerEffect, LedgerEvent, LedgerOptions,
+        ReservationKey, ShardNumber, ShardValue,
+    },
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const INSTANCES: usize = 6;
+const DOMAINS: usize = 3;
+const BUDGETS: usize = 8;
+const SHARDS: u32 = 2;
+const STEP: Duration = Duration::from_millis(50);
+
+/// Probabilities per step or message of each fault.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FaultRates {
+    pub(crate) loss: f64,
+    pub(crate) repeat: f64,
+    pub(crate) lost_answer: f64,
+    pub(crate) crash: f64,
+    pub(crate) restart: f64,
+    pub(crate) outage: f64,
+    pub(crate) cut: f64,
+    pub(crate) top_up: f64,
+    pub(crate) release: f64,
+    pub(crate) pause: f64,
+}
+
+#[derive(Clone, Debug)]
+enum Item {
+    Message {
+        from: HolderId,
+        to: HolderId,
+        message: BudgetMessage,
+    },
+    Read {
+        holder: HolderId,
+        shard: ShardNumber,
+    },
+    Write {
+        holder: HolderId,
+        shard: ShardNumber,
+        expected: u64,
+        value: ShardValue,
+        is_lost: bool,
+    },
+    Answer {
+        holder: HolderId,
+        event: LedgerEvent,
+    },
+}
+
+struct Process {
+    ledger: BudgetLedger,
+    domain: usize,
+    open: Vec<(usize, ReservationKey, u64)>,
+    paused_until: MonotonicTime,
+    is_draining: bool,
+}
+
+pub(crate) struct RandomFleet {
+    rng: ChaCha8Rng,
+    rates: FaultRates,
+    pub(crate) now: MonotonicTime,
+    processes: Vec<Process>,
+    shards: Vec<(u64, ShardValue)>,
+    queue: Vec<(MonotonicTime, Item)>,
+    epoch: u64,
+    operations: u64,
+    platform_away_until: MonotonicTime,
+    cut: Option<(usize, MonotonicTime)>,
+    pub(crate) billed: Vec<u64>,
+    pub(crate) admitted: u64,
+    pub(crate) crashes: u64,
+}
+
+fn budget(index: usize) -> BudgetName {
+    BudgetName::new(&format!("budget-{index}"))
+}
+
+impl RandomFleet {
+    pub(crate) fn new(seed: u64, rates: FaultRates) -> Self {
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            rates,
+            now: MonotonicTime::START,
+            processes: Vec::new(),
+            shards: vec![(0, ShardValue::default()); SHARDS as usize],
+            queue: Vec::new(),
+            epoch: 0,
+            operations: 0,
+            platform_away_until: MonotonicTime::START,
+            cut: None,
+            billed: vec![0; BUDGETS],
+            admitted: 0,
+            crashes: 0,
+        };
+        for index in 0..BUDGETS {
+            let paid = TokenCount::new(fleet.rng.random_range(0..60_000));
+            let (version, value) = fleet.shard_of(index);
+            value
+                .set_initial_paid(&budget(index), paid)
+                .expect("amount fits");
+            *version += 1;
+        }
+        for index in 0..INSTANCES {
+            let process = fleet.new_process(index);
+            fleet.processes.push(process);
+        }
+        fleet.announce_peers();
+        fleet
+    }
+
+    fn shard_of(&mut self, index: usize) -> &mut (u64, ShardValue) {
+        &mut self.shards[ShardNumber::of_budget(&budget(index), SHARDS).0 as usize]
+    }
+
+    fn new_process(&mut self, index: usize) -> Process {
+        self.epoch += 1;
+        let domain = index % DOMAINS;
+        let options = LedgerOptions {
+            shards: SHARDS,
+            domain: DomainName::new(&format!("d{domain}")),
+            domains: DOMAINS as u32,
+            idle_flush: Duration::from_secs(20),
+            idle_return: Duration::from_secs(10),
+            ..LedgerOptions::default()
+        };
+        let instance = InstanceName::new(&format!("r{index}"));
+        let mut ledger = BudgetLedger::new(HolderId::new(instance, self.epoch), options);
+        (0..BUDGETS).for_each(|index| {
+            ledger.register(budget(index));
+        });
+        Process {
+            ledger,
+            domain,
+            open: Vec::new(),
+            paused_until: self.now,
+            is_draining: false,
+        }
+    }
+
+    fn announce_peers(&mut self) {
+        let live = self.processes.iter().filter(|process| !process.is_draining);
+        let peers: Vec<DomainPeer> = live
+            .map(|process| DomainPeer {
+                holder: process.ledger.holder().clone(),
+                domain: DomainName::new(&format!("d{}", process.domain)),
+            })
+            .collect();
+        for index in 0..self.processes.len() {
+            self.feed(index, LedgerEvent::PeersChanged(peers.clone()));
+        }
+    }
+
+    fn is_platform_cut(&self, domain: usize) -> bool {
+        self.now < self.platform_away_until || self.cut.is_some_and(|(cut, _)| cut == domain)
+    }
+
+    fn feed(&mut self, index: usize, event: LedgerEvent) {
+        let effects = self.processes[index].ledger.handle(event, self.now);
+        let holder = self.processes[index].ledger.holder().clone();
+        let is_cut = self.is_platform_cut(self.processes[index].domain);
+        for effect in effects {
+            let delay = Duration::from_millis(self.rng.random_range(1..120));
+            let due = self.now + delay;
+            let holder = holder.clone();
+            let item = match effect {
+                LedgerEffect::Wake { .. } => continue,
+                LedgerEffect::Send { to, message } => Item::Message {
+                    from: holder,
+                    to,
+                    message,
+                },
+                LedgerEffect::ReadShard { shard } | LedgerEffect::WriteShard { shard, .. }
+                    if is_cut =>
+                {
+                    Item::Answer {
+                        holder,
+                        event: LedgerEvent::PlatformDown { shard },
+                    }
+                }
+                LedgerEffect::ReadShard { shard } => Item::Read { holder, shard },
+                LedgerEffect::WriteShard {
+                    shard,
+                    expected_version: expected,
+                    value,
+                } => {
+                    let is_lost = self.rng.random_bool(self.rates.lost_answer);
+                    if is_lost {
+                        let event = LedgerEvent::WriteUnknown { shard };
+                        self.queue.push((
+                            due,
+                            Item::Answer {
+                                holder: holder.clone(),
+                                event,
+                            },
+                        ));
+                    }
+                    Item::Write {
+                        holder,
+                        shard,
+                        expected,
+                        value,
+                        is_lost,
+                    }
+                }
+            };
+            // A lost write may arrive long after its sender has read again.
+            let is_late = matches!(item, Item::Write { is_lost: true, .. });
+            let extra = if is_late {
+                self.rng.random_range(0..2_000)
+            } else {
+                0
+            };
+            self.queue.push((due + Duration::from_millis(extra), item));
+        }
+    }
+
+    fn find(&self, holder: &HolderId) -> Option<usize> {
+        let mut processes = self.processes.iter();
+        processes.position(|process| process.ledger.holder() == holder)
+    }
+
+    fn handle_item(&mut self, item: Item) {
+        let soon = self.now + Duration::from_millis(2);
+        match item {
+            Item::Message { from, to, message } => self.deliver(from, to, message),
+            Item::Read { holder, shard } => {
+                let (version, value) = self.shards[shard.0 as usize].clone();
+                let event = LedgerEvent::ShardRead {
+                    shard,
+                    version,
+                    value,
+                };
+                self.queue.push((soon, Item::Answer { holder, event }));
+            }
+            Item::Write {
+                holder,
+                shard,
+                expected,
+                value,
+                is_lost,
+            } => {
+                let place = &mut self.shards[shard.0 as usize];
+                let event = if place.0 == expected {
+                    *place = (expected + 1, value);
+                    LedgerEvent::WriteAccepted {
+                        shard,
+                        version: expected + 1,
+                    }
+                } else {
+                    LedgerEvent::WriteConflict { shard }
+                };
+                if !is_lost {
+                    self.queue.push((soon, Item::Answer { holder, event }));
+                }
+            }
+            Item::Answer { holder, event } => {
+                if let Some(index) = self.find(&holder) {
+                    self.feed(index, event);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: HolderId, to: HolderId, message: BudgetMessage) {
+        let domain_of = |id: &HolderId| {
+            let mut all = self.processes.iter();
+            let found = all.find(|process| process.ledger.holder().instance == id.instance);
+            found.map(|process| process.domain)
+        };
+        let is_cut = self.cut.is_some_and(|(cut, _)| {
+            (domain_of(&from) == Some(cut)) != (domain_of(&to) == Some(cut))
+        });
+        if is_cut || self.rng.random_bool(self.rates.loss) {
+            return;
+        }
+        if self.rng.random_bool(self.rates.repeat) {
+            let due = self.now + Duration::from_millis(self.rng.random_range(1..3_000));
+            let copy = Item::Message {
+                from: from.clone(),
+                to: to.clone(),
+                message: message.clone(),
+            };
+            self.queue.push((due, copy));
+        }
+        let mut processes = self.processes.iter();
+        let index = processes.position(|process| process.ledger.holder().instance == to.instance);
+        if let Some(index) = index {
+            self.feed(index, LedgerEvent::Received { from, to, message });
+        }
+    }
+
+    /// Runs one step: faults, requests, due items and ticks.
+    pub(crate) fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.inject_faults();
+        for index in 0..self.processes.len() {
+            if self.now >= self.processes[index].paused_until {
+                self.run_requests(index);
+            }
+        }
+        self.run_due();
+    }
+
+    /// Runs one step without faults and requests; open requests end.
+    pub(crate) fn step_quietly(&mut self) {
+        self.now = self.now + STEP;
+        for index in 0..self.processes.len() {
+            self.settle_all(index);
+        }
+        self.run_due();
+    }
+
+    fn run_due(&mut self) {
+        loop {
+            let now = self.now;
+            let due = self
+                .queue
+                .iter()
+                .enumerate()
+                .filter(|(_, (at, item))| *at <= now && !self.is_paused(item));
+            let Some((place, _)) = due.min_by_key(|(_, (at, _))| *at) else {
+                break;
+            };
+            let (_, item) = self.queue.swap_remove(place);
+            self.handle_item(item);
+        }
+        for index in 0..self.processes.len() {
+            if self.now >= self.processes[index].paused_until {
+                self.feed(index, LedgerEvent::Tick);
+            }
+        }
+    }
+
+    fn is_paused(&self, item: &Item) -> bool {
+        let receiver = match item {
+            Item::Message { to, .. } => to,
+            Item::Answer { holder, .. } => holder,
+            Item::Read { .. } | Item::Write { .. } => return false,
+        };
+        let process = self.find(receiver).map(|index| &self.processes[index]);
+        process.is_some_and(|process| self.now < process.paused_until)
+    }
+
+    fn run_requests(&mut self, index: usize) {
+        if self.rng.random_bool(0.5) && !self.processes[index].is_draining {
+            let number = self.rng.random_range(0..BUDGETS);
+            let amount = self.rng.random_range(1..400);
+            let now = self.now;
+            let process = &mut self.processes[index];
+            let key = process.ledger.register(budget(number));
+            match process.ledger.reserve(key, TokenCount::new(amount), now) {
+                Ok(reservation) => {
+                    process.open.push((number, reservation, amount));
+                    self.admitted += 1;
+                }
+                Err(_) => self.feed(index, LedgerEvent::Tick),
+            }
+        }
+        if self.rng.random_bool(0.4) {
+            self.settle_one(index);
+        }
+    }
+
+    fn settle_one(&mut self, index: usize) {
+        let now = self.now;
+        let process = &mut self.processes[index];
+        if process.open.is_empty() {
+            return;
+        }
+        let place = self.rng.random_range(0..process.open.len());
+        let (number, reservation, amount) = process.open.swap_remove(place);
+        let actual = TokenCount::new(self.rng.random_range(0..amount + 20));
+        let settlement = process
+            .ledger
+            .settle(reservation, actual, now)
+            .expect("is open");
+        assert!(process.ledger.settle(reservation, actual, now).is_err());
+        self.billed[number] += settlement.billed.get();
+    }
+
+    fn settle_all(&mut self, index: usize) {
+        while !self.processes[index].open.is_empty() {
+            self.settle_one(index);
+        }
+    }
+
+    fn inject_faults(&mut self) {
+        let rates = self.rates;
+        let index = self.rng.random_range(0..self.processes.len());
+        if self.rng.random_bool(rates.crash) {
+            self.crashes += 1;
+            self.replace(index);
+        }
+        if self.rng.random_bool(rates.restart) && !self.processes[index].is_draining {
+            self.start_drain(index);
+            self.announce_peers();
+        }
+        if self.rng.random_bool(rates.pause) {
+            let length = Duration::from_millis(self.rng.random_range(100..20_000));
+            self.processes[index].paused_until = self.now + length;
+        }
+        if self.rng.random_bool(rates.outage) {
+            let length = Duration::from_millis(self.rng.random_range(100..10_000));
+            self.platform_away_until = self.now + length;
+        }
+        if self.rng.random_bool(rates.cut) {
+            let length = Duration::from_millis(self.rng.random_range(100..10_000));
+            let domain = self.rng.random_range(0..DOMAINS);
+            self.cut = Some((domain, self.now + length));
+        }
+        if self.cut.is_some_and(|(_, until)| self.now >= until) {
+            self.cut = None;
+        }
+        if self.rng.random_bool(rates.top_up) {
+            self.top_up();
+        }
+        if self.rng.random_bool(rates.release) {
+            self.release();
+        }
+        for index in 0..self.processes.len() {
+            let process = &self.processes[index];
+            if process.is_draining && process.ledger.is_drained() {
+                self.replace(index);
+            }
+        }
+    }
+
+    /// Ends a process, whose last messages and writes stay on their way, and starts the next one.
+    fn replace(&mut self, index: usize) {
+        let fresh = self.new_process(index);
+        self.processes[index] = fresh;
+        self.announce_peers();
+    }
+
+    fn start_drain(&mut self, index: usize) {
+        self.processes[index].is_draining = true;
+        self.settle_all(index);
+        self.feed(index, LedgerEvent::DrainStarted);
+    }
+
+    fn top_up(&mut self) {
+        let number = self.rng.random_range(0..BUDGETS);
+        let amount = TokenCount::new(self.rng.random_range(1..5_000));
+        self.operations += 1;
+        let id = format!("top-up-{}", self.operations);
+        let (version, value) = self.shard_of(number);
+        for _ in 0..2 {
+            value
+                .top_up(&budget(number), amount, &id)
+                .expect("amount fits");
+        }
+        *version += 1;
+    }
+
+    /// Seals the row of a random holder, dead or alive, without credit.
+    fn release(&mut self) {
+        let number = self.rng.random_range(0..BUDGETS);
+        self.operations += 1;
+        let id = format!("release-{}", self.operations);
+        let pick: usize = self.rng.random_range(0..100);
+        let is_folding = self.rng.random_bool(0.3);
+        let (version, value) = self.shard_of(number);
+        let rows = value
+            .budgets
+            .get(&budget(number))
+            .map(|entry| entry.rows.clone());
+        let rows = rows.unwrap_or_default();
+        if let Some(row) = rows.get(pick % rows.len().max(1)) {
+            // A row that is sealed already gives an error and stays as it is.
+            let _ = value.release(&budget(number), &row.holder, &id, false);
+            if is_folding {
+                value.fold_sealed(&budget(number), &row.holder);
+            }
+            *version += 1;
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cut = None;
+        self.platform_away_until = self.now;
+        for process in &mut self.processes {
+            process.paused_until = self.now;
+        }
+        self.rates.loss = 0.0;
+        self.rates.lost_answer = 0.0;
+    }
+
+    pub(crate) fn drain_all(&mut self) {
+        for index in 0..self.processes.len() {
+            if !self.processes[index].is_draining {
+                self.start_drain(index);
+            }
+        }
+    }
+
+    pub(crate) fn is_drained(&self) -> bool {
+        self.processes
+            .iter()
+            .all(|process| process.ledger.is_drained())
+    }
+
+    pub(crate) fn describe(&self) -> String {
+        let snapshots = self
+            .processes
+            .iter()
+            .map(|process| process.ledger.snapshot());
+        snapshots
+            .map(|snapshot| format!("{snapshot:#?}\n"))
+            .collect()
+    }
+
+    /// Checks paid amounts and counters of every budget and returns its paid, spent and held.
+    pub(crate) fn check(&self) -> Vec<(u64, u64, u64)> {
+        let check_one = |index: usize| {
+            let shard = ShardNumber::of_budget(&budget(index), SHARDS);
+            let entry = &self.shards[shard.0 as usize].1.budgets[&budget(index)];
+            let rows = entry.rows.iter();
+            let granted: u64 = rows.clone().map(|row| row.granted.get()).sum();
+            let returned: u64 = rows.clone().map(|row| row.returned.get()).sum();
+            let spent: u64 = rows.map(|row| row.spent.get()).sum();
+            let granted = granted + entry.folded.granted.get();
+            let returned = returned + entry.folded.returned.get();
+            let spent = spent + entry.folded.spent.get();
+            let (paid, billed) = (entry.paid.get(), self.billed[index]);
+            assert!(
+                granted - returned <= paid,
+                "{granted} - {returned} drawn of {paid}"
+            );
+            assert!(
+                returned + spent <= granted,
+                "{returned} + {spent} exceed {granted}"
+            );
+            assert!(billed <= paid, "{billed} billed of {paid}");
+            assert!(spent <= billed, "{spent} reported of {billed} billed");
+            let totals = entry.totals();
+            let sum = [totals.spent, totals.held, totals.available]
+                .into_iter()
+                .sum();
+            assert_eq!(totals.paid, sum);
+            (paid, spent, totals.held.get())
+        };
+        (0..BUDGETS).map(check_one).collect()
+    }
+}
