Add the state machine of orders and its model check

Cause: a call that must not be repeated has to run at most once at any router, whatever is lost, late or away.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod base;
 pub mod error;
+pub mod order;
