--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod limit;
 pub mod membership;
+pub mod order;
 pub mod retry;
 pub mod routing;
 pub mod stream;
