Run calls that must not be repeated through a platform record

Change: an order runs in its own task, so that its outcome is recorded also if the caller disconnects; tokens are reserved only when the call is about to be sent, so that a repeat gets its stored answer also from an empty budget; order_rate is divided by the live instances. Conclusion: an order runs at most once over two routers in the tested faults.

--- a/crates/router/src/process/members.rs
+++ b/crates/router/src/process/members.rs
@@ -148,6 +148,7 @@
             })
             .collect();
         self.state.desk.set_routers(live.len());
+        self.state.share_orders();
         let _ = self.ledger.tell(LedgerEvent::PeersChanged(live)).await;
         let _ = self.config.tell(ConfigEvent::MembersChanged(domain)).await;
     }
--- a/crates/router/src/process/mod.rs
+++ b/crates/router/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod members;
 mod metrics;
 mod operator;
+mod order;
 mod poll;
 mod router;
 mod settings;
@@ -20,6 +21,7 @@
 pub(crate) use event::log_event;
 pub(crate) use ledger::{LedgerActor, LedgerCell};
 pub(crate) use members::{FleetView, MemberActor};
+pub(crate) use order::OrderDesk;
 pub(crate) use state::{RouterPhase, RouterState, RunningGuard};
 
 pub use event::LogEvent;
--- /dev/null
+++ b/crates/router/src/process/order.rs
@@ -0,0 +1,82 @@
+//! Claims and rate of the orders of one process.
+
+use std::{sync::Arc, time::Duration};
+
+use cornelarch_core::{
+    base::MonotonicTime,
+    order::{ClaimId, ClaimTable, LocalClaim, OrderCall, OrderLimiter, OrderOptions},
+};
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::sync::watch;
+
+/// Holds what the process knows about its own claims, and the rate of new ones.
+#[derive(Debug)]
+pub(crate) struct OrderDesk {
+    claims: Mutex<ClaimTable>,
+    limiter: Mutex<Option<OrderLimiter>>,
+    changed: watch::Sender<()>,
+    options: Arc<OrderOptions>,
+    generator: Mutex<StdRng>,
+}
+
+impl OrderDesk {
+    /// Creates a desk that admits no order until its share is set.
+    pub(crate) fn new() -> Self {
+        Self {
+            claims: Mutex::default(),
+            limiter: Mutex::default(),
+            changed: watch::Sender::new(()),
+            options: Arc::default(),
+            generator: Mutex::new(StdRng::from_os_rng()),
+        }
+    }
+
+    /// Draws the id of a new claim.
+    pub(crate) fn draw_claim(&self) -> ClaimId {
+        ClaimId(self.generator.lock().random())
+    }
+
+    /// Returns the options of every attempt.
+    pub(crate) fn options(&self) -> Arc<OrderOptions> {
+        Arc::clone(&self.options)
+    }
+
+    /// Sets the rate of the fleet in orders per second, and the number of live instances.
+    pub(crate) fn set_share(&self, fleet_per_s: f64, instances: usize, now: MonotonicTime) {
+        let mut limiter = self.limiter.lock();
+        limiter
+            .get_or_insert_with(|| OrderLimiter::new(fleet_per_s, now))
+            .set_share(fleet_per_s, instances, now);
+    }
+
+    /// Takes one order from the rate; returns whether it may proceed.
+    pub(crate) fn take(&self, now: MonotonicTime) -> bool {
+        let mut limiter = self.limiter.lock();
+        limiter.as_mut().is_some_and(|limiter| limiter.take(now))
+    }
+
+    /// Records the state of a call, after its opening and after each event.
+    pub(crate) fn track(&self, call: &OrderCall) {
+        self.claims.lock().track(call);
+        self.changed.send_replace(());
+    }
+
+    /// Returns what is known about a claim.
+    pub(crate) fn lookup(&self, claim: ClaimId) -> LocalClaim {
+        self.claims.lock().lookup(claim)
+    }
+
+    /// Waits until a claim of this process has ended, at most `timeout`.
+    pub(crate) async fn wait_claim(&self, claim: ClaimId, timeout: Duration) -> bool {
+        let mut changed = self.changed.subscribe();
+        let ended = async {
+            while self.lookup(claim) == LocalClaim::Running {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::time::timeout(timeout, ended).await.is_ok()
+    }
+}
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -26,8 +26,8 @@
 use crate::{
     connection::PeerLinks,
     process::{
-        ConfigActor, FleetView, LedgerActor, LedgerCell, MemberActor, MetricName, RouterClock,
-        RouterMetrics, RouterSettings, UpstreamDesk, log_event,
+        ConfigActor, FleetView, LedgerActor, LedgerCell, MemberActor, MetricName, OrderDesk,
+        RouterClock, RouterMetrics, RouterSettings, UpstreamDesk, log_event,
     },
     version::ConfigVersion,
 };
@@ -68,6 +68,7 @@
     pub(crate) ready: watch::Sender<u64>,
     pub(crate) ledger: LedgerCell,
     pub(crate) desk: UpstreamDesk,
+    pub(crate) orders: OrderDesk,
     pub(crate) fleet: ArcSwap<FleetView>,
     pub(crate) client: reqwest::Client,
     pub(crate) store: HttpStore,
@@ -92,6 +93,7 @@
         let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
         let ledger = BudgetLedger::new(holder.clone(), LedgerOptions::default());
         Self {
+            orders: OrderDesk::new(),
             clock: RouterClock::start(),
             metrics,
             version: ArcSwapOption::empty(),
@@ -151,6 +153,7 @@
             version.document.upstreams.len(),
         );
         self.version.store(Some(Arc::new(version)));
+        self.share_orders();
         self.ready.send_replace(number);
         log_event!(
             ConfigApplied,
@@ -186,6 +189,15 @@
         *self.ledger.lock() = BudgetLedger::new(self.holder.clone(), options);
     }
 
+    /// Divides the fleet's rate of orders by the number of live instances.
+    pub(crate) fn share_orders(&self) {
+        if let Some(version) = self.version.load().as_ref() {
+            let rate = version.document.limits.order_rate as f64;
+            let instances = self.fleet.load().live.len();
+            self.orders.set_share(rate, instances, self.now());
+        }
+    }
+
     /// Sends a message to a peer process, if its address is known.
     pub(crate) fn send_to(&self, holder: &HolderId, body: WireBody) {
         match self.fleet.load().address(holder) {
--- a/crates/router/src/request/mod.rs
+++ b/crates/router/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod chat;
 mod chat_body;
 mod context;
+mod order;
 mod refusal;
 mod service;
 mod sse;
--- a/crates/router/src/request/service.rs
+++ b/crates/router/src/request/service.rs
@@ -33,6 +33,7 @@
         attempt::{AttemptPlan, UpstreamCall, check_blocked},
         bill::{PartialCost, RequestBill},
         context::{RequestContext, TIMEOUT_HEADER},
+        order::run_order,
         refusal::{RUN_HEADER, run_value},
         refuse,
     },
@@ -117,14 +118,7 @@
     };
     check_blocked(&call.context, call.fingerprint())?;
     if !call.section.is_idempotent(call.method.as_str(), &call.path) {
-        if !call.headers.contains_key("idempotency-key") {
-            return Err(RequestRefusal::new(
-                ErrorKind::IdempotencyKeyRequired,
-                "this call may not be repeated, so the header Idempotency-Key is required",
-            ));
-        }
-        let message = "calls that must not be repeated are not supported yet";
-        return Err(RequestRefusal::new(ErrorKind::PlatformUnavailable, message));
+        return run_order(call).await;
     }
     let bill = call.reserve().await?;
     let (answer, bill) = call.answer(bill).await?;
--- /dev/null
+++ b/crates/router/tests/orders.rs
@@ -0,0 +1,204 @@
+//! Calls that must not be repeated.
+
+mod common;
+
+use common::{FleetPlan, TestFleet, read_refusal, wait_until};
+use cornelarch_standin::{
+    platform::PlatformFaults,
+    service::{ServiceFaults, ServiceOptions},
+};
+use rstest::rstest;
+use std::time::Duration;
+
+fn two_routers() -> FleetPlan {
+    FleetPlan {
+        routers: vec!["a", "a"],
+        ..FleetPlan::default()
+    }
+}
+
+/// Guards against a second run, and a second bill, when an order is repeated at another router.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_at_another_router_gets_the_stored_answer() {
+    let fleet = TestFleet::start(two_routers()).await;
+    let first = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    assert_eq!(first.headers()["x-cornelarch-run"], "ran");
+    let status = first.status();
+    assert!(status.is_success(), "{status}");
+    let body = first.text().await.unwrap();
+    for router in [1, 0] {
+        let again = fleet.order(router, "key-1", "o1").send().await.unwrap();
+        assert_eq!(again.status(), status);
+        assert_eq!(again.text().await.unwrap(), body);
+    }
+    assert_eq!(fleet.services[0].executions()["o1"], 1);
+    assert_eq!(fleet.close().await.spent.get(), 7);
+}
+
+/// Guards against two runs when an order is sent to two routers at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_repeats_run_once() {
+    let fleet = TestFleet::start(two_routers()).await;
+    let requests = (0..8).map(|index| fleet.order(index % 2, "key-1", "o1").send());
+    let responses = futures_util::future::join_all(requests).await;
+    let mut answered = 0;
+    for response in responses {
+        let response = response.unwrap();
+        if response.status().is_success() {
+            answered += 1;
+        } else {
+            // The other router cannot know how the call ends.
+            assert_eq!(read_refusal(response).await.2, "order_state_unknown");
+        }
+    }
+    assert!(answered >= 1);
+    assert_eq!(fleet.services[0].executions()["o1"], 1);
+    assert_eq!(fleet.close().await.spent.get(), 7);
+}
+
+/// Guards against an idempotency key that returns the answer to another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn key_cannot_be_used_for_another_request() {
+    let fleet = TestFleet::start(FleetPlan::default()).await;
+    fleet.order(0, "key-1", "o1").send().await.unwrap();
+    let refusal = read_refusal(fleet.order(0, "key-1", "o2").send().await.unwrap()).await;
+    assert_eq!(
+        refusal,
+        (422, "not_run".into(), "idempotency_key_reused".into())
+    );
+    assert!(!fleet.services[0].executions().contains_key("o2"));
+}
+
+/// Guards against an order that runs without a record, and against lookups that need one.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_without_platform_is_refused_and_not_run() {
+    let fleet = TestFleet::start(FleetPlan::default()).await;
+    // The first call draws tokens, which serve the lookup during the outage.
+    let warm = fleet.order(0, "key-0", "o0").send().await.unwrap();
+    assert!(warm.status().is_success());
+    fleet.platform.set_faults(PlatformFaults {
+        unreachable: true,
+        ..PlatformFaults::default()
+    });
+    let response = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    assert!(response.headers().contains_key("retry-after"));
+    let refusal = read_refusal(response).await;
+    assert_eq!(
+        refusal,
+        (503, "not_run".into(), "platform_unavailable".into())
+    );
+    let url = format!("http://{}/services/shop/items/1", fleet.callers(0));
+    let lookup = fleet
+        .client
+        .get(url)
+        .bearer_auth(common::KEY)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(lookup.status(), 200);
+    assert!(!fleet.services[0].executions().contains_key("o1"));
+    fleet.platform.set_faults(PlatformFaults::default());
+    let later = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    assert!(later.status().is_success());
+    assert_eq!(fleet.services[0].executions()["o1"], 1);
+}
+
+/// Guards against a second run after the answer to the claim's write was lost.
+#[rstest]
+#[case::claim(1)]
+#[case::claim_and_answer(2)]
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_write_answers_do_not_repeat_an_order(#[case] lost: u32) {
+    let fleet = TestFleet::start(two_routers()).await;
+    let warm = fleet.order(0, "key-0", "o0").send().await.unwrap();
+    assert!(warm.status().is_success());
+    fleet.platform.set_faults(PlatformFaults {
+        lost_answers: lost,
+        ..PlatformFaults::default()
+    });
+    let first = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    assert!(first.status().is_success(), "{:?}", first.text().await);
+    let repeat = async || {
+        let response = fleet.order(1, "key-1", "o1").send().await.unwrap();
+        let is_stored = response.status().is_success();
+        assert!(is_stored || read_refusal(response).await.2 == "order_state_unknown");
+        is_stored
+    };
+    wait_until("the answer is stored", repeat).await;
+    assert_eq!(fleet.services[0].executions()["o1"], 1);
+}
+
+/// Guards against a repeat of an order whose upstream was lost after it may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_order_is_unknown_and_never_repeated() {
+    let fleet = TestFleet::start(FleetPlan {
+        services: vec![ServiceOptions::default(); 2],
+        ..two_routers()
+    })
+    .await;
+    for service in &fleet.services {
+        service.set_faults(ServiceFaults {
+            reset_after_run: 1,
+            ..ServiceFaults::default()
+        });
+    }
+    let first = read_refusal(fleet.order(0, "key-1", "o1").send().await.unwrap()).await;
+    assert_eq!(first, (502, "unknown".into(), "upstream_lost".into()));
+    for router in [0, 1] {
+        let again = read_refusal(fleet.order(router, "key-1", "o1").send().await.unwrap()).await;
+        assert_eq!(again, (409, "unknown".into(), "order_state_unknown".into()));
+    }
+    let executions: u64 = fleet
+        .services
+        .iter()
+        .flat_map(|s| s.executions().into_values())
+        .sum();
+    assert_eq!(executions, 1);
+    // The call may have run, so its cost is billed once.
+    assert_eq!(fleet.close().await.spent.get(), 7);
+}
+
+/// Guards against a record that stays claimed because the caller disconnected.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_of_a_caller_who_has_gone_is_recorded() {
+    let fleet = TestFleet::start(FleetPlan {
+        services: vec![ServiceOptions {
+            call_time: Duration::from_millis(100),
+            ..ServiceOptions::default()
+        }],
+        ..two_routers()
+    })
+    .await;
+    let request = tokio::spawn(fleet.order(0, "key-1", "o1").send());
+    let service = &fleet.services[0];
+    wait_until("the call arrived", async || service.counts().received == 1).await;
+    request.abort();
+    let stored = async || {
+        let response = fleet.order(1, "key-1", "o1").send().await.unwrap();
+        response.status().is_success()
+    };
+    wait_until("the answer is stored", stored).await;
+    assert_eq!(service.executions()["o1"], 1);
+}
+
+/// Guards against a fleet that writes more orders than the platform can take.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_above_the_rate_are_refused() {
+    let fleet = TestFleet::start(FleetPlan {
+        limits: "order_rate = 1",
+        ..FleetPlan::default()
+    })
+    .await;
+    let mut limited = 0;
+    for index in 0..6 {
+        let key = format!("key-{index}");
+        let response = fleet.order(0, &key, &key).send().await.unwrap();
+        if !response.status().is_success() {
+            let refusal = read_refusal(response).await;
+            assert_eq!(refusal, (429, "not_run".into(), "rate_limited".into()));
+            limited += 1;
+        }
+    }
+    assert!(limited >= 3, "{limited}");
+    assert_eq!(fleet.services[0].counts().orders, 6 - limited);
+}
