--- /dev/null
+++ b/crates/router/tests/peers.rs
@@ -0,0 +1,93 @@
+//! What routers of a domain tell each other.
+
+mod common;
+
+use common::{FleetPlan, OPERATOR_KEY, TestFleet, read_refusal, wait_until};
+use cornelarch_standin::engine::EngineOptions;
+
+async fn start_domain() -> TestFleet {
+    let fleet = TestFleet::start(FleetPlan {
+        routers: vec!["a", "a"],
+        engines: vec![EngineOptions::default(); 4],
+        ..FleetPlan::default()
+    })
+    .await;
+    for router in 0..2 {
+        let knows = async || {
+            let dump = fleet.operator(router, "/dump").await;
+            dump["members"]
+                .as_array()
+                .is_some_and(|members| members.len() == 1)
+        };
+        wait_until("the routers know each other", knows).await;
+    }
+    fleet
+}
+
+/// Guards against a crashing request that is blocked at one router and crashes on at another, and
+/// against a block that an operator cannot remove everywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn blocks_are_shared_in_the_domain() {
+    let fleet = start_domain().await;
+    fleet.chat(0, "[crash]", false).send().await.unwrap();
+    let blocked = async || {
+        let dump = fleet.operator(1, "/dump").await;
+        dump["crash_table"][0]["verdict"] == "blocked"
+    };
+    wait_until("the other router blocks the request", blocked).await;
+    let refusal = read_refusal(fleet.chat(1, "[crash]", false).send().await.unwrap()).await;
+    assert_eq!(refusal, (422, "not_run".into(), "request_blocked".into()));
+    let crashes: u64 = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.counts().crashes)
+        .sum();
+    assert_eq!(crashes, 2);
+    let dump = fleet.operator(1, "/dump").await;
+    let fingerprint = dump["crash_table"][0]["fingerprint"].as_str().unwrap();
+    let operator = fleet.routers[1].addresses().operator;
+    let url = format!("http://{operator}/unblock/{fingerprint}");
+    let unblock = fleet.client.post(url).bearer_auth(OPERATOR_KEY).send();
+    assert!(unblock.await.unwrap().status().is_success());
+    let cleared = async || {
+        let dump = fleet.operator(0, "/dump").await;
+        dump["crash_table"].as_array().is_some_and(Vec::is_empty)
+    };
+    wait_until("the first router hears of it", cleared).await;
+}
+
+/// Guards against a peer port that dies of garbage, and against one that believes a frame for an
+/// earlier process.
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_at_the_peer_port_does_no_harm() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let fleet = start_domain().await;
+    let peers = fleet.routers[0].addresses().peers;
+    for garbage in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0, 0, 0, 3, 0xff, 0xff, 0xff],
+        &[0xff; 64],
+    ] {
+        let mut stream = tokio::net::TcpStream::connect(peers).await.unwrap();
+        stream.write_all(garbage).await.unwrap();
+        let mut rest = Vec::new();
+        // The router ends the connection, with or without a reset.
+        let _ = stream.read_to_end(&mut rest).await;
+        assert!(rest.is_empty());
+    }
+    let response = fleet.chat(0, "still there", false).send().await.unwrap();
+    assert!(response.status().is_success());
+}
+
+/// Guards against routers that do not notice that a member left or died.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_member_is_known() {
+    let mut fleet = start_domain().await;
+    fleet.routers.remove(1).close().await;
+    let gone = async || {
+        let dump = fleet.operator(0, "/dump").await;
+        let state = &dump["members"][0]["record"]["state"];
+        state == "leaving" || state == "dead"
+    };
+    wait_until("the member is known to leave", gone).await;
+}
