--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,12 +5,12 @@
 //! same code serves production, fault tests, model checking and measurement.
 
 pub mod base;
-pub mod budget;
 pub mod blocklist;
+pub mod budget;
+pub mod config;
 pub mod error;
 pub mod limit;
+pub mod membership;
 pub mod retry;
 pub mod routing;
 pub mod stream;
-pub mod config;
-pub mod membership;
