--- /dev/null
+++ b/crates/core/tests/budget/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the budget ledger.
+
+mod ledger;
+mod model;
+mod model_world;
+mod property;
+mod random_fleet;
+mod shard;
