--- a/crates/router/src/process/order.rs
+++ b/crates/router/src/process/order.rs
@@ -10,14 +10,11 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::watch;
 
-/// Orders per second of the fleet until a configuration is in force.
-const START_RATE: f64 = 0.0;
-
 /// Holds what the process knows about its own claims, and the rate of new ones.
 #[derive(Debug)]
 pub(crate) struct OrderDesk {
     claims: Mutex<ClaimTable>,
-    limiter: Mutex<OrderLimiter>,
+    limiter: Mutex<Option<OrderLimiter>>,
     changed: watch::Sender<()>,
     options: Arc<OrderOptions>,
     generator: Mutex<StdRng>,
@@ -25,10 +22,10 @@
 
 impl OrderDesk {
     /// Creates a desk that admits no order until its share is set.
-    pub(crate) fn new(now: MonotonicTime) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             claims: Mutex::default(),
-            limiter: Mutex::new(OrderLimiter::new(START_RATE, now)),
+            limiter: Mutex::default(),
             changed: watch::Sender::new(()),
             options: Arc::default(),
             generator: Mutex::new(StdRng::from_os_rng()),
@@ -47,12 +44,16 @@
 
     /// Sets the rate of the fleet in orders per second, and the number of live instances.
     pub(crate) fn set_share(&self, fleet_per_s: f64, instances: usize, now: MonotonicTime) {
-        self.limiter.lock().set_share(fleet_per_s, instances, now);
+        let mut limiter = self.limiter.lock();
+        limiter
+            .get_or_insert_with(|| OrderLimiter::new(fleet_per_s, now))
+            .set_share(fleet_per_s, instances, now);
     }
 
     /// Takes one order from the rate; returns whether it may proceed.
     pub(crate) fn take(&self, now: MonotonicTime) -> bool {
-        self.limiter.lock().take(now)
+        let mut limiter = self.limiter.lock();
+        limiter.as_mut().is_some_and(|limiter| limiter.take(now))
     }
 
     /// Records the state of a call, after its opening and after each event.
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -16,7 +16,6 @@
     budget::{self, BudgetLedger, LedgerEvent, LedgerOptions},
     config::{self, ConfigEvent, Document},
     membership::MemberEvent,
-    routing::RoutingOptions,
 };
 use cornelarch_platform::HttpStore;
 use cornelarch_wire::peer::{WireBody, WireCrashReport};
@@ -93,18 +92,14 @@
     ) -> Self {
         let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
         let ledger = BudgetLedger::new(holder.clone(), LedgerOptions::default());
-        let clock = RouterClock::start();
         Self {
-            orders: OrderDesk::new(clock.now()),
-            clock,
+            orders: OrderDesk::new(),
+            clock: RouterClock::start(),
             metrics,
             version: ArcSwapOption::empty(),
             ready: watch::Sender::new(0),
             ledger: LedgerCell::new(ledger),
-            desk: UpstreamDesk::new(
-                RoutingOptions::new(settings.domain.clone()),
-                settings.capacity,
-            ),
+            desk: UpstreamDesk::new(settings.domain.clone(), settings.capacity),
             fleet: ArcSwap::default(),
             client,
             store,
--- a/crates/router/tests/orders.rs
+++ b/crates/router/tests/orders.rs
@@ -62,7 +62,10 @@
     let fleet = TestFleet::start(FleetPlan::default()).await;
     fleet.order(0, "key-1", "o1").send().await.unwrap();
     let refusal = read_refusal(fleet.order(0, "key-1", "o2").send().await.unwrap()).await;
-    assert_eq!(refusal, (422, "not_run".into(), "idempotency_key_reused".into()));
+    assert_eq!(
+        refusal,
+        (422, "not_run".into(), "idempotency_key_reused".into())
+    );
     assert!(!fleet.services[0].executions().contains_key("o2"));
 }
 
@@ -80,9 +83,18 @@
     let response = fleet.order(0, "key-1", "o1").send().await.unwrap();
     assert!(response.headers().contains_key("retry-after"));
     let refusal = read_refusal(response).await;
-    assert_eq!(refusal, (503, "not_run".into(), "platform_unavailable".into()));
+    assert_eq!(
+        refusal,
+        (503, "not_run".into(), "platform_unavailable".into())
+    );
     let url = format!("http://{}/services/shop/items/1", fleet.callers(0));
-    let lookup = fleet.client.get(url).bearer_auth(common::KEY).send().await.unwrap();
+    let lookup = fleet
+        .client
+        .get(url)
+        .bearer_auth(common::KEY)
+        .send()
+        .await
+        .unwrap();
     assert_eq!(lookup.status(), 200);
     assert!(!fleet.services[0].executions().contains_key("o1"));
     fleet.platform.set_faults(PlatformFaults::default());
@@ -136,7 +148,11 @@
         let again = read_refusal(fleet.order(router, "key-1", "o1").send().await.unwrap()).await;
         assert_eq!(again, (409, "unknown".into(), "order_state_unknown".into()));
     }
-    let executions: u64 = fleet.services.iter().flat_map(|s| s.executions().into_values()).sum();
+    let executions: u64 = fleet
+        .services
+        .iter()
+        .flat_map(|s| s.executions().into_values())
+        .sum();
     assert_eq!(executions, 1);
     // The call may have run, so its cost is billed once.
     assert_eq!(fleet.close().await.spent.get(), 7);
