Learn speeds per group, expect waits before an upstream is full, and compare more candidates

Long prompts went to slow upstreams, because upstreams that the estimate called full were excluded and because a router sees too few answers of one upstream to learn its slope. Affinity also ignored its load bound once a prefix was known to be cached.

--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -7,14 +7,22 @@
     limit::ConcurrencyLimit,
     routing::{
         InstanceState, RouteRequest, RoutingOptions, UpstreamSpec, UseState,
-        health::UpstreamHealth, load::LoadEstimate, prefix::PrefixMemory, speed::SpeedEstimate,
+        health::UpstreamHealth,
+        load::LoadEstimate,
+        prefix::PrefixMemory,
+        speed::{LatencyLine, SpeedEstimate},
     },
 };
 
-/// Seconds to first token per effective token before anything is learnt.
-const PRIOR_FIRST_S: f64 = 0.000_5;
+/// Requests that are sent relative to the limit. A short queue at the upstream keeps its batch full
+/// between two load reports; without it the goodput at twice the capacity was 0.82 of its peak.
+const OVERCOMMIT: f64 = 1.25;
+/// Largest excess load relative to its spread, so that the exponential stays finite.
+const EXCESS_MAX: f64 = 500.0;
 /// Duration of an answer in seconds before anything is learnt.
 const PRIOR_DURATION_S: f64 = 2.0;
+/// Share of a prefix that counts at the upstream that all routers prefer for it.
+const PREFERRED_SHARE: f64 = 0.5;
 /// Time that a failed attempt costs the caller, in seconds.
 const FAILURE_COST_S: f64 = 1.0;
 
@@ -31,6 +39,8 @@
     pub(super) health: UpstreamHealth,
     pub(super) limit: ConcurrencyLimit,
     pub(super) prefixes: PrefixMemory,
+    /// Prompt tokens of own requests that wait for their first token.
+    pub(super) pending_tokens: f64,
 }
 
 impl UpstreamEntry {
@@ -67,7 +77,7 @@
 
     /// Returns how many more requests the upstream takes.
     pub(super) fn free(&self, options: &RoutingOptions, now: MonotonicTime) -> f64 {
-        self.capacity(options, now) - self.estimated_load(options, now)
+        self.capacity(options, now) * OVERCOMMIT - self.estimated_load(options, now)
     }
 
     /// Returns the state in which the upstream is for selection.
@@ -92,36 +102,55 @@
         UseState::Used
     }
 
-    /// Returns the learnt or assumed seconds to first token per effective token.
-    pub(super) fn first_s(&self, now: MonotonicTime) -> f64 {
-        self.speed.first_s(now).unwrap_or(PRIOR_FIRST_S)
-    }
-
     /// Returns the expected queueing time in seconds of a request that arrives now.
     pub(super) fn expected_wait_s(&self, options: &RoutingOptions, now: MonotonicTime) -> f64 {
         let load = self.estimated_load(options, now);
         let slots = f64::from(self.spec.concurrency.max(1));
-        let excess = (load + 1.0 - slots).max(0.0);
+        // The load at arrival differs from the estimate like a Poisson count, so an upstream that
+        // is nearly full may already make the request wait (softplus instead of a maximum).
+        let spread = slots.sqrt();
+        let relative = ((load + 1.0 - slots) / spread).min(EXCESS_MAX);
+        let excess = spread * relative.exp().ln_1p();
         excess * self.speed.duration_s().unwrap_or(PRIOR_DURATION_S) / slots
     }
 
-    /// Returns the expected time to first token in seconds, which is the score.
-    pub(super) fn score_s(
+    /// Returns whether the utilisation is below the bound of prefix affinity.
+    pub(super) fn is_within(
         &self,
-        request: &RouteRequest,
-        is_preferred: bool,
+        bound: f64,
         options: &RoutingOptions,
         now: MonotonicTime,
-    ) -> f64 {
-        let cached = match request.prefix {
+    ) -> bool {
+        // One request more keeps an idle group from spreading each prefix.
+        let most = bound * f64::from(self.spec.concurrency) + 1.0;
+        self.estimated_load(options, now) < most
+    }
+
+    /// Returns the prompt tokens that need no work because the prefix is cached.
+    ///
+    /// An upstream that all routers prefer for the prefix counts for half of it before the prefix
+    /// is known to be there, because it will be used again.
+    pub(super) fn cached_tokens(&self, request: &RouteRequest, is_preferred: bool) -> f64 {
+        match request.prefix {
             Some(hint) if self.prefixes.contains(hint.digest) => f64::from(hint.tokens),
-            Some(hint) if is_preferred => 0.5 * f64::from(hint.tokens),
+            Some(hint) if is_preferred => PREFERRED_SHARE * f64::from(hint.tokens),
             _ => 0.0,
-        };
-        let tokens = SpeedEstimate::effective_tokens(request.prompt_tokens) - cached;
+        }
+    }
+
+    /// Returns the expected time to first token in seconds of a prompt with `tokens` to work on,
+    /// which is the score.
+    pub(super) fn score_s(
+        &self,
+        tokens: f64,
+        line: &LatencyLine,
+        options: &RoutingOptions,
+        now: MonotonicTime,
+    ) -> f64 {
+        let tokens = tokens.max(0.0);
         let failures = f64::from(self.health.in_a_row().min(5)) + self.health.failure_rate();
         self.expected_wait_s(options, now)
-            + tokens.max(1.0) * self.first_s(now)
+            + line.value_s(tokens + self.pending_tokens) * self.speed.factor(now)
             + self.penalty.as_secs_f64()
             + failures * FAILURE_COST_S
     }
--- a/crates/core/src/routing/group.rs
+++ b/crates/core/src/routing/group.rs
@@ -1,6 +1,6 @@
 //! Upstreams that can answer the same requests.
 
-use crate::routing::{UpstreamKey, prefix::PrefixRing};
+use crate::routing::{UpstreamKey, prefix::PrefixRing, speed::LatencyLine};
 
 /// Holds the upstreams of one model or service.
 #[derive(Clone, Debug, Default)]
@@ -11,6 +11,8 @@
     pub(super) remote: Vec<UpstreamKey>,
     /// Order of preference by prefix.
     pub(super) ring: PrefixRing,
+    /// Time to first token over the prompt length.
+    pub(super) line: LatencyLine,
 }
 
 impl UpstreamGroup {
--- a/crates/core/src/routing/options.rs
+++ b/crates/core/src/routing/options.rs
@@ -4,6 +4,9 @@
 
 use crate::base::DomainName;
 
+/// Smallest number of candidates.
+const CHOICES_MIN: usize = 2;
+
 /// Configures [`UpstreamTable`](crate::routing::UpstreamTable).
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoutingOptions {
@@ -15,7 +18,7 @@
     pub remote_penalty: Duration,
     /// Additional time to upstreams of particular domains, which replaces `remote_penalty`.
     pub domain_penalties: HashMap<DomainName, Duration>,
-    /// Candidates that are drawn and compared for each request.
+    /// Largest number of candidates that are drawn and compared for each request.
     pub choices: usize,
     /// Weight of other routers in the correction of load reports: 0 counts own requests only, and
     /// 1 assumes that every other router has acted in the same way.
@@ -39,6 +42,17 @@
 }
 
 impl RoutingOptions {
+    /// Returns the number of candidates that are drawn from a group of `size` upstreams.
+    ///
+    /// Many routers that share few upstreams see the same reports, and would all choose the same
+    /// best upstream if they compared all of them. Two random candidates prevent that.
+    #[must_use]
+    pub fn candidates(&self, size: usize) -> usize {
+        let routers = usize::try_from(self.routers).unwrap_or(usize::MAX).max(1);
+        let fair = self.choices.saturating_mul(size) / routers;
+        fair.clamp(CHOICES_MIN, self.choices.max(CHOICES_MIN))
+    }
+
     /// Creates the default settings for a router in `domain`.
     #[must_use]
     pub fn new(domain: DomainName) -> Self {
@@ -47,7 +61,7 @@
             routers: 1,
             remote_penalty: Duration::from_millis(2),
             domain_penalties: HashMap::new(),
-            choices: 2,
+            choices: 9,
             others_weight: 0.5,
             affinity_bound: 1.25,
             report_max_age: Duration::from_secs(5),
--- a/crates/core/src/routing/select.rs
+++ b/crates/core/src/routing/select.rs
@@ -15,7 +15,7 @@
 /// Groups up to this size are scanned; larger ones are sampled.
 const SCAN_MAX: usize = 32;
 /// Draws from a large group before it is scanned.
-const DRAWS_MAX: usize = 16;
+const DRAWS_MAX: usize = 32;
 /// Share of draws from other domains, so that a faster remote upstream is found.
 const REMOTE_SHARE: f64 = 0.25;
 /// Upstreams of a large group whose load is averaged.
@@ -50,15 +50,21 @@
         if candidates.is_empty() {
             candidates = self.scan(group, request, now, rng)?;
         }
-        let preferred = self.preferred(group, request, now, rng);
+        let bound = request
+            .prefix
+            .map(|_| self.options().affinity_bound * self.mean_utilisation(group, now, rng));
+        let preferred = bound.and_then(|bound| self.preferred(group, request, bound, now));
         candidates.extend(preferred.filter(|key| !candidates.contains(key)));
         let scored = candidates.into_iter().map(|key| {
             let entry = &self.entries[key];
-            let is_preferred = preferred == Some(key);
-            (
-                key,
-                entry.score_s(request, is_preferred, self.options(), now),
-            )
+            let is_within = bound.is_some_and(|bound| entry.is_within(bound, self.options(), now));
+            let cached = match preferred {
+                Some(preferred) if preferred == key => entry.cached_tokens(request, true),
+                _ if is_within => entry.cached_tokens(request, false),
+                _ => 0.0,
+            };
+            let tokens = f64::from(request.prompt_tokens) - cached;
+            (key, entry.score_s(tokens, &group.line, self.options(), now))
         });
         let best = scored.min_by(|left, right| left.1.total_cmp(&right.1));
         let (key, score_s) = best.ok_or_else(|| SelectError::Full {
@@ -81,7 +87,7 @@
         now: MonotonicTime,
         rng: &mut impl Rng,
     ) -> Vec<UpstreamKey> {
-        let mut candidates = Vec::with_capacity(self.options().choices);
+        let mut candidates = Vec::with_capacity(self.options().candidates(group.len()));
         for _ in 0..DRAWS_MAX {
             let is_remote = group.local.is_empty()
                 || (!group.remote.is_empty() && rng.random::<f64>() < REMOTE_SHARE);
@@ -95,7 +101,7 @@
             if !candidates.contains(&key) && self.accepts(entry, request, now) {
                 candidates.push(key);
             }
-            if candidates.len() >= self.options().choices {
+            if candidates.len() >= self.options().candidates(group.len()) {
                 break;
             }
         }
@@ -136,31 +142,26 @@
                 retry_after: retry_after.unwrap_or(Duration::from_secs(1)),
             });
         }
-        Ok(draw_weighted(weighted, self.options().choices, rng))
+        Ok(draw_weighted(
+            weighted,
+            self.options().candidates(group.len()),
+            rng,
+        ))
     }
 
-    /// Returns the upstream that all routers prefer for the prefix, if its load permits.
+    /// Returns the upstream that all routers prefer for the prefix within the load bound.
     fn preferred(
         &self,
         group: &UpstreamGroup,
         request: &RouteRequest,
+        bound: f64,
         now: MonotonicTime,
-        rng: &mut impl Rng,
     ) -> Option<UpstreamKey> {
-        let hint = request.prefix?;
-        let options = self.options();
-        let mean = self.mean_utilisation(group, now, rng);
-        group
-            .ring
-            .walk(hint.digest)
-            .take(RING_STEPS_MAX)
-            .find(|key| {
-                let entry = &self.entries[*key];
-                let share = options.affinity_bound * mean * f64::from(entry.spec.concurrency);
-                // One request more keeps an idle group from spreading each prefix.
-                entry.estimated_load(options, now) < share + 1.0
-                    && self.accepts(entry, request, now)
-            })
+        let digest = request.prefix?.digest;
+        group.ring.walk(digest).take(RING_STEPS_MAX).find(|key| {
+            let entry = &self.entries[*key];
+            entry.is_within(bound, self.options(), now) && self.accepts(entry, request, now)
+        })
     }
 
     /// Returns the mean utilisation of the group; of a sample if it is large.
--- a/crates/core/src/routing/snapshot.rs
+++ b/crates/core/src/routing/snapshot.rs
@@ -42,8 +42,8 @@
     pub report_age_ms: Option<u64>,
     /// Limit of requests in flight.
     pub limit: u32,
-    /// Learnt microseconds to first token per prompt token.
-    pub first_token_us: Option<f64>,
+    /// Learnt time to first token of an unqueued prompt of 500 tokens, in milliseconds.
+    pub first_token_ms: Option<f64>,
     /// Learnt duration of an answer in milliseconds.
     pub duration_ms: Option<f64>,
     /// Failures in a row.
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -10,15 +10,17 @@
     retry::AttemptOutcome,
     routing::{
         CacheEvent, InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions,
-        TableSnapshot, UpstreamSnapshot, UpstreamSpec, entry::UpstreamEntry, group::UpstreamGroup,
-        health::UpstreamHealth, load::LoadEstimate, prefix::PrefixMemory, prefix::PrefixRing,
-        speed::SpeedEstimate,
+        TableSnapshot, UpstreamSnapshot, UpstreamSpec,
+        entry::UpstreamEntry,
+        group::UpstreamGroup,
+        health::UpstreamHealth,
+        load::LoadEstimate,
+        prefix::PrefixMemory,
+        prefix::PrefixRing,
+        speed::{LatencyLine, REFERENCE_TOKENS, SpeedEstimate},
     },
 };
 
-/// Effective prompt length to which latencies are scaled before they are compared.
-const REFERENCE_TOKENS: f64 = 1_000.0;
-
 new_key_type! {
     /// Identifies an upstream in the table.
     pub struct UpstreamKey;
@@ -29,6 +31,7 @@
 #[derive(Clone, Debug)]
 struct UpstreamWork {
     upstream: UpstreamKey,
+    target: RouteTarget,
     started: MonotonicTime,
     expected_wait_s: f64,
     load: f64,
@@ -104,7 +107,8 @@
             started: now,
             expected_wait_s: 0.0,
             load: 0.0,
-            tokens: SpeedEstimate::effective_tokens(request.prompt_tokens),
+            target: request.target.clone(),
+            tokens: f64::from(request.prompt_tokens),
             prefix: request.prefix.map(|hint| hint.digest),
             is_first_seen: false,
         };
@@ -114,9 +118,10 @@
             if let Some(hint) = request.prefix
                 && entry.prefixes.contains(hint.digest)
             {
-                work.tokens = (work.tokens - f64::from(hint.tokens)).max(1.0);
+                work.tokens = (work.tokens - f64::from(hint.tokens)).max(0.0);
             }
             entry.load.started(now);
+            entry.pending_tokens += work.tokens;
         }
         self.work.insert(work)
     }
@@ -132,11 +137,19 @@
         let Some(entry) = self.entries.get_mut(work.upstream) else {
             return;
         };
+        entry.pending_tokens = (entry.pending_tokens - work.tokens).max(0.0);
         let latency = now.since(work.started);
         let service_s = latency.as_secs_f64() - work.expected_wait_s;
-        entry.speed.first_token(service_s, work.tokens, now);
-        let comparable = latency.mul_f64(REFERENCE_TOKENS / work.tokens);
-        entry.limit.observe(comparable, work.load as u32);
+        if let Some(group) = self.groups.get_mut(&work.target) {
+            let line = &mut group.line;
+            // Long prompts take longer without any overload.
+            let scale = line.value_s(REFERENCE_TOKENS) / line.value_s(work.tokens);
+            entry
+                .limit
+                .observe(latency.mul_f64(scale), work.load as u32);
+            let speed = &mut entry.speed;
+            speed.first_token(line, service_s, work.tokens, now);
+        }
         if let Some(digest) = work.prefix {
             entry.prefixes.store(digest);
         }
@@ -151,6 +164,9 @@
             return;
         };
         entry.load.finished(now);
+        if !work.is_first_seen {
+            entry.pending_tokens = (entry.pending_tokens - work.tokens).max(0.0);
+        }
         match outcome {
             AttemptOutcome::Answered => {
                 entry.speed.answered(now.since(work.started));
@@ -242,7 +258,7 @@
         let mut upstreams: Vec<_> = self
             .entries
             .values()
-            .map(|entry| describe(entry, &self.options, now))
+            .map(|entry| describe(entry, self.reference_s(entry, now), &self.options, now))
             .collect();
         upstreams.sort_by(|left, right| left.name.cmp(&right.name));
         TableSnapshot {
@@ -251,6 +267,13 @@
         }
     }
 
+    /// Returns the expected seconds to first token of a prompt of the reference length.
+    fn reference_s(&self, entry: &UpstreamEntry, now: MonotonicTime) -> f64 {
+        let group = targets(&entry.spec).find_map(|target| self.groups.get(&target));
+        let line = group.map_or_else(LatencyLine::default, |group| group.line);
+        line.value_s(REFERENCE_TOKENS) * entry.speed.factor(now)
+    }
+
     pub(super) fn group(&self, target: &RouteTarget) -> Option<&UpstreamGroup> {
         self.groups.get(target)
     }
@@ -289,13 +312,14 @@
                 ..ConcurrencyOptions::default()
             }),
             prefixes: PrefixMemory::default(),
+            pending_tokens: 0.0,
         };
         let key = self.entries.insert(entry);
         self.by_name.insert(spec.name.clone(), key);
     }
 
     fn rebuild_groups(&mut self) {
-        self.groups.clear();
+        let old = std::mem::take(&mut self.groups);
         for (key, entry) in self.entries.iter().filter(|(_, entry)| !entry.removed) {
             let is_local = entry.spec.domain == self.options.domain;
             for target in targets(&entry.spec) {
@@ -308,7 +332,10 @@
                 keys.push(key);
             }
         }
-        for group in self.groups.values_mut() {
+        for (target, group) in &mut self.groups {
+            if let Some(known) = old.get(target) {
+                group.line = known.line;
+            }
             let named = group.keys().map(|key| (key, &self.entries[key].spec.name));
             group.ring = PrefixRing::build(named);
         }
@@ -371,6 +398,7 @@
 
 fn describe(
     entry: &UpstreamEntry,
+    first_s: f64,
     options: &RoutingOptions,
     now: MonotonicTime,
 ) -> UpstreamSnapshot {
@@ -382,7 +410,7 @@
         estimated_load: entry.estimated_load(options, now),
         report_age_ms: entry.load.report_age(now).map(|age| age.as_millis() as u64),
         limit: entry.limit.limit(),
-        first_token_us: entry.speed.first_s(now).map(|first_s| first_s * 1e6),
+        first_token_ms: entry.speed.is_known().then_some(first_s * 1e3),
         duration_ms: entry.speed.duration_s().map(|duration_s| duration_s * 1e3),
         failures_in_a_row: entry.health.in_a_row(),
         failure_rate: entry.health.failure_rate(),
