Bound the wait in the admission queue and the cost of a load estimate

Cause: at twice the capacity requests waited up to 50 s at the router, and many were answered too late. The load estimate summed all own changes since the report on each call.

Change: a request waits at most `wait_max` (10 s), and is refused early if the expected wait is longer; the sum of the changes is kept.

--- a/crates/core/src/limit/queue.rs
+++ b/crates/core/src/limit/queue.rs
@@ -18,6 +18,8 @@
 const DEFAULT_ENTRIES_MAX: usize = 512;
 /// Cost that a customer of weight 1 may take per round, in tokens.
 const DEFAULT_QUANTUM: f64 = 2_000.0;
+/// Longest wait. With callers that wait for minutes, a longer queue only delays every answer.
+const DEFAULT_WAIT_MAX: Duration = Duration::from_secs(10);
 /// Smallest weight, so that a round ends.
 const WEIGHT_MIN: f64 = 0.01;
 /// Time over which the drain rate is averaged.
@@ -67,6 +69,8 @@
     pub quantum: f64,
     /// Time that a request needs after it leaves the queue; a request with less time is refused.
     pub service_time: Duration,
+    /// Longest wait, whatever the deadline.
+    pub wait_max: Duration,
 }
 
 impl Default for QueueOptions {
@@ -76,6 +80,7 @@
             capacity: 1.0,
             quantum: DEFAULT_QUANTUM,
             service_time: Duration::ZERO,
+            wait_max: DEFAULT_WAIT_MAX,
         }
     }
 }
@@ -131,6 +136,8 @@
 #[derive(Clone, Debug)]
 struct Ticket {
     request: QueueRequest,
+    /// Moment at which the request is given up unless it runs.
+    expires: MonotonicTime,
 }
 
 /// Holds the waiting requests of one model.
@@ -199,7 +206,8 @@
             });
         }
         let wait = self.expected_wait(&request);
-        if now + wait + self.options.service_time > request.deadline {
+        let is_late = now + wait + self.options.service_time > request.deadline;
+        if is_late || wait > self.options.wait_max {
             return Err(self.refuse(wait));
         }
         let mut effects = Vec::new();
@@ -212,7 +220,7 @@
             self.remove(victim);
             effects.push(QueueEffect::Refuse(victim, refusal));
         }
-        Ok((self.insert(request), effects))
+        Ok((self.insert(request, now), effects))
     }
 
     /// Admits up to `free` requests and refuses those whose deadline cannot be met any more.
@@ -325,12 +333,15 @@
         flow.last()
     }
 
-    fn insert(&mut self, request: QueueRequest) -> TicketKey {
+    fn insert(&mut self, request: QueueRequest, now: MonotonicTime) -> TicketKey {
         let customer = request.customer.clone();
         let (weight, cost) = (request.weight.max(WEIGHT_MIN), request.cost);
-        let (priority, deadline) = (request.priority, request.deadline);
-        let key = self.tickets.insert(Ticket { request });
-        self.deadlines.insert((deadline, key));
+        let priority = request.priority;
+        let expires = request
+            .deadline
+            .min(now + self.options.wait_max + self.options.service_time);
+        let key = self.tickets.insert(Ticket { request, expires });
+        self.deadlines.insert((expires, key));
         self.cost += cost;
         let flow = self.flows.entry(customer.clone()).or_insert_with(|| {
             self.turns.push_back(customer);
@@ -360,13 +371,19 @@
 
     fn expire(&mut self, now: MonotonicTime) -> Vec<QueueEffect> {
         let mut effects = Vec::new();
-        while let Some(&(deadline, key)) = self.deadlines.first() {
-            if now + self.options.service_time < deadline {
+        while let Some(&(expires, key)) = self.deadlines.first() {
+            let ready = now + self.options.service_time;
+            if ready < expires {
                 break;
             }
-            self.remove(key);
+            let request = self.remove(key);
+            let is_late = request.is_some_and(|request| request.deadline <= ready);
             let refusal = AdmissionRefusal {
-                kind: ErrorKind::DeadlineExceeded,
+                kind: if is_late {
+                    ErrorKind::DeadlineExceeded
+                } else {
+                    ErrorKind::Overloaded
+                },
                 retry_after: self.expected_drain(),
             };
             effects.push(QueueEffect::Refuse(key, refusal));
@@ -375,8 +392,8 @@
     }
 
     fn remove(&mut self, key: TicketKey) -> Option<QueueRequest> {
-        let Ticket { request } = self.tickets.remove(key)?;
-        self.deadlines.remove(&(request.deadline, key));
+        let Ticket { request, expires } = self.tickets.remove(key)?;
+        self.deadlines.remove(&(expires, key));
         self.cost = self.cost.saturating_sub(request.cost);
         if let Some(flow) = self.flows.get_mut(&request.customer) {
             flow.remove(request.priority, key, request.cost);
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -18,6 +18,8 @@
 pub(super) struct LoadEstimate {
     own: u32,
     changes: VecDeque<(MonotonicTime, i32)>,
+    /// Sum of the changes.
+    delta: i32,
     report: Option<ReportedLoad>,
 }
 
@@ -46,7 +48,11 @@
             requests: f64::from(requests),
             at,
         });
-        while self.changes.front().is_some_and(|(time, _)| *time <= at) {
+        while let Some(&(time, change)) = self.changes.front() {
+            if time > at {
+                break;
+            }
+            self.delta -= change;
             self.changes.pop_front();
         }
     }
@@ -55,6 +61,7 @@
     pub(super) fn forget_report(&mut self) {
         self.report = None;
         self.changes.clear();
+        self.delta = 0;
     }
 
     /// Returns the age of the report.
@@ -70,8 +77,7 @@
         let own = f64::from(self.own);
         match self.report {
             Some(report) if now.since(report.at) < max_age => {
-                let delta: i32 = self.changes.iter().map(|(_, change)| change).sum();
-                (report.requests + f64::from(delta) * scale).max(own)
+                (report.requests + f64::from(self.delta) * scale).max(own)
             }
             _ => own,
         }
@@ -85,6 +91,7 @@
             self.forget_report();
             return;
         }
+        self.delta += change;
         self.changes.push_back((now, change));
     }
 }
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -250,3 +250,17 @@
     }
     assert_eq!(limit.limit(), 2);
 }
+
+/// Guards against a queue in which requests wait for minutes because their callers would.
+#[test]
+fn refuses_after_the_longest_wait() {
+    let mut queue = AdmissionQueue::new(QueueOptions::default());
+    let key = offer(&mut queue, request("a", 100));
+    assert!(queue.poll(0, at(9_999)).is_empty());
+    let effects = queue.poll(0, at(10_000));
+    assert!(matches!(
+        effects[..],
+        [QueueEffect::Refuse(refused, refusal)]
+            if refused == key && refusal.kind == ErrorKind::Overloaded
+    ));
+}
