Share the admission queue by start-time fair queueing

Cause: with one customer at ten times its share, small customers still waited 7.9 s at p95. In a round of the deficit round robin every customer may send several requests before the turn of one that has just arrived.

Change: the request with the smallest virtual start runs next. A customer below its share gets the current virtual time and passes the backlog of others. The option `quantum` is gone.

--- a/crates/core/src/limit/flow.rs
+++ b/crates/core/src/limit/flow.rs
@@ -8,8 +8,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct CustomerFlow {
     lanes: [VecDeque<TicketKey>; Priority::COUNT],
-    /// Cost that the customer may still take in this round, in tokens.
-    pub(super) deficit: f64,
+    /// Virtual start of the next request.
+    pub(super) start: u64,
     /// Share of the customer relative to others.
     pub(super) weight: f64,
     /// Sum of the costs of the waiting requests, in tokens.
--- a/crates/core/src/limit/queue.rs
+++ b/crates/core/src/limit/queue.rs
@@ -1,7 +1,7 @@
 //! Bounded queue of one model, fair among customers.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -16,11 +16,13 @@
 
 /// Waiting requests per queue.
 const DEFAULT_ENTRIES_MAX: usize = 512;
-/// Cost that a customer of weight 1 may take per round, in tokens.
-const DEFAULT_QUANTUM: f64 = 2_000.0;
 /// Longest wait. With callers that wait for minutes, a longer queue only delays every answer.
 const DEFAULT_WAIT_MAX: Duration = Duration::from_secs(10);
-/// Smallest weight, so that a round ends.
+/// Virtual time per token at weight 1. Fractions matter for weights above 1.
+const VIRTUAL_PER_TOKEN: f64 = 1_000.0;
+/// Customers without waiting requests whose share is remembered.
+const IDLE_FLOWS_MAX: usize = 64;
+/// Smallest weight, so that no customer waits without end.
 const WEIGHT_MIN: f64 = 0.01;
 /// Time over which the drain rate is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
@@ -65,8 +67,6 @@
     pub entries_max: usize,
     /// Relative capacity of this instance, which scales the bound.
     pub capacity: f64,
-    /// Cost that a customer of weight 1 may take per round, in tokens.
-    pub quantum: f64,
     /// Time that a request needs after it leaves the queue; a request with less time is refused.
     pub service_time: Duration,
     /// Longest wait, whatever the deadline.
@@ -78,7 +78,6 @@
         Self {
             entries_max: DEFAULT_ENTRIES_MAX,
             capacity: 1.0,
-            quantum: DEFAULT_QUANTUM,
             service_time: Duration::ZERO,
             wait_max: DEFAULT_WAIT_MAX,
         }
@@ -142,14 +141,19 @@
 
 /// Holds the waiting requests of one model.
 ///
-/// Customers take turns by deficit round robin over token costs. If the queue is full, the
+/// Customers share by start-time fair queueing over token costs: the request with the smallest
+/// virtual start runs next, and moves the start of its customer's next request by cost / weight.
+/// A customer below its share therefore never waits for the backlog of another. If the queue is full, the
 /// customer with the largest weighted backlog gives up its last request.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     options: QueueOptions,
     tickets: SlotMap<TicketKey, Ticket>,
     flows: HashMap<CustomerName, CustomerFlow>,
-    turns: VecDeque<CustomerName>,
+    /// Customers with waiting requests by virtual start.
+    turns: BTreeSet<(u64, CustomerName)>,
+    /// Virtual start of the request that ran last.
+    virtual_now: u64,
     deadlines: BTreeSet<(MonotonicTime, TicketKey)>,
     cost: u64,
     rate: DrainRate,
@@ -163,7 +167,8 @@
             options,
             tickets: SlotMap::with_key(),
             flows: HashMap::new(),
-            turns: VecDeque::new(),
+            turns: BTreeSet::new(),
+            virtual_now: 0,
             deadlines: BTreeSet::new(),
             cost: 0,
             rate: DrainRate::default(),
@@ -263,6 +268,7 @@
         let mut customers: Vec<_> = self
             .flows
             .iter()
+            .filter(|(_, flow)| !flow.is_empty())
             .map(|(customer, flow)| (customer.clone(), flow.cost))
             .collect();
         customers.sort();
@@ -287,7 +293,7 @@
         let others = self
             .flows
             .iter()
-            .filter(|(customer, _)| **customer != request.customer);
+            .filter(|(customer, flow)| **customer != request.customer && !flow.is_empty());
         let shares: f64 = others.map(|(_, flow)| flow.weight).sum();
         let weight = request.weight.max(WEIGHT_MIN);
         let own = self
@@ -323,7 +329,8 @@
             .get(&request.customer)
             .map_or(0, |flow| flow.cost);
         let own = (own + request.cost) as f64 / request.weight.max(WEIGHT_MIN);
-        let (customer, flow) = self.flows.iter().max_by(|left, right| {
+        let waiting = self.flows.iter().filter(|(_, flow)| !flow.is_empty());
+        let (customer, flow) = waiting.max_by(|left, right| {
             let by_cost = left.1.weighted_cost().total_cmp(&right.1.weighted_cost());
             by_cost.then_with(|| left.0.cmp(right.0))
         })?;
@@ -343,29 +350,37 @@
         let key = self.tickets.insert(Ticket { request, expires });
         self.deadlines.insert((expires, key));
         self.cost += cost;
-        let flow = self.flows.entry(customer.clone()).or_insert_with(|| {
-            self.turns.push_back(customer);
-            CustomerFlow::default()
-        });
+        self.forget_idle();
+        let flow = self.flows.entry(customer.clone()).or_default();
+        if flow.is_empty() {
+            flow.start = flow.start.max(self.virtual_now);
+            self.turns.insert((flow.start, customer));
+        }
         flow.weight = weight;
         flow.push(priority, key, cost);
         key
     }
 
-    /// Takes the next request by deficit round robin.
+    /// Takes the request with the smallest virtual start.
     fn take_next(&mut self) -> Option<TicketKey> {
-        loop {
-            let customer = self.turns.front()?.clone();
-            let flow = self.flows.get_mut(&customer)?;
-            let key = flow.first()?;
-            let cost = self.tickets[key].request.cost as f64;
-            if flow.deficit >= cost {
-                flow.deficit -= cost;
-                self.remove(key);
-                return Some(key);
-            }
-            flow.deficit += self.options.quantum * flow.weight;
-            self.turns.rotate_left(1);
+        let (start, customer) = self.turns.pop_first()?;
+        self.virtual_now = self.virtual_now.max(start);
+        let flow = self.flows.get_mut(&customer)?;
+        let key = flow.first()?;
+        let cost = self.tickets[key].request.cost as f64;
+        flow.start = start.saturating_add((cost * VIRTUAL_PER_TOKEN / flow.weight) as u64);
+        self.turns.insert((flow.start, customer));
+        self.remove(key);
+        Some(key)
+    }
+
+    /// Forgets customers without waiting requests that are owed or owe nothing.
+    fn forget_idle(&mut self) {
+        let idle = self.flows.len().saturating_sub(self.turns.len());
+        if idle > IDLE_FLOWS_MAX {
+            let virtual_now = self.virtual_now;
+            self.flows
+                .retain(|_, flow| !flow.is_empty() || flow.start > virtual_now);
         }
     }
 
@@ -398,8 +413,7 @@
         if let Some(flow) = self.flows.get_mut(&request.customer) {
             flow.remove(request.priority, key, request.cost);
             if flow.is_empty() {
-                self.flows.remove(&request.customer);
-                self.turns.retain(|customer| *customer != request.customer);
+                self.turns.remove(&(flow.start, request.customer.clone()));
             }
         }
         Some(request)
