Remove expired order records; end request tasks with an aborted router

Cause: order records stayed at the platform for ever, and after abort() the streams of a router went on, unlike after a crash.

--- a/crates/router/src/process/mod.rs
+++ b/crates/router/src/process/mod.rs
@@ -14,6 +14,7 @@
 mod router;
 mod settings;
 mod state;
+mod sweep;
 
 pub(crate) use clock::RouterClock;
 pub(crate) use config::ConfigActor;
--- a/crates/router/src/process/router.rs
+++ b/crates/router/src/process/router.rs
@@ -24,6 +24,7 @@
         RouterPhase, RouterSettings, RouterState, config, dump, ledger, log_event, members,
         operator, poll,
         state::{RouterActors, build_client},
+        sweep,
     },
     request::build_callers,
 };
@@ -254,6 +255,9 @@
     /// Ends at once, as a crash does: balances stay held and requests are cut.
     pub async fn abort(self) {
         self.view().log_interrupted();
+        // Connections that are still open must not be served any more.
+        self.state.enter_phase(RouterPhase::Refusing);
+        self.state.stop.cancel();
         for server in &self.servers {
             server.abort();
         }
@@ -342,6 +346,7 @@
         state.tasks.spawn(poll::poll_loads(Arc::clone(state)));
         state.tasks.spawn(poll::poll_instances(Arc::clone(state)));
         state.tasks.spawn(poll::pump_queues(Arc::clone(state)));
+        state.tasks.spawn(sweep::sweep_orders(Arc::clone(state)));
         state.tasks.spawn(flush_metrics(Arc::clone(state)));
     }
 
--- a/crates/router/src/process/settings.rs
+++ b/crates/router/src/process/settings.rs
@@ -65,6 +65,8 @@
     pub stream_buffer: usize,
     /// Time between two polls of an upstream's load.
     pub load_poll: Duration,
+    /// Time between two reads of order records in the search for expired ones.
+    pub order_sweep: Duration,
     /// The number of ledger shards, the same for every router and tool of the environment.
     pub ledger_shards: u32,
     /// The UDP address that receives metrics; none are sent without it.
@@ -93,6 +95,7 @@
             request_timeout: Duration::from_secs(600),
             stream_buffer: 32,
             load_poll: Duration::from_secs(2),
+            order_sweep: Duration::from_secs(2),
             ledger_shards: 8,
             metrics: None,
             metrics_prefix: "cornelarch".to_owned(),
@@ -241,6 +244,7 @@
             request_timeout: self.seconds("limits", "request_timeout_s", defaults.request_timeout),
             stream_buffer: self.optional("limits", "stream_buffer", defaults.stream_buffer),
             load_poll: self.millis("limits", "load_poll_ms", defaults.load_poll),
+            order_sweep: self.millis("limits", "order_sweep_ms", defaults.order_sweep),
             ledger_shards: self.optional("budgets", "ledger_shards", defaults.ledger_shards),
             metrics: self.take("metrics", "address"),
             metrics_prefix: self.optional("metrics", "prefix", defaults.metrics_prefix),
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -298,6 +298,18 @@
         }
     }
 
+    /// Runs a part of a request in its own task, which ends with the router.
+    pub(crate) fn spawn_request(&self, part: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                biased;
+                () = stop.cancelled() => {}
+                () = part => {}
+            }
+        });
+    }
+
     /// Waits until no request is in progress.
     pub(crate) async fn wait_idle(&self) {
         let mut idle = self.idle.subscribe();
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -64,7 +64,7 @@
                 fingerprint,
                 queue: QueueRequest {
                     customer,
-                    weight: context.customer.weight as f64,
+                    weight: context.customer().weight as f64,
                     priority: context.queue_priority(),
                     cost,
                     deadline: queue_deadline.min(context.deadline),
--- a/crates/router/src/request/chat.rs
+++ b/crates/router/src/request/chat.rs
@@ -101,13 +101,13 @@
             let message = format!("model {:?} does not exist", body.model);
             RequestRefusal::new(ErrorKind::UnknownModel, message)
         })?;
-        if !context.customer.models.allows(&body.model) {
+        if !context.customer().models.allows(&body.model) {
             let message = format!("model {} is not permitted for this key", body.model);
             return Err(RequestRefusal::new(ErrorKind::UpstreamForbidden, message));
         }
         let limit = model.max_tokens_limit.get();
         let limit = context
-            .customer
+            .customer()
             .max_tokens
             .map_or(limit, |own| own.get().min(limit));
         let default = model.max_tokens_default.get().min(limit);
@@ -149,7 +149,7 @@
         let mut headers = HeaderMap::with_capacity(2);
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         // A lower number runs first at an engine, and a higher one in the configuration.
-        let priority = USUAL_PRIORITY as i64 - self.context.customer.priority as i64;
+        let priority = USUAL_PRIORITY as i64 - self.context.customer().priority as i64;
         let first_token = Duration::from_millis(self.model.first_token_timeout_ms);
         UpstreamCall {
             method: Method::POST,
--- a/crates/router/src/request/context.rs
+++ b/crates/router/src/request/context.rs
@@ -34,7 +34,6 @@
     pub(crate) state: Arc<RouterState>,
     pub(crate) version: Arc<ConfigVersion>,
     pub(crate) owner: KeyOwner,
-    pub(crate) customer: CustomerSection,
     pub(crate) started: MonotonicTime,
     pub(crate) deadline: MonotonicTime,
     _running: RunningGuard,
@@ -66,10 +65,6 @@
             .key_owner(key)
             .cloned()
             .ok_or_else(|| RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known"))?;
-        let customer = version.document.customers.get(&owner.customer);
-        let customer = customer
-            .cloned()
-            .ok_or_else(|| RequestRefusal::new(ErrorKind::UnknownKey, "the key is not known"))?;
         let started = state.now();
         let limit = Duration::from_secs(version.document.limits.request_timeout_s)
             .min(state.settings.request_timeout);
@@ -78,13 +73,22 @@
             state: Arc::clone(state),
             version,
             owner,
-            customer,
             started,
             deadline,
             _running: running,
         })
     }
 
+    /// Returns the customer's section.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the document has a key without its customer, which no valid document has.
+    pub(crate) fn customer(&self) -> &CustomerSection {
+        // A reference costs a lookup, and a copy would cost an allocation per listed name.
+        &self.version.document.customers[&self.owner.customer]
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
@@ -123,7 +127,7 @@
 
     /// Returns the place of the customer's requests in a queue.
     pub(crate) fn queue_priority(&self) -> Priority {
-        match self.customer.priority {
+        match self.customer().priority {
             HIGH_PRIORITY.. => Priority::High,
             0..=LOW_PRIORITY => Priority::Low,
             _ => Priority::Normal,
--- a/crates/router/src/request/mod.rs
+++ b/crates/router/src/request/mod.rs
@@ -64,7 +64,7 @@
     match RequestContext::open(&state, request.headers()) {
         Ok(context) => {
             let models = context.version.document.models.keys();
-            let models = models.filter(|model| context.customer.models.allows(model));
+            let models = models.filter(|model| context.customer().models.allows(model));
             let data: Vec<_> = models
                 .map(|model| json!({"id": model, "object": "model", "owned_by": "cornelarch"}))
                 .collect();
--- a/crates/router/src/request/order.rs
+++ b/crates/router/src/request/order.rs
@@ -58,7 +58,7 @@
         reply: Some(sender),
         message: String::new(),
     };
-    state.tasks.spawn(run.run());
+    state.spawn_request(run.run());
     match receiver.await {
         Ok(Ok(answer)) => Ok(build_response(&answer)),
         Ok(Err(refusal)) => Err(refusal),
--- a/crates/router/src/request/service.rs
+++ b/crates/router/src/request/service.rs
@@ -302,7 +302,7 @@
         let message = format!("service {service:?} does not exist");
         RequestRefusal::new(ErrorKind::UnknownService, message)
     })?;
-    if !context.customer.services.allows(service) {
+    if !context.customer().services.allows(service) {
         let message = format!("service {service} is not permitted for this key");
         return Err(RequestRefusal::new(ErrorKind::UpstreamForbidden, message));
     }
--- a/crates/router/src/request/stream.rs
+++ b/crates/router/src/request/stream.rs
@@ -86,7 +86,7 @@
     let (head_sender, head) = oneshot::channel();
     let taken = Arc::new(AtomicU64::new(0));
     let run = StreamRun::new(chat, bill, sender, head_sender, Arc::clone(&taken));
-    state.tasks.spawn(run.run());
+    state.spawn_request(run.run());
     match head.await {
         Ok(Ok(None)) => Ok(build_response(CallerStream { receiver, taken })),
         Ok(Ok(Some(response))) => Ok(response),
--- a/crates/router/tests/orders.rs
+++ b/crates/router/tests/orders.rs
@@ -202,3 +202,31 @@
     assert!(limited >= 3, "{limited}");
     assert_eq!(fleet.services[0].counts().orders, 6 - limited);
 }
+
+/// Guards against records that fill the platform, and against the removal of recent ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn expired_records_are_removed() {
+    let mut fleet = TestFleet::start_outside(FleetPlan::default()).await;
+    let expired = "order/trial/acme/00";
+    let record = |created_s: u64| {
+        serde_json::json!({
+            "claimant": "old~00000000000000aa", "claim": "1", "digest": "d",
+            "created_s": created_s, "state": "failed_before_send",
+        })
+        .to_string()
+    };
+    fleet.platform.store(expired, record(1).into());
+    let recent = "order/trial/acme/01";
+    let now = std::time::UNIX_EPOCH.elapsed().unwrap().as_secs();
+    fleet.platform.store(recent, record(now).into());
+    let settings = cornelarch_router::RouterSettings {
+        order_sweep: Duration::from_millis(1),
+        ..fleet.settings("router-0", "a")
+    };
+    fleet
+        .routers
+        .push(cornelarch_router::Router::bind(settings).await.unwrap());
+    let removed = async || fleet.platform.peek(expired).is_none();
+    wait_until("the expired record is removed", removed).await;
+    assert!(fleet.platform.peek(recent).is_some());
+}
