Read each chunk once; take the router out of service if an actor ends

Cause: the fields of a chunk were searched up to five times, and a router whose ledger actor had ended stayed ready. Change: one pass over a chunk; a watch on every actor; parts of a base are read as JSON strings or as they stand; tests of the second signal and of the metrics sink.

--- a/crates/router/src/process/config.rs
+++ b/crates/router/src/process/config.rs
@@ -239,10 +239,10 @@
             Err(StoreError::NotFound { .. }) => return ConfigEvent::BaseMissing { base_id },
             Err(_) => return ConfigEvent::PlatformDown,
         };
-        match serde_json::from_slice::<String>(&object.value) {
-            Ok(part) => text.push_str(&part),
-            Err(error) => {
-                log_event!(ConfigRejected, "{key}: {error}");
+        match decode_part(&object.value) {
+            Some(part) => text.push_str(&part),
+            None => {
+                log_event!(ConfigRejected, "{key} is not text");
                 return ConfigEvent::PlatformDown;
             }
         }
@@ -250,6 +250,14 @@
     ConfigEvent::BaseRead { base_id, text }
 }
 
+/// Returns the text of a part of a base, which is stored as a JSON string or as it stands.
+fn decode_part(value: &[u8]) -> Option<String> {
+    match serde_json::from_slice::<String>(value) {
+        Ok(text) => Some(text),
+        Err(_) => String::from_utf8(value.to_vec()).ok(),
+    }
+}
+
 fn encode_message(message: ConfigMessage) -> Option<WireBody> {
     Some(match message {
         ConfigMessage::Request { from_version } => {
--- a/crates/router/src/process/router.rs
+++ b/crates/router/src/process/router.rs
@@ -11,7 +11,7 @@
 };
 use cornelarch_platform::{ClientOptions, HttpStore};
 use cornelarch_wire::peer::{WireBody, WireEnvelope};
-use kameo::actor::Spawn;
+use kameo::actor::{Actor, ActorRef, Spawn};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
@@ -314,6 +314,19 @@
             ledger.clone(),
             config.clone(),
         ));
+        state
+            .tasks
+            .spawn(watch_actor("ledger", ledger.clone(), Arc::clone(state)));
+        state.tasks.spawn(watch_actor(
+            "configuration",
+            config.clone(),
+            Arc::clone(state),
+        ));
+        state.tasks.spawn(watch_actor(
+            "membership",
+            members.clone(),
+            Arc::clone(state),
+        ));
         state.set_actors(RouterActors {
             ledger,
             config,
@@ -365,6 +378,18 @@
     }
 }
 
+/// Takes the router out of service if an actor ends although the router does not.
+async fn watch_actor<A: Actor>(name: &'static str, actor: ActorRef<A>, state: Arc<RouterState>) {
+    tokio::select! {
+        biased;
+        () = state.stop.cancelled() => {}
+        () = actor.wait_for_shutdown() => {
+            log_event!(TaskFailed, "actor {name} has ended; the instance is no longer ready");
+            state.enter_phase(RouterPhase::Leaving);
+        }
+    }
+}
+
 async fn bind_port(port: &'static str, address: SocketAddr) -> Result<TcpListener, RouterError> {
     let listener = TcpListener::bind(address).await;
     listener.context(BindSnafu { port, address })
--- a/crates/router/src/request/sse.rs
+++ b/crates/router/src/request/sse.rs
@@ -89,6 +89,41 @@
     None
 }
 
+/// Holds the fields of a chunk that decide about its delivery.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ChunkFields {
+    /// The position in the answer, if the engine sends one.
+    pub(crate) sequence: Option<u64>,
+    /// The prompt tokens, which the first chunk tells.
+    pub(crate) prompt_tokens: Option<u64>,
+    /// Whether the chunk is the last one.
+    pub(crate) last: bool,
+}
+
+/// Reads the fields of a chunk in one pass over its payload.
+pub(crate) fn read_chunk_fields(payload: &[u8]) -> ChunkFields {
+    let mut fields = ChunkFields::default();
+    let mut start = 0;
+    while let Some(offset) = payload[start..].iter().position(|byte| *byte == b'"') {
+        let key = &payload[start + offset..];
+        match key.get(1) {
+            Some(b'x') if key.starts_with(b"\"x_sequence\"") => {
+                fields.sequence = fields.sequence.or_else(|| find_number(key, "x_sequence"));
+            }
+            Some(b'x') if key.starts_with(b"\"x_prompt_tokens\"") => {
+                let tokens = || find_number(key, "x_prompt_tokens");
+                fields.prompt_tokens = fields.prompt_tokens.or_else(tokens);
+            }
+            Some(b'f') if key.starts_with(b"\"finish_reason\"") => {
+                fields.last |= find_text(key, "finish_reason").is_some();
+            }
+            _ => {}
+        }
+        start += offset + 1;
+    }
+    fields
+}
+
 /// Returns the value of the first field `name` that holds a non-negative integer.
 pub(crate) fn find_number(payload: &[u8], name: &str) -> Option<u64> {
     let value = find_field(payload, name)?;
--- a/crates/router/src/request/stream.rs
+++ b/crates/router/src/request/stream.rs
@@ -43,7 +43,7 @@
         bill::{PartialCost, RequestBill},
         chat::{ChatRequest, finish_json, read_answer, read_usage},
         refusal::{RUN_HEADER, run_value},
-        sse::{EventSplitter, event_payload, find_number, find_text, is_done},
+        sse::{ChunkFields, EventSplitter, event_payload, find_text, is_done, read_chunk_fields},
     },
 };
 
@@ -60,6 +60,13 @@
     tokens: u64,
 }
 
+/// Carries the event of a chunk with the fields that were read from it.
+#[derive(Clone, Debug)]
+struct ChunkPayload {
+    event: Bytes,
+    fields: ChunkFields,
+}
+
 /// Answer to the handler that waits for the first event.
 type StreamHead = Result<Option<Response>, RequestRefusal>;
 
@@ -135,7 +142,7 @@
     sender: mpsc::Sender<StreamFrame>,
     head: Option<oneshot::Sender<StreamHead>>,
     taken: Arc<AtomicU64>,
-    assembler: StreamAssembler<Bytes>,
+    assembler: StreamAssembler<ChunkPayload>,
     attempt_number: u32,
     /// The text so far as it stands in the JSON chunks, kept only if the model can resume.
     text: BytesMut,
@@ -307,19 +314,17 @@
     }
 
     /// Takes a chunk that is next in order.
-    fn deliver(&mut self, sequence: u64, event: &Bytes, last: bool) {
-        let Some(payload) = event_payload(event) else {
-            return;
-        };
+    fn deliver(&mut self, sequence: u64, chunk: &ChunkPayload) {
         if sequence == 0 {
-            self.prompt_tokens = find_number(payload, "x_prompt_tokens");
+            self.prompt_tokens = chunk.fields.prompt_tokens;
         }
-        if last {
-            self.usage = read_usage(payload);
+        if chunk.fields.last {
+            self.usage = event_payload(&chunk.event).and_then(read_usage);
             return;
         }
         self.delivered += 1;
         if self.chat.model.resume
+            && let Some(payload) = event_payload(&chunk.event)
             && let Some(text) = find_text(payload, "content")
         {
             self.text.extend_from_slice(text);
@@ -431,31 +436,30 @@
         if self.complete || is_done(payload) {
             return;
         }
-        let sequence = find_number(payload, "x_sequence").unwrap_or(self.counted);
+        let fields = read_chunk_fields(payload);
+        let sequence = fields.sequence.unwrap_or(self.counted);
         self.counted = sequence + 1;
         let chunk = StreamChunk {
             stream: StreamId(self.run.chat.fingerprint.bits() as u64),
             attempt: AttemptNumber(self.run.attempt_number),
             sequence,
-            last: find_text(payload, "finish_reason").is_some(),
-            payload: event,
+            last: fields.last,
+            payload: ChunkPayload { event, fields },
         };
         let event = StreamEvent::Chunk(chunk);
         let effects = self.run.assembler.handle(event, self.last_chunk);
         self.apply(effects);
     }
 
-    fn apply(&mut self, effects: Vec<StreamEffect<Bytes>>) {
+    fn apply(&mut self, effects: Vec<StreamEffect<ChunkPayload>>) {
         for effect in effects {
             match effect {
                 StreamEffect::Deliver { sequence, payload } => {
                     if self.run.delivered == 0 {
                         self.attempt.first_token();
                     }
-                    let last = event_payload(&payload)
-                        .is_some_and(|payload| find_text(payload, "finish_reason").is_some());
-                    self.run.deliver(sequence, &payload, last);
-                    self.ready.push(payload);
+                    self.run.deliver(sequence, &payload);
+                    self.ready.push(payload.event);
                 }
                 StreamEffect::Complete => {
                     self.complete = true;
--- a/crates/router/tests/drain.rs
+++ b/crates/router/tests/drain.rs
@@ -3,8 +3,12 @@
 mod common;
 
 use std::{
-    process::{Command, Stdio},
-    time::Duration,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::mpsc::Receiver,
+    time::{Duration, Instant},
 };
 
 use common::{FleetPlan, TestFleet, WAIT, read_refusal, read_stream, wait_until};
@@ -245,70 +249,116 @@
     assert!(text.contains("line 3"), "{text}");
 }
 
-/// Guards against a daemon that ignores SIGTERM or ends with a failure after a drain.
-#[tokio::test(flavor = "multi_thread")]
-async fn daemon_drains_on_sigterm() {
-    let fleet = TestFleet::start_outside(FleetPlan::default()).await;
-    let path = std::env::temp_dir().join(format!("cornelarch-drain-{}.ini", std::process::id()));
-    let text = format!(
-        "[router]\ninstance = r1\ndomain = a\nenvironment = trial\nplatform = {}\n\
-         operator_key = k\n[limits]\ndrain_grace_s = 0\n",
-        fleet.platform.url()
-    );
-    std::fs::write(&path, text).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cornelarch-router"))
-        .args(["--settings", path.to_str().unwrap()])
-        .env("RUST_LOG", "info")
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let (sender, receiver) = std::sync::mpsc::channel();
-    let stderr = child.stderr.take().unwrap();
-    std::thread::spawn(move || {
-        use std::io::BufRead;
-        for line in std::io::BufReader::new(stderr)
-            .lines()
-            .map_while(Result::ok)
-        {
-            if sender.send(line).is_err() {
-                return;
+/// Runs the daemon as a process.
+struct DaemonProcess {
+    child: Child,
+    lines: Receiver<String>,
+    settings: PathBuf,
+}
+
+impl DaemonProcess {
+    /// Starts a daemon and waits until it has a configuration.
+    fn start(fleet: &TestFleet, name: &str) -> Self {
+        Self::start_at(fleet, name, None)
+    }
+
+    /// Starts a daemon with a given address for callers.
+    fn start_at(fleet: &TestFleet, name: &str, callers: Option<SocketAddr>) -> Self {
+        let callers = callers.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let file = format!("cornelarch-{name}-{}.ini", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        let text = format!(
+            "[router]\ninstance = r1\ndomain = a\nenvironment = trial\nplatform = {}\n\
+             operator_key = k\ncallers = {callers}\n[limits]\ndrain_grace_s = 0\n",
+            fleet.platform.url()
+        );
+        std::fs::write(&settings, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cornelarch-router"))
+            .args(["--settings", settings.to_str().unwrap()])
+            .env("RUST_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (sender, lines) = std::sync::mpsc::channel();
+        let stderr = child.stderr.take().unwrap();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
             }
-        }
-    });
-    let wait_line = |part: &str| {
+        });
+        let daemon = Self {
+            child,
+            lines,
+            settings,
+        };
+        daemon.wait_line("E1100");
+        daemon
+    }
+
+    /// Returns the next log line with `part`.
+    fn wait_line(&self, part: &str) -> String {
         loop {
-            let line = receiver.recv_timeout(WAIT).expect("the daemon logs");
+            let line = self.lines.recv_timeout(WAIT).expect("the daemon logs");
             if line.contains(part) {
-                return;
+                return line;
             }
         }
-    };
-    wait_line("E1100");
-    let id = child.id().to_string();
-    assert!(
-        Command::new("kill")
-            .args(["-USR1", &id])
-            .status()
-            .unwrap()
-            .success()
-    );
-    wait_line("E1007");
-    assert!(
-        Command::new("kill")
-            .args(["-TERM", &id])
-            .status()
-            .unwrap()
-            .success()
-    );
-    wait_line("E1005");
-    let deadline = std::time::Instant::now() + Duration::from_secs(10);
-    let status = loop {
-        match child.try_wait().unwrap() {
-            Some(status) => break status,
-            None if std::time::Instant::now() > deadline => panic!("the daemon does not end"),
-            None => tokio::time::sleep(Duration::from_millis(5)).await,
-        }
-    };
-    std::fs::remove_file(&path).unwrap();
-    assert_eq!(status.code(), Some(0));
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &id]).status();
+        assert!(status.unwrap().success());
+    }
+
+    async fn wait_status(mut self) -> Option<i32> {
+        let deadline = Instant::now() + WAIT;
+        let status = loop {
+            match self.child.try_wait().unwrap() {
+                Some(status) => break status,
+                None if Instant::now() > deadline => panic!("the daemon does not end"),
+                None => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        };
+        std::fs::remove_file(&self.settings).unwrap();
+        status.code()
+    }
+}
+
+/// Guards against a daemon that ignores SIGTERM or ends with a failure after a drain.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_drains_on_sigterm() {
+    let fleet = TestFleet::start_outside(FleetPlan::default()).await;
+    let daemon = DaemonProcess::start(&fleet, "drain");
+    daemon.signal("-USR1");
+    daemon.wait_line("E1007");
+    daemon.signal("-TERM");
+    daemon.wait_line("E1005");
+    assert_eq!(daemon.wait_status().await, Some(0));
+}
+
+/// Guards against a second signal that does not end the daemon, or ends it without a trace.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_signal_ends_the_daemon_at_once() {
+    let fleet = TestFleet::start_outside(slow_engine()).await;
+    // The request needs the address, which the daemon logs at its start.
+    let port = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let callers = port.local_addr().unwrap();
+    drop(port);
+    let daemon = DaemonProcess::start_at(&fleet, "second", Some(callers));
+    let body = r#"{"model":"tiny","messages":[{"role":"user","content":"[tokens=1900]"}],
+        "stream":true,"max_tokens":1900}"#;
+    let url = format!("http://{callers}/v1/chat/completions");
+    let request = fleet.client.post(url).bearer_auth(common::KEY).body(body);
+    let response = request.send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    daemon.signal("-TERM");
+    daemon.wait_line("E1002");
+    daemon.signal("-TERM");
+    let line = daemon.wait_line("E1006");
+    assert!(line.contains("1 requests in progress"), "{line}");
+    assert_eq!(daemon.wait_status().await, Some(1));
+    assert!(response.text().await.is_err(), "the stream was not cut");
 }
--- a/crates/router/tests/operators.rs
+++ b/crates/router/tests/operators.rs
@@ -88,6 +88,32 @@
     assert_eq!(response.status(), 400);
 }
 
+/// Guards against metrics that are not sent, or not under the names of the page.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_are_sent_to_the_sink() {
+    let sink = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut fleet = TestFleet::start_outside(FleetPlan::default()).await;
+    let settings = cornelarch_router::RouterSettings {
+        metrics: Some(sink.local_addr().unwrap()),
+        ..fleet.settings("router-0", "a")
+    };
+    let router = cornelarch_router::Router::bind(settings).await.unwrap();
+    assert!(router.wait_version(1, common::WAIT).await);
+    fleet.routers.push(router);
+    fleet.chat(0, "x", false).send().await.unwrap();
+    let counted = async {
+        let mut buffer = [0; 2_048];
+        loop {
+            let length = sink.recv(&mut buffer).await.unwrap();
+            let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
+            if text.lines().any(|line| line == "cornelarch.answers:1|c") {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(common::WAIT, counted).await.unwrap();
+}
+
 fn read_page() -> String {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/events.md");
     std::fs::read_to_string(path).unwrap()
