Add the demonstration of a fleet in one process

Cause: a reader should see every guarantee checked under faults with one command.

Change: cornelarch demo starts the platform stand-in, engines of unequal speed, service instances and two routers in each failure domain, loads the document and the budgets by conditional updates, and sends chats, streams, lookups and orders over HTTP. It drains one router and kills another under load (each router has its own threads, so a kill cuts everything), takes the platform away, marks an engine as leaving and exhausts a budget.

--- /dev/null
+++ b/crates/cornelarch/src/demo/client.rs
@@ -0,0 +1,194 @@
+//! HTTP client of the demo's customers, which tries again at another router where that helps.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::StreamExt;
+use reqwest::{Client, Method, RequestBuilder, Response};
+use serde_json::Value;
+
+use crate::demo::call::{CallKind, CallRecord, CallResult, CallSpec};
+
+/// Largest number of attempts at a call.
+const MAX_ATTEMPTS: usize = 8;
+
+/// Pause before another attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// Refusals after which another router or another moment may help.
+const RETRIED_CODES: [&str; 4] = ["draining", "not_ready", "no_upstream", "overloaded"];
+
+/// Largest number of attempts at a call whose budget is out of reach; each one waits a while.
+const BUDGET_ATTEMPTS: usize = 2;
+
+/// Sends calls to a fixed list of routers; clones share one connection pool.
+#[derive(Clone)]
+pub(crate) struct DemoClient {
+    pub(crate) http: Client,
+    routers: Arc<[SocketAddr]>,
+}
+
+impl DemoClient {
+    /// Creates a client for routers at these addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be built.
+    pub(crate) fn new(routers: Vec<SocketAddr>) -> reqwest::Result<Self> {
+        let http = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+        let routers = routers.into();
+        Ok(Self { http, routers })
+    }
+
+    /// Makes a call, first at one router and then at the next ones, until a result is final.
+    pub(crate) async fn call(&self, spec: CallSpec, first: usize) -> CallRecord {
+        let mut attempts = Vec::new();
+        for attempt in 0..MAX_ATTEMPTS {
+            let router = (first + attempt) % self.routers.len();
+            let result = self.send_once(&spec, router).await;
+            let again = is_retried(&result, attempt + 1);
+            attempts.push((router, result));
+            if !again {
+                break;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        CallRecord { spec, attempts }
+    }
+
+    /// Makes one attempt at one router.
+    pub(crate) async fn send_once(&self, spec: &CallSpec, router: usize) -> CallResult {
+        let request = self.build(spec, router);
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(error) => {
+                return CallResult::Broken {
+                    sent: !error.is_connect(),
+                };
+            }
+        };
+        if !response.status().is_success() {
+            return read_refusal(response).await;
+        }
+        match spec.kind {
+            CallKind::Stream => read_stream(spec, response).await,
+            CallKind::Chat | CallKind::Lookup | CallKind::Order => {
+                match response.json::<Value>().await {
+                    Ok(answer) => spec.judge_json(&answer),
+                    Err(_) => CallResult::Broken { sent: true },
+                }
+            }
+        }
+    }
+
+    /// Builds a request to a router.
+    pub(crate) fn request(&self, method: Method, router: usize, path: &str) -> RequestBuilder {
+        let address = self.routers[router];
+        self.http.request(method, format!("http://{address}{path}"))
+    }
+
+    fn build(&self, spec: &CallSpec, router: usize) -> RequestBuilder {
+        let method = match spec.kind {
+            CallKind::Lookup => Method::GET,
+            CallKind::Chat | CallKind::Stream | CallKind::Order => Method::POST,
+        };
+        let mut request = self
+            .request(method, router, &spec.path())
+            .bearer_auth(spec.key());
+        if spec.kind == CallKind::Order {
+            request = request.header("idempotency-key", &spec.text);
+        }
+        match spec.body() {
+            Some(body) => request.json(&body),
+            None => request,
+        }
+    }
+}
+
+/// Reads a refusal.
+pub(crate) async fn read_refusal(response: Response) -> CallResult {
+    let run = response.headers().get("x-cornelarch-run").cloned();
+    let run = run.and_then(|run| run.to_str().map(str::to_owned).ok());
+    match (response.json::<Value>().await, run) {
+        (Ok(body), Some(run)) => CallResult::Refused {
+            code: body["error"]["kind"].as_str().unwrap_or("none").to_owned(),
+            run,
+        },
+        // A refusal without its run state is as good as a lost connection.
+        _ => CallResult::Broken { sent: true },
+    }
+}
+
+fn is_retried(result: &CallResult, attempts: usize) -> bool {
+    match result {
+        CallResult::Answered { .. } => false,
+        CallResult::Refused { code, .. } if code == "budget_unavailable" => {
+            attempts < BUDGET_ATTEMPTS
+        }
+        CallResult::Refused { code, .. } => RETRIED_CODES.contains(&code.as_str()),
+        CallResult::Broken { .. } => true,
+    }
+}
+
+/// Reads a stream to its end. A stream without `[DONE]` is broken, and so is one whose sequence
+/// numbers have a gap.
+async fn read_stream(spec: &CallSpec, response: Response) -> CallResult {
+    let mut reader = StreamReader::default();
+    let mut body = response.bytes_stream();
+    while let Some(Ok(bytes)) = body.next().await {
+        reader.push(&bytes);
+    }
+    match reader.done && reader.in_order {
+        true => spec.judge_text(&reader.text, reader.tokens),
+        false => CallResult::Broken { sent: true },
+    }
+}
+
+/// Collects the events of a stream.
+struct StreamReader {
+    rest: Vec<u8>,
+    text: String,
+    next: u64,
+    in_order: bool,
+    tokens: Option<u64>,
+    done: bool,
+}
+
+impl Default for StreamReader {
+    fn default() -> Self {
+        Self {
+            rest: Vec::new(),
+            text: String::new(),
+            next: 0,
+            in_order: true,
+            tokens: None,
+            done: false,
+        }
+    }
+}
+
+impl StreamReader {
+    fn push(&mut self, bytes: &[u8]) {
+        self.rest.extend_from_slice(bytes);
+        while let Some(end) = self.rest.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = self.rest.drain(..end + 2).collect();
+            self.push_event(&String::from_utf8_lossy(&event));
+        }
+    }
+
+    fn push_event(&mut self, event: &str) {
+        let Some(data) = event.lines().find_map(|line| line.strip_prefix("data: ")) else {
+            return;
+        };
+        if data == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+        self.in_order &= chunk["x_sequence"].as_u64() == Some(self.next);
+        self.next += 1;
+        self.text += chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .unwrap_or_default();
+        self.tokens = chunk["usage"]["total_tokens"].as_u64().or(self.tokens);
+    }
+}
--- /dev/null
+++ b/crates/cornelarch/src/demo/mod.rs
@@ -0,0 +1,137 @@
+//! Demonstration of a small fleet in one process: `cornelarch demo`.
+//!
+//! It runs stand-ins for the platform, engines and a service, and routers in every failure domain
+//! of a document. Customers send real HTTP requests while a router is drained, another one is
+//! killed and the platform is away. Every guarantee is checked at the end.
+
+mod call;
+mod check;
+mod client;
+mod document;
+mod script;
+mod seed;
+mod table;
+mod world;
+
+use std::process::ExitCode;
+
+use getopts::{Matches, Options};
+use snafu::{ResultExt, Whatever, ensure_whatever};
+
+use crate::demo::{
+    check::{check_promises, read_budgets},
+    client::DemoClient,
+    document::demo_key,
+    script::DemoScript,
+    world::{DemoWorld, OPERATOR_KEY},
+};
+
+/// Runs the demo with the arguments after `demo`. The exit status tells whether every guarantee
+/// was kept.
+#[must_use]
+pub fn run(arguments: &[String]) -> ExitCode {
+    let mut options = Options::new();
+    options
+        .optflag("h", "help", "print this help")
+        .optflag("", "serve", "keep running at the end and print curl lines")
+        .optopt("", "settings", "use another document", "FILE");
+    let matches = match options.parse(arguments) {
+        Ok(matches) if matches.free.is_empty() => matches,
+        Ok(matches) => return fail(&format!("argument {:?} is unknown", matches.free[0])),
+        Err(error) => return fail(&error.to_string()),
+    };
+    if matches.opt_present("help") {
+        print!("{}", options.usage("Usage: cornelarch demo [OPTIONS]"));
+        return ExitCode::SUCCESS;
+    }
+    let result = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(play(&matches)),
+        Err(error) => return fail(&error.to_string()),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => fail("a guarantee was broken"),
+        Err(error) => fail(&snafu::Report::from_error(error).to_string()),
+    }
+}
+
+fn fail(message: &str) -> ExitCode {
+    eprintln!("demo: {message}");
+    ExitCode::FAILURE
+}
+
+/// Plays the demo; returns whether every guarantee was kept.
+async fn play(matches: &Matches) -> Result<bool, Whatever> {
+    let settings = matches.opt_str("settings");
+    let mut world = DemoWorld::start(settings.as_deref()).await?;
+    print_start(&world);
+    let callers = world.nodes.iter().map(|node| node.callers).collect();
+    let client = DemoClient::new(callers).whatever_context("HTTP client cannot be set up")?;
+    let mut script = DemoScript::new(&mut world, client);
+    script.run().await?;
+    let journal = script.journal;
+    table::print_customers(&journal);
+    if matches.opt_present("serve") {
+        serve(&world).await?;
+    }
+    world.close_nodes().await?;
+    table::print_upstreams(&world);
+    let budgets = read_budgets(&world, &journal).await?;
+    table::print_budgets(&budgets);
+    let mut checks = check_promises(&world, &journal, &budgets);
+    if matches.opt_present("serve") {
+        // Requests from outside are billed, but the demo does not know what they reported.
+        checks.retain(|check| !check.text.contains("billed"));
+    }
+    let kept = table::print_promises(&checks);
+    println!("\n{:.1} s in total", world.started.elapsed().as_secs_f64());
+    world.close().await;
+    Ok(kept)
+}
+
+fn print_start(world: &DemoWorld) {
+    let elapsed = world.started.elapsed().as_secs_f64();
+    println!(
+        "{elapsed:6.2} s  {} routers, {} engines and {} service instances run on loopback",
+        world.nodes.len(),
+        world.engines.len(),
+        world.services.len()
+    );
+    println!("\n    time   calls  answers  refused  sent again   phase");
+}
+
+/// Prints how to send requests, and waits for an interrupt.
+async fn serve(world: &DemoWorld) -> Result<(), Whatever> {
+    let live = world.live();
+    ensure_whatever!(!live.is_empty(), "no router is left");
+    println!("\nThe routers keep running until they are interrupted. Try:\n");
+    for index in live {
+        print_curl(world, index);
+    }
+    let interrupt = tokio::signal::ctrl_c().await;
+    interrupt.whatever_context("interrupt cannot be awaited")
+}
+
+fn print_curl(world: &DemoWorld, index: usize) {
+    let node = &world.nodes[index];
+    let document = &world.document;
+    if let Some((customer, section)) = document.customers.first_key_value() {
+        let key = demo_key(customer);
+        if let Some(model) = document
+            .models
+            .keys()
+            .find(|name| section.models.allows(name))
+        {
+            println!(
+                "curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer {key}' \\\n  \
+                 -d '{{\"model\":\"{model}\",\"stream\":true,\"messages\":\
+                 [{{\"role\":\"user\",\"content\":\"hello\"}}]}}'",
+                node.callers
+            );
+        }
+    }
+    println!(
+        "curl http://{}/status -H 'Authorization: Bearer {OPERATOR_KEY}'",
+        node.operator
+    );
+}
--- /dev/null
+++ b/crates/cornelarch/src/demo/script.rs
@@ -0,0 +1,504 @@
+//! The phases of the demo.
+
+use std::time::{Duration, Instant};
+
+use cornelarch_core::{
+    base::{CustomerName, UpstreamName},
+    config::{CustomerSection, Document, UpstreamKind, UpstreamState},
+};
+use cornelarch_standin::platform::PlatformFaults;
+use futures_util::{StreamExt, future, stream};
+use reqwest::Method;
+use serde_json::{Value, json};
+use snafu::{ResultExt, Whatever};
+use tokio::task::JoinHandle;
+
+use crate::demo::{
+    call::{CallKind, CallRecord, CallResult, CallSpec},
+    client::{DemoClient, read_refusal},
+    document::{change_upstream, demo_key},
+    seed::change_document,
+    world::DemoWorld,
+};
+
+/// Number of calls in progress at a time.
+const CONCURRENCY: usize = 32;
+
+/// Limit of usual answers, in tokens.
+const MAX_TOKENS: u64 = 64;
+
+/// Length of the answers that are in progress when a router stops, in tokens.
+const LONG_TOKENS: u64 = 250;
+
+/// Longest time until a configuration is in force everywhere.
+const CONFIG_LIMIT: Duration = Duration::from_secs(14);
+
+/// Time after which a leaving upstream receives no new work.
+const LEAVING_TIME: Duration = Duration::from_secs(2);
+
+/// Requests in progress at a router before it is drained or killed.
+const BUSY_REQUESTS: usize = 4;
+
+/// Longest wait until a router is that busy.
+const BUSY_LIMIT: Duration = Duration::from_secs(3);
+
+/// Holds what the phases found out.
+#[derive(Default)]
+pub(crate) struct DemoJournal {
+    pub(crate) records: Vec<CallRecord>,
+    pub(crate) probes: Vec<ProbeRecord>,
+    pub(crate) drained: Option<usize>,
+    /// The time until the changed configuration was in force everywhere, if it was.
+    pub(crate) config_time: Option<Duration>,
+    /// The upstream that was leaving, with its received requests after the leaving time.
+    pub(crate) leaving: Option<(UpstreamName, u64)>,
+    /// The calls during the platform outage.
+    pub(crate) outage: Vec<CallRecord>,
+}
+
+/// Holds a request that must be refused.
+pub(crate) struct ProbeRecord {
+    pub(crate) name: &'static str,
+    pub(crate) expected: &'static str,
+    pub(crate) result: CallResult,
+    /// The prompt or order id that no upstream may have seen.
+    pub(crate) text: String,
+}
+
+/// Runs the phases against a world.
+pub(crate) struct DemoScript<'a> {
+    pub(crate) world: &'a mut DemoWorld,
+    pub(crate) client: DemoClient,
+    pub(crate) journal: DemoJournal,
+    number: usize,
+}
+
+impl<'a> DemoScript<'a> {
+    /// Creates a script.
+    pub(crate) fn new(world: &'a mut DemoWorld, client: DemoClient) -> Self {
+        Self {
+            world,
+            client,
+            journal: DemoJournal::default(),
+            number: 0,
+        }
+    }
+
+    /// Runs all phases.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part of the world fails in a way that is not played.
+    pub(crate) async fn run(&mut self) -> Result<(), Whatever> {
+        let records = collect(self.start_load(240, MAX_TOKENS)).await?;
+        self.note("load from every customer at every router", records);
+        self.probe_refusals().await;
+        self.repeat_orders().await;
+        self.exhaust_budgets().await?;
+        self.change_config().await?;
+        self.drain_router().await?;
+        self.fail_platform().await?;
+        self.kill_router().await?;
+        let records = collect(self.start_load(120, MAX_TOKENS)).await?;
+        self.note("load at the routers that are left", records);
+        self.look_at_leaving();
+        Ok(())
+    }
+
+    /// Prints one line for a phase and keeps its records.
+    fn note(&mut self, what: &str, records: Vec<CallRecord>) {
+        let answers = records.iter().filter(|it| it.answered().is_some()).count();
+        let resent: usize = records.iter().map(|it| it.attempts.len() - 1).sum();
+        let elapsed = self.world.started.elapsed().as_secs_f64();
+        let (calls, refused) = (records.len(), records.len() - answers);
+        println!("{elapsed:6.2} s {calls:>7}{answers:>9}{refused:>9}{resent:>12}   {what}");
+        self.journal.records.extend(records);
+    }
+
+    /// Makes calls of every kind that each customer may make, spread over the live routers.
+    fn start_load(&mut self, count: usize, max_tokens: u64) -> JoinHandle<Vec<CallRecord>> {
+        let options = list_options(&self.world.document);
+        let specs = (0..count).map(|index| {
+            let options = &options[index % options.len()];
+            let round = index / list_options(&self.world.document).len();
+            let mut spec = options[round % options.len()].clone();
+            spec.text = self.name_call(&spec, index, max_tokens);
+            spec.max_tokens = max_tokens;
+            spec
+        });
+        let specs: Vec<CallSpec> = specs.collect();
+        self.number += count;
+        self.spawn_calls(specs)
+    }
+
+    fn name_call(&self, spec: &CallSpec, index: usize, max_tokens: u64) -> String {
+        let number = self.number + index;
+        let customer = &spec.customer;
+        match spec.kind {
+            CallKind::Chat | CallKind::Stream if max_tokens == LONG_TOKENS => {
+                format!("{customer} asks question {number}, at length [tokens={LONG_TOKENS}]")
+            }
+            CallKind::Chat | CallKind::Stream => format!("{customer} asks question {number}"),
+            CallKind::Lookup => format!("item-{number}"),
+            CallKind::Order => format!("order-{number}"),
+        }
+    }
+
+    fn spawn_calls(&self, specs: Vec<CallSpec>) -> JoinHandle<Vec<CallRecord>> {
+        let client = self.client.clone();
+        let live = self.world.live();
+        tokio::spawn(async move {
+            let calls = specs.into_iter().enumerate().map(|(index, spec)| {
+                let router = live[index % live.len()];
+                let client = client.clone();
+                async move { client.call(spec, router).await }
+            });
+            stream::iter(calls)
+                .buffer_unordered(CONCURRENCY)
+                .collect()
+                .await
+        })
+    }
+
+    /// Sends requests that must be refused.
+    async fn probe_refusals(&mut self) {
+        let live = self.world.live();
+        for (index, probe) in build_probes(&self.world.document).into_iter().enumerate() {
+            let router = live[index % live.len()];
+            let mut request = self.client.request(Method::POST, router, &probe.path);
+            if let Some(key) = probe.key {
+                request = request.bearer_auth(key);
+            }
+            let request = request
+                .header("content-type", "application/json")
+                .body(probe.body);
+            let result = match request.send().await {
+                Ok(response) if response.status().is_success() => CallResult::Answered {
+                    tokens: 0,
+                    matches: false,
+                },
+                Ok(response) => read_refusal(response).await,
+                Err(_) => CallResult::Broken { sent: true },
+            };
+            self.journal.probes.push(ProbeRecord {
+                name: probe.name,
+                expected: probe.expected,
+                result,
+                text: probe.text,
+            });
+        }
+        let elapsed = self.world.started.elapsed().as_secs_f64();
+        let count = self.journal.probes.len();
+        let what = "requests that must be refused";
+        println!(
+            "{elapsed:6.2} s {count:>7}{:>9}{count:>9}{:>12}   {what}",
+            0, 0
+        );
+    }
+
+    /// Makes orders, repeats each at another router, and makes some at two routers at once.
+    async fn repeat_orders(&mut self) {
+        let live = self.world.live();
+        let options = list_options(&self.world.document).into_iter().flatten();
+        let Some(base) = options
+            .into_iter()
+            .find(|spec| spec.kind == CallKind::Order)
+        else {
+            return;
+        };
+        let mut records = Vec::new();
+        for index in 0..12 {
+            let text = format!("repeated-order-{index}");
+            let spec = CallSpec {
+                text,
+                ..base.clone()
+            };
+            let (first, second) = (live[index % live.len()], live[(index + 1) % live.len()]);
+            let (call, repeat) = (spec.clone(), spec);
+            if index % 2 == 0 {
+                records.push(self.client.call(call, first).await);
+                records.push(self.client.call(repeat, second).await);
+            } else {
+                let call = self.client.call(call, first);
+                let repeat = self.client.call(repeat, second);
+                let (call, repeat) = future::join(call, repeat).await;
+                records.extend([call, repeat]);
+            }
+        }
+        self.note(
+            "orders, repeated later or at once at another router",
+            records,
+        );
+    }
+
+    /// Makes calls with the customer of the smallest budget until it is spent.
+    async fn exhaust_budgets(&mut self) -> Result<(), Whatever> {
+        let document = &self.world.document;
+        let smallest = document
+            .budgets
+            .iter()
+            .min_by_key(|(_, section)| section.paid);
+        let Some((budget, section)) = smallest else {
+            return Ok(());
+        };
+        let options = list_options(document).into_iter().flatten();
+        let Some(base) = options.into_iter().find(|spec| spec.budget == *budget) else {
+            return Ok(());
+        };
+        // Each call costs at least 10 tokens, but a large budget is not worth the time.
+        let count = (section.paid.get() / 30).min(160) as usize;
+        let what = format!("budget {budget} is used until it is spent");
+        let specs = (0..count).map(|index| CallSpec {
+            text: format!("spend {} {index}", base.customer),
+            max_tokens: MAX_TOKENS,
+            ..base.clone()
+        });
+        let records = collect(self.spawn_calls(specs.collect())).await?;
+        self.note(&what, records);
+        Ok(())
+    }
+
+    /// Marks an engine as leaving, and measures how long the change takes.
+    async fn change_config(&mut self) -> Result<(), Whatever> {
+        let Some(name) = find_spare_engine(&self.world.document) else {
+            return Ok(());
+        };
+        let changed = change_upstream(&self.world.document, &name, |section| {
+            section.state = UpstreamState::Leaving;
+        });
+        let started = Instant::now();
+        let head = change_document(&self.world.store, &self.world.document, &changed).await?;
+        let load = self.start_load(80, MAX_TOKENS);
+        if self.world.wait_version(head.version, CONFIG_LIMIT).await {
+            self.journal.config_time = Some(started.elapsed());
+        }
+        self.world.document = changed;
+        tokio::time::sleep_until((started + LEAVING_TIME).into()).await;
+        self.journal.leaving = self.world.engines.get(&name).map(|engine| {
+            let received = engine.counts().received;
+            (name.clone(), received)
+        });
+        self.note(
+            &format!("{name} is marked as leaving"),
+            collect(load).await?,
+        );
+        Ok(())
+    }
+
+    /// Stops a router gracefully while it is busy.
+    async fn drain_router(&mut self) -> Result<(), Whatever> {
+        let load = self.start_load(120, LONG_TOKENS);
+        let live = self.world.live();
+        let router = live[0];
+        let busy = self.wait_busy(router).await;
+        self.world.nodes[router].close().await?;
+        self.journal.drained = Some(router);
+        let name = self.world.nodes[router].name.clone();
+        self.note(
+            &format!("{name} is drained with {busy} requests in progress"),
+            collect(load).await?,
+        );
+        Ok(())
+    }
+
+    /// Kills a router while it is busy.
+    async fn kill_router(&mut self) -> Result<(), Whatever> {
+        let load = self.start_load(120, LONG_TOKENS);
+        let live = self.world.live();
+        let router = live[live.len() - 1];
+        let busy = self.wait_busy(router).await;
+        self.world.nodes[router].kill().await?;
+        let name = self.world.nodes[router].name.clone();
+        self.note(
+            &format!("{name} is killed with {busy} requests in progress"),
+            collect(load).await?,
+        );
+        Ok(())
+    }
+
+    async fn wait_busy(&self, router: usize) -> usize {
+        let started = Instant::now();
+        loop {
+            let running = self.world.nodes[router].running();
+            if running >= BUSY_REQUESTS || started.elapsed() > BUSY_LIMIT {
+                return running;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Takes the platform away, and brings it back.
+    async fn fail_platform(&mut self) -> Result<(), Whatever> {
+        self.world.platform.set_faults(PlatformFaults {
+            outage: true,
+            ..PlatformFaults::default()
+        });
+        let records = collect(self.start_load(120, MAX_TOKENS)).await?;
+        self.journal.outage.clone_from(&records);
+        self.note("the platform is away", records);
+        self.world.platform.set_faults(PlatformFaults::default());
+        let records = collect(self.start_load(80, MAX_TOKENS)).await?;
+        self.note("the platform is back", records);
+        Ok(())
+    }
+
+    /// Takes the final count of the upstream that was marked as leaving.
+    fn look_at_leaving(&mut self) {
+        if let Some((name, received)) = &mut self.journal.leaving
+            && let Some(engine) = self.world.engines.get(name)
+        {
+            *received = engine.counts().received - *received;
+        }
+    }
+}
+
+/// Waits for the records of a load.
+async fn collect(load: JoinHandle<Vec<CallRecord>>) -> Result<Vec<CallRecord>, Whatever> {
+    load.await.whatever_context("customers of the demo failed")
+}
+
+/// Lists for each customer one example of every call that it may make.
+fn list_options(document: &Document) -> Vec<Vec<CallSpec>> {
+    let customers = document.customers.iter();
+    let options = customers.map(|(name, section)| list_customer(document, name, section));
+    options.filter(|options| !options.is_empty()).collect()
+}
+
+fn list_customer(
+    document: &Document,
+    customer: &CustomerName,
+    section: &CustomerSection,
+) -> Vec<CallSpec> {
+    let build = |kind, target: &str, cost| CallSpec {
+        customer: customer.clone(),
+        budget: section.budget.clone(),
+        kind,
+        target: target.to_owned(),
+        text: String::new(),
+        max_tokens: MAX_TOKENS,
+        cost,
+    };
+    let models = document
+        .models
+        .keys()
+        .filter(|name| section.models.allows(name));
+    let chats = models.flat_map(|name| [CallKind::Chat, CallKind::Stream].map(|kind| (kind, name)));
+    let chats = chats.map(|(kind, name)| build(kind, name, 0));
+    let services = document
+        .services
+        .iter()
+        .filter(|(name, _)| section.services.allows(name));
+    let calls = services.flat_map(|(name, service)| {
+        let cost = service.cost_per_call.get();
+        [CallKind::Lookup, CallKind::Order].map(|kind| build(kind, name, cost))
+    });
+    chats.chain(calls).collect()
+}
+
+/// Returns an engine whose models are also served by another one.
+fn find_spare_engine(document: &Document) -> Option<UpstreamName> {
+    let engines = document.upstreams.iter();
+    let engines = engines.filter(|(_, section)| section.kind == UpstreamKind::Engine);
+    let engines: Vec<_> = engines.collect();
+    let spare = engines.iter().rev().find(|(name, section)| {
+        section.models.iter().all(|model| {
+            let mut others = engines.iter().filter(|(other, _)| other != name);
+            others.any(|(_, other)| other.models.contains(model))
+        })
+    });
+    spare.map(|(name, _)| (*name).clone())
+}
+
+/// Describes a request that must be refused.
+struct RefusalProbe {
+    name: &'static str,
+    expected: &'static str,
+    path: String,
+    key: Option<String>,
+    body: String,
+    text: String,
+}
+
+fn build_probes(document: &Document) -> Vec<RefusalProbe> {
+    let Some(customer) = document.customers.keys().next() else {
+        return Vec::new();
+    };
+    let key = Some(demo_key(customer));
+    let model = document
+        .models
+        .keys()
+        .next()
+        .map_or("none", |name| name.as_str());
+    let chat = |name, expected, key: Option<String>, model: &str, max_tokens: Value| {
+        let text = format!("must be refused: {name}");
+        let messages = json!([{"role": "user", "content": text}]);
+        let body = json!({"model": model, "messages": messages, "max_tokens": max_tokens});
+        RefusalProbe {
+            name,
+            expected,
+            path: "/v1/chat/completions".to_owned(),
+            key,
+            body: body.to_string(),
+            text,
+        }
+    };
+    let mut probes = vec![
+        chat("no key", "missing_key", None, model, json!(8)),
+        chat(
+            "wrong key",
+            "unknown_key",
+            Some("nobody".to_owned()),
+            model,
+            json!(8),
+        ),
+        chat(
+            "unknown model",
+            "unknown_model",
+            key.clone(),
+            "no-such-model",
+            json!(8),
+        ),
+        chat(
+            "no tokens",
+            "malformed_request",
+            key.clone(),
+            model,
+            json!(0),
+        ),
+    ];
+    let large = "x".repeat(document.limits.body_bytes as usize);
+    let mut too_large = chat("large body", "body_too_large", key.clone(), model, json!(8));
+    too_large.body = json!({"model": model, "messages": [{"content": large}]}).to_string();
+    probes.push(too_large);
+    let forbidden = document.customers.iter().find_map(|(name, section)| {
+        let mut models = document.models.keys();
+        let model = models.find(|model| !section.models.allows(model))?;
+        Some((demo_key(name), model.as_str()))
+    });
+    if let Some((key, model)) = forbidden {
+        let expected = "upstream_forbidden";
+        probes.push(chat(
+            "model of another customer",
+            expected,
+            Some(key),
+            model,
+            json!(8),
+        ));
+    }
+    let service = document.services.keys().next();
+    let buyer = service.and_then(|service| {
+        let mut customers = document.customers.iter();
+        customers.find(|(_, section)| section.services.allows(service))
+    });
+    if let (Some(service), Some((buyer, _))) = (service, buyer) {
+        probes.push(RefusalProbe {
+            name: "order without a key",
+            expected: "idempotency_key_required",
+            path: format!("/services/{service}/orders"),
+            key: Some(demo_key(buyer)),
+            body: json!({"order": "order-without-key"}).to_string(),
+            text: "order-without-key".to_owned(),
+        });
+    }
+    probes
+}
--- /dev/null
+++ b/crates/cornelarch/src/demo/table.rs
@@ -0,0 +1,151 @@
+//! Tables of the demo, at most 100 columns wide.
+
+use std::collections::BTreeMap;
+
+use cornelarch_core::base::CustomerName;
+
+use crate::demo::{
+    call::{CallRecord, CallResult},
+    check::{BudgetLine, PromiseCheck},
+    script::DemoJournal,
+    world::{DemoWorld, NodeFate},
+};
+
+/// Number of violations that are printed per guarantee.
+const PRINTED_VIOLATIONS: usize = 3;
+
+/// Counts the calls of one customer.
+#[derive(Default)]
+struct CustomerLine {
+    requests: usize,
+    answers: usize,
+    refused: usize,
+    unknown: usize,
+    resent: usize,
+    tokens: u64,
+}
+
+impl CustomerLine {
+    fn add(&mut self, record: &CallRecord) {
+        self.requests += 1;
+        self.resent += record.attempts.len() - 1;
+        match record.last() {
+            Some(CallResult::Answered { tokens, .. }) => {
+                self.answers += 1;
+                self.tokens += tokens;
+            }
+            Some(CallResult::Refused { run, .. }) if run == "not_run" => self.refused += 1,
+            _ => self.unknown += 1,
+        }
+    }
+}
+
+/// Prints what the customers got.
+pub(crate) fn print_customers(journal: &DemoJournal) {
+    let mut lines: BTreeMap<&CustomerName, CustomerLine> = BTreeMap::new();
+    for record in &journal.records {
+        lines.entry(&record.spec.customer).or_default().add(record);
+    }
+    println!("\ncustomer    requests   answers   refused   unknown  sent again  reported tokens");
+    for (customer, line) in lines {
+        let CustomerLine {
+            requests,
+            answers,
+            refused,
+            unknown,
+            resent,
+            tokens,
+        } = line;
+        println!(
+            "{customer:<10}{requests:>10}{answers:>10}{refused:>10}{unknown:>10}{resent:>12}\
+             {tokens:>17}"
+        );
+    }
+    print_refusals(journal);
+}
+
+/// Prints the refusals by kind, of single attempts and not only of calls.
+fn print_refusals(journal: &DemoJournal) {
+    let mut kinds: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let attempts = journal.records.iter().flat_map(|record| &record.attempts);
+    let results = attempts.map(|(_, result)| result);
+    let probes = journal.probes.iter().map(|probe| &probe.result);
+    for result in results.chain(probes) {
+        match result {
+            CallResult::Refused { code, run } => *kinds.entry((code, run)).or_default() += 1,
+            CallResult::Broken { sent: true } => {
+                *kinds.entry(("(connection lost)", "unknown")).or_default() += 1;
+            }
+            CallResult::Broken { sent: false } => {
+                *kinds
+                    .entry(("(connection refused)", "not_run"))
+                    .or_default() += 1;
+            }
+            CallResult::Answered { .. } => {}
+        }
+    }
+    println!("\nattempts without answer       run state     count");
+    for ((code, run), count) in kinds {
+        println!("{code:<30}{run:<10}{count:>9}");
+    }
+}
+
+/// Prints where the requests went.
+pub(crate) fn print_upstreams(world: &DemoWorld) {
+    println!("\nupstream      domain  concurrency    requests      tokens");
+    for (name, section) in world.document.upstreams.iter() {
+        let (requests, tokens) = match (world.engines.get(name), world.services.get(name)) {
+            (Some(engine), _) => {
+                let counts = engine.counts();
+                (counts.received, counts.decode_tokens.to_string())
+            }
+            (_, Some(service)) => (service.counts().received, "-".to_owned()),
+            (None, None) => continue,
+        };
+        let (domain, concurrency) = (&section.domain, section.concurrency);
+        println!("{name:<14}{domain:<6}{concurrency:>13}{requests:>12}{tokens:>12}");
+    }
+    println!("\nrouter        domain  end");
+    for node in &world.nodes {
+        let fate = match node.fate {
+            NodeFate::Live => "live",
+            NodeFate::Drained => "drained",
+            NodeFate::Killed => "killed",
+        };
+        println!("{:<14}{:<8}{fate}", node.name, node.domain);
+    }
+}
+
+/// Prints the ledger.
+pub(crate) fn print_budgets(lines: &[BudgetLine]) {
+    println!("\nbudget          paid  =   spent  +    held  + available   spent but not reported");
+    for line in lines {
+        let totals = &line.totals;
+        println!(
+            "{:<10}{:>10}{:>11}{:>11}{:>13}{:>25}",
+            line.budget, totals.paid, totals.spent, totals.held, totals.available, line.unreported
+        );
+    }
+}
+
+/// Prints the guarantees; returns whether all were kept.
+pub(crate) fn print_promises(checks: &[PromiseCheck]) -> bool {
+    println!("\n{:<8}{:<51}counted", "", "guarantee");
+    for check in checks {
+        let verdict = match check.broken.is_empty() {
+            true => "ok",
+            false => "BROKEN",
+        };
+        println!("{verdict:<8}{:<51}{}", check.text, check.detail);
+        for violation in check.broken.iter().take(PRINTED_VIOLATIONS) {
+            println!("        {violation}");
+        }
+        if check.broken.len() > PRINTED_VIOLATIONS {
+            println!(
+                "        and {} more",
+                check.broken.len() - PRINTED_VIOLATIONS
+            );
+        }
+    }
+    checks.iter().all(|check| check.broken.is_empty())
+}
--- a/crates/cornelarch/src/lib.rs
+++ b/crates/cornelarch/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder summary, replaced as the crate grows.
+//! Facade of the cornelarch router fleet, with the operator tool and the demonstration.
+
+pub mod demo;
--- a/crates/standin/src/service/handle.rs
+++ b/crates/standin/src/service/handle.rs
@@ -61,6 +61,8 @@
     pub(crate) counts: ServiceCounts,
     /// The number of executions per order id.
     pub(crate) executions: BTreeMap<String, u64>,
+    /// The number of runs per path and query of a lookup.
+    pub(crate) lookups: BTreeMap<String, u64>,
     /// The highest fencing number seen per order id.
     pub(crate) fences: BTreeMap<String, u64>,
     pub(crate) running: u64,
@@ -136,6 +138,12 @@
         self.shared.state.lock().executions.clone()
     }
 
+    /// Returns the number of runs per path and query of a lookup.
+    #[must_use]
+    pub fn lookups(&self) -> BTreeMap<String, u64> {
+        self.shared.state.lock().lookups.clone()
+    }
+
     /// Ends the stand-in and cuts its connections.
     pub async fn close(self) {
         for task in &self.tasks {
--- a/crates/standin/src/service/server.rs
+++ b/crates/standin/src/service/server.rs
@@ -95,8 +95,10 @@
 }
 
 fn run_lookup(shared: &ServiceShared, uri: &Uri) -> (StatusCode, Value) {
-    shared.state.lock().counts.lookups += 1;
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut state = shared.state.lock();
+    state.counts.lookups += 1;
+    *state.lookups.entry(path.to_owned()).or_default() += 1;
     (StatusCode::OK, lookup_answer(path))
 }
 
