--- a/crates/core/src/limit/queue.rs
+++ b/crates/core/src/limit/queue.rs
@@ -1,7 +1,7 @@
 //! Bounded queue of one model, fair among customers.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -16,9 +16,13 @@
 
 /// Waiting requests per queue.
 const DEFAULT_ENTRIES_MAX: usize = 512;
-/// Cost that a customer of weight 1 may take per round, in tokens.
-const DEFAULT_QUANTUM: f64 = 2_000.0;
-/// Smallest weight, so that a round ends.
+/// Longest wait. With callers that wait for minutes, a longer queue only delays every answer.
+const DEFAULT_WAIT_MAX: Duration = Duration::from_secs(10);
+/// Virtual time per token at weight 1. Fractions matter for weights above 1.
+const VIRTUAL_PER_TOKEN: f64 = 1_000.0;
+/// Customers without waiting requests whose share is remembered.
+const IDLE_FLOWS_MAX: usize = 64;
+/// Smallest weight, so that no customer waits without end.
 const WEIGHT_MIN: f64 = 0.01;
 /// Time over which the drain rate is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
@@ -63,10 +67,10 @@
     pub entries_max: usize,
     /// Relative capacity of this instance, which scales the bound.
     pub capacity: f64,
-    /// Cost that a customer of weight 1 may take per round, in tokens.
-    pub quantum: f64,
     /// Time that a request needs after it leaves the queue; a request with less time is refused.
     pub service_time: Duration,
+    /// Longest wait, whatever the deadline.
+    pub wait_max: Duration,
 }
 
 impl Default for QueueOptions {
@@ -74,8 +78,8 @@
         Self {
             entries_max: DEFAULT_ENTRIES_MAX,
             capacity: 1.0,
-            quantum: DEFAULT_QUANTUM,
             service_time: Duration::ZERO,
+            wait_max: DEFAULT_WAIT_MAX,
         }
     }
 }
@@ -131,18 +135,25 @@
 #[derive(Clone, Debug)]
 struct Ticket {
     request: QueueRequest,
+    /// Moment at which the request is given up unless it runs.
+    expires: MonotonicTime,
 }
 
 /// Holds the waiting requests of one model.
 ///
-/// Customers take turns by deficit round robin over token costs. If the queue is full, the
+/// Customers share by start-time fair queueing over token costs: the request with the smallest
+/// virtual start runs next, and moves the start of its customer's next request by cost / weight.
+/// A customer below its share therefore never waits for the backlog of another. If the queue is full, the
 /// customer with the largest weighted backlog gives up its last request.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     options: QueueOptions,
     tickets: SlotMap<TicketKey, Ticket>,
     flows: HashMap<CustomerName, CustomerFlow>,
-    turns: VecDeque<CustomerName>,
+    /// Customers with waiting requests by virtual start.
+    turns: BTreeSet<(u64, CustomerName)>,
+    /// Virtual start of the request that ran last.
+    virtual_now: u64,
     deadlines: BTreeSet<(MonotonicTime, TicketKey)>,
     cost: u64,
     rate: DrainRate,
@@ -156,7 +167,8 @@
             options,
             tickets: SlotMap::with_key(),
             flows: HashMap::new(),
-            turns: VecDeque::new(),
+            turns: BTreeSet::new(),
+            virtual_now: 0,
             deadlines: BTreeSet::new(),
             cost: 0,
             rate: DrainRate::default(),
@@ -199,7 +211,8 @@
             });
         }
         let wait = self.expected_wait(&request);
-        if now + wait + self.options.service_time > request.deadline {
+        let is_late = now + wait + self.options.service_time > request.deadline;
+        if is_late || wait > self.options.wait_max {
             return Err(self.refuse(wait));
         }
         let mut effects = Vec::new();
@@ -212,7 +225,7 @@
             self.remove(victim);
             effects.push(QueueEffect::Refuse(victim, refusal));
         }
-        Ok((self.insert(request), effects))
+        Ok((self.insert(request, now), effects))
     }
 
     /// Admits up to `free` requests and refuses those whose deadline cannot be met any more.
@@ -255,6 +268,7 @@
         let mut customers: Vec<_> = self
             .flows
             .iter()
+            .filter(|(_, flow)| !flow.is_empty())
             .map(|(customer, flow)| (customer.clone(), flow.cost))
             .collect();
         customers.sort();
@@ -279,7 +293,7 @@
         let others = self
             .flows
             .iter()
-            .filter(|(customer, _)| **customer != request.customer);
+            .filter(|(customer, flow)| **customer != request.customer && !flow.is_empty());
         let shares: f64 = others.map(|(_, flow)| flow.weight).sum();
         let weight = request.weight.max(WEIGHT_MIN);
         let own = self
@@ -315,7 +329,8 @@
             .get(&request.customer)
             .map_or(0, |flow| flow.cost);
         let own = (own + request.cost) as f64 / request.weight.max(WEIGHT_MIN);
-        let (customer, flow) = self.flows.iter().max_by(|left, right| {
+        let waiting = self.flows.iter().filter(|(_, flow)| !flow.is_empty());
+        let (customer, flow) = waiting.max_by(|left, right| {
             let by_cost = left.1.weighted_cost().total_cmp(&right.1.weighted_cost());
             by_cost.then_with(|| left.0.cmp(right.0))
         })?;
@@ -325,48 +340,65 @@
         flow.last()
     }
 
-    fn insert(&mut self, request: QueueRequest) -> TicketKey {
+    fn insert(&mut self, request: QueueRequest, now: MonotonicTime) -> TicketKey {
         let customer = request.customer.clone();
         let (weight, cost) = (request.weight.max(WEIGHT_MIN), request.cost);
-        let (priority, deadline) = (request.priority, request.deadline);
-        let key = self.tickets.insert(Ticket { request });
-        self.deadlines.insert((deadline, key));
+        let priority = request.priority;
+        let expires = request
+            .deadline
+            .min(now + self.options.wait_max + self.options.service_time);
+        let key = self.tickets.insert(Ticket { request, expires });
+        self.deadlines.insert((expires, key));
         self.cost += cost;
-        let flow = self.flows.entry(customer.clone()).or_insert_with(|| {
-            self.turns.push_back(customer);
-            CustomerFlow::default()
-        });
+        self.forget_idle();
+        let flow = self.flows.entry(customer.clone()).or_default();
+        if flow.is_empty() {
+            flow.start = flow.start.max(self.virtual_now);
+            self.turns.insert((flow.start, customer));
+        }
         flow.weight = weight;
         flow.push(priority, key, cost);
         key
     }
 
-    /// Takes the next request by deficit round robin.
+    /// Takes the request with the smallest virtual start.
     fn take_next(&mut self) -> Option<TicketKey> {
-        loop {
-            let customer = self.turns.front()?.clone();
-            let flow = self.flows.get_mut(&customer)?;
-            let key = flow.first()?;
-            let cost = self.tickets[key].request.cost as f64;
-            if flow.deficit >= cost {
-                flow.deficit -= cost;
-                self.remove(key);
-                return Some(key);
-            }
-            flow.deficit += self.options.quantum * flow.weight;
-            self.turns.rotate_left(1);
+        let (start, customer) = self.turns.pop_first()?;
+        self.virtual_now = self.virtual_now.max(start);
+        let flow = self.flows.get_mut(&customer)?;
+        let key = flow.first()?;
+        let cost = self.tickets[key].request.cost as f64;
+        flow.start = start.saturating_add((cost * VIRTUAL_PER_TOKEN / flow.weight) as u64);
+        self.turns.insert((flow.start, customer));
+        self.remove(key);
+        Some(key)
+    }
+
+    /// Forgets customers without waiting requests that are owed or owe nothing.
+    fn forget_idle(&mut self) {
+        let idle = self.flows.len().saturating_sub(self.turns.len());
+        if idle > IDLE_FLOWS_MAX {
+            let virtual_now = self.virtual_now;
+            self.flows
+                .retain(|_, flow| !flow.is_empty() || flow.start > virtual_now);
         }
     }
 
     fn expire(&mut self, now: MonotonicTime) -> Vec<QueueEffect> {
         let mut effects = Vec::new();
-        while let Some(&(deadline, key)) = self.deadlines.first() {
-            if now + self.options.service_time < deadline {
+        while let Some(&(expires, key)) = self.deadlines.first() {
+            let ready = now + self.options.service_time;
+            if ready < expires {
                 break;
             }
-            self.remove(key);
+            let request = self.remove(key);
+            let is_late = request.is_some_and(|request| request.deadline <= ready);
             let refusal = AdmissionRefusal {
-                kind: ErrorKind::DeadlineExceeded,
+                kind: if is_late {
+                    ErrorKind::DeadlineExceeded
+                } else {
+                    ErrorKind::Overloaded
+                },
                 retry_after: self.expected_drain(),
             };
             effects.push(QueueEffect::Refuse(key, refusal));
@@ -375,14 +407,13 @@
     }
 
     fn remove(&mut self, key: TicketKey) -> Option<QueueRequest> {
-        let Ticket { request } = self.tickets.remove(key)?;
-        self.deadlines.remove(&(request.deadline, key));
+        let Ticket { request, expires } = self.tickets.remove(key)?;
+        self.deadlines.remove(&(expires, key));
         self.cost = self.cost.saturating_sub(request.cost);
         if let Some(flow) = self.flows.get_mut(&request.customer) {
             flow.remove(request.priority, key, request.cost);
             if flow.is_empty() {
-                self.flows.remove(&request.customer);
-                self.turns.retain(|customer| *customer != request.customer);
+                self.turns.remove(&(flow.start, request.customer.clone()));
             }
         }
         Some(request)
