Measure the budget policies and correct the predictive one

Change: cornelarch-measure budgets drives the real ledgers against a fake platform in virtual time: seven scenarios, four policies. Faults that it showed, and their corrections: a refused write made the next one wait and use an old value, so a write follows the read at once; reads were used up at a start, so the quota has a burst of 4 s, half of it for waiting requests; one lost borrow request left a borrower waiting, so it asks again and an owner without tokens answers; returned and reserved tokens counted as burn; the reserve for an outage followed single requests, so it follows a slow mean and is refilled at 95%; one answer to another domain gave away everything; holders returned their reserve together when a budget became scarce; surplus of idle budgets was kept.

--- a/crates/core/src/budget/forecast.rs
+++ b/crates/core/src/budget/forecast.rs
@@ -56,12 +56,13 @@
         // A surplus of refunds lowers the next rates.
         self.outflow = self.outflow.min(0);
         self.updated = now;
-        self.mean += (rate - self.mean) * (1.0 - (-seconds / MEAN_SECONDS).exp());
         if !self.is_started {
             self.is_started = rate > 0.0;
             self.level = rate;
             return;
         }
+        // The mean starts at zero: the first requests reserve more than they will cost.
+        self.mean += (rate - self.mean) * (1.0 - (-seconds / MEAN_SECONDS).exp());
         let steps = (seconds as u32).clamp(1, MAX_STEPS);
         for _ in 0..steps {
             let earlier = self.level;
--- a/crates/core/src/budget/ledger/account.rs
+++ b/crates/core/src/budget/ledger/account.rs
@@ -61,6 +61,8 @@
     pub(super) wanted_at: MonotonicTime,
     /// When the shard owner was asked; cleared by any transfer.
     pub(super) asked_at: Option<MonotonicTime>,
+    /// The requests to the shard owner since the last transfer.
+    pub(super) asks: u8,
     pub(super) silent_until: MonotonicTime,
     /// When every neighbour and the owners of other domains were asked.
     pub(super) searched_at: Option<MonotonicTime>,
--- a/crates/core/src/budget/ledger/digest.rs
+++ b/crates/core/src/budget/ledger/digest.rs
@@ -32,6 +32,7 @@
         }
         self.transfers.hash(hasher);
         self.peers.hash(hasher);
+        self.heard.hash(hasher);
         self.shards.hash(hasher);
         self.platform.hash(hasher);
         self.active.hash(hasher);
--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -6,12 +6,21 @@
 };
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
-    budget::{BudgetMessage, BudgetTotals, DrawGoal, LedgerEffect},
+    budget::{
+        BudgetMessage, BudgetTotals, DrawGoal, LedgerEffect,
+        policy::{DRAW_REQUESTS, IDLE_PERIOD},
+    },
 };
 
 /// Time for which a budget counts as scarce after a sign of it, in units of the end wait.
 const SCARCE_WAITS: u32 = 40;
 
+/// Requests to an owner that is alive before a borrower draws for itself.
+const MAX_ASKS: u8 = 5;
+
+/// Requests that an answer to another domain covers if there are enough idle tokens.
+const GIVEN_REQUESTS: u64 = 8;
+
 impl BudgetLedger {
     /// Takes a message of a peer into account.
     pub(super) fn receive(
@@ -25,6 +34,7 @@
         if *to != self.holder {
             return;
         }
+        self.heard.insert(from.clone(), now);
         match message {
             BudgetMessage::BorrowRequest { budget, amount } => {
                 self.take_borrow(from, budget, amount, now);
@@ -55,8 +65,16 @@
         let key = self.register(budget);
         self.activate(key);
         let given = self.lendable(key).min(amount);
-        self.give(key, from, given, now);
+        self.lend(key, from, given, now);
         let rest = amount.saturating_sub(given);
+        if given.is_zero() {
+            // Tells the borrower that this instance is alive and looks for tokens.
+            let message = BudgetMessage::TransferAck { sequence: 0 };
+            self.effects.push(LedgerEffect::Send {
+                to: from.clone(),
+                message,
+            });
+        }
         if !self.is_owner(&self.accounts[key]) || rest.is_zero() {
             return;
         }
@@ -101,7 +119,7 @@
             let balance = account.balance;
             let work = account.work();
             work.borrowed = work.borrowed.saturating_add(amount);
-            work.asked_at = None;
+            (work.asked_at, work.asks) = (None, 0);
             if !is_owner && balance < wanted {
                 work.scarce_until = scarce_until;
             }
@@ -119,15 +137,22 @@
         let scarce_until = now + self.options.end_wait * SCARCE_WAITS;
         let lendable = self.lendable(key);
         let account = &mut self.accounts[key];
-        let was_scarce = now < account.work().scarce_until;
-        account.work().scarce_until = scarce_until;
-        // Half of what is needed soon stays here, so that two busy domains share the rest.
+        let work = account.work();
+        work.scarce_until = scarce_until;
+        let is_asking = work
+            .searched_at
+            .is_none_or(|at| now.since(at) >= self.options.borrow_timeout);
+        // Each asking domain gets a share, so that the rest is not moved from one to the next.
         let soon = account.forecast.predict(self.options.flush_period);
         let idle = lendable.saturating_sub(soon).max(lendable.scaled(0.5));
-        self.give(key, from, idle, now);
+        let few = account.request_size.get().saturating_mul(GIVEN_REQUESTS);
+        let share = idle.scaled(1.0 / f64::from(self.options.domains.max(1)));
+        let given = share.max(TokenCount::new(few)).min(idle);
+        self.transfer(key, from, given, TokenCount::ZERO, now);
         self.urgent.insert(key);
         let is_neighbour = self.peers.members(&self.options.domain).contains(from);
-        if !was_scarce && !is_neighbour && self.is_owner(&self.accounts[key]) {
+        if is_asking && !is_neighbour && self.is_owner(&self.accounts[key]) {
+            self.accounts[key].work().searched_at = Some(now);
             self.ask_neighbours_back(key);
         }
     }
@@ -157,8 +182,10 @@
         }
     }
 
-    /// Transfers tokens to another instance.
-    fn give(&mut self, key: BudgetKey, to: &HolderId, amount: TokenCount, now: MonotonicTime) {
+    /// Transfers tokens to a neighbour that asked for them; they count as burn of the lender, which
+    /// draws for its neighbours as well.
+    fn lend(&mut self, key: BudgetKey, to: &HolderId, amount: TokenCount, now: MonotonicTime) {
+        self.accounts[key].forecast.add(amount);
         self.transfer(key, to, amount, TokenCount::ZERO, now);
     }
 
@@ -177,7 +204,6 @@
             return;
         }
         account.balance = account.balance.saturating_sub(amount);
-        account.forecast.add(amount);
         if !spent.is_zero() {
             account.remove_unreported(spent, now);
         }
@@ -248,7 +274,7 @@
         for mut demand in demands {
             let given = demand.amount.min(free);
             free = free.saturating_sub(given);
-            self.give(key, &demand.holder, given, now);
+            self.lend(key, &demand.holder, given, now);
             demand.amount = demand.amount.saturating_sub(given);
             if !demand.amount.is_zero() {
                 self.accounts[key].work().borrowers.push(demand);
@@ -267,19 +293,26 @@
         let Some(owner) = self.owner(account).cloned() else {
             return;
         };
-        let timeout = self.options.borrow_timeout;
-        let silence = self.options.owner_silence;
+        let asked_at = account.work.as_ref().and_then(|work| work.asked_at);
+        let is_heard = asked_at.is_some() && self.heard.get(&owner).copied() >= asked_at;
+        // An owner that answers may be waiting for the platform itself.
+        let asks = match is_heard {
+            true => MAX_ASKS,
+            false => 1,
+        };
+        let (timeout, silence) = (self.options.borrow_timeout, self.options.owner_silence);
         let is_waiting = account.wanted > account.balance;
         let work = self.accounts[key].work();
         match work.asked_at {
             Some(at) if now.since(at) < timeout => {}
-            Some(_) if is_waiting => {
-                work.asked_at = None;
+            Some(_) if is_waiting && work.asks >= asks => {
+                (work.asked_at, work.asks) = (None, 0);
                 work.silent_until = now + silence;
                 self.search(key, now);
             }
             _ => {
                 work.asked_at = Some(now);
+                work.asks = work.asks.saturating_add(1);
                 let budget = self.accounts[key].budget.clone();
                 let message = BudgetMessage::BorrowRequest { budget, amount };
                 self.effects.push(LedgerEffect::Send { to: owner, message });
@@ -354,7 +387,7 @@
         };
         let is_surplus_old = self.is_surplus_old(account, goal, now);
         let amount = match is_surplus_old {
-            true => account.balance.saturating_sub(goal.target),
+            true => account.balance.saturating_sub(goal.surplus_target),
             false => TokenCount::ZERO,
         };
         let dirty_since = account.work.as_ref().and_then(|work| work.dirty_since);
@@ -374,9 +407,14 @@
         goal: DrawGoal,
         now: MonotonicTime,
     ) -> bool {
+        let surplus = account.balance.saturating_sub(goal.surplus_target).get();
+        let is_large = surplus > account.request_size.get().saturating_mul(DRAW_REQUESTS);
         let delay = match goal.is_scarce {
             true => self.options.flush_period,
-            false => self.options.idle_return,
+            false if is_large => IDLE_PERIOD.min(self.options.idle_return),
+            false if self.is_drawing(account, now) => self.options.idle_return,
+            // A return to the shard owner costs no platform write.
+            false => self.options.borrow_horizon.min(self.options.idle_return),
         };
         let since = account.work.as_ref().and_then(|work| work.surplus_since);
         account.balance > goal.keep && since.is_some_and(|since| now.since(since) >= delay)
--- a/crates/core/src/budget/ledger/mod.rs
+++ b/crates/core/src/budget/ledger/mod.rs
@@ -98,6 +98,8 @@
     reservations: SlotMap<ReservationKey, Reservation>,
     transfers: TransferTable,
     peers: PeerTable,
+    /// When each peer was heard last.
+    heard: BTreeMap<HolderId, MonotonicTime>,
     shards: BTreeMap<ShardNumber, ShardSync>,
     platform: sync::PlatformState,
     quota: ReadQuota,
@@ -123,6 +125,7 @@
             reservations: SlotMap::with_key(),
             transfers: TransferTable::default(),
             peers,
+            heard: BTreeMap::new(),
             shards: BTreeMap::new(),
             platform: sync::PlatformState::default(),
             quota: ReadQuota::default(),
@@ -273,6 +276,7 @@
             LedgerEvent::PlatformDown { shard } => self.take_down(shard, now),
             LedgerEvent::PeersChanged(peers) => {
                 self.peers = PeerTable::new(&self.holder, &self.options.domain, peers);
+                self.heard.retain(|holder, _| self.peers.contains(holder));
             }
             LedgerEvent::Received { from, to, message } => self.receive(&from, &to, message, now),
             LedgerEvent::DrainStarted => self.start_drain(),
--- a/crates/core/src/budget/ledger/plan.rs
+++ b/crates/core/src/budget/ledger/plan.rs
@@ -99,7 +99,7 @@
             read_after = plan.read_after;
         }
         if self.is_surplus_old(account, goal, now) {
-            let give_back = account.balance.saturating_sub(goal.target);
+            let give_back = account.balance.saturating_sub(goal.surplus_target);
             let change = RowChange {
                 give_back,
                 ..RowChange::default()
--- a/crates/core/src/budget/ledger/sync.rs
+++ b/crates/core/src/budget/ledger/sync.rs
@@ -75,7 +75,10 @@
     }
 }
 
-/// Limits the reads of an instance by a token bucket of one second's worth.
+/// Seconds of reads that may be made at once, for a start with many budgets.
+const READ_BURST: f64 = 4.0;
+
+/// Limits the reads of an instance by a token bucket.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ReadQuota {
     used: f64,
@@ -83,14 +86,19 @@
 }
 
 impl ReadQuota {
-    fn take(&mut self, rate: f64, now: MonotonicTime) -> bool {
+    /// Takes one read. A read that no request waits for leaves half of the burst to others.
+    fn take(&mut self, rate: f64, is_urgent: bool, now: MonotonicTime) -> bool {
         if rate <= 0.0 {
             return true;
         }
         let freed = now.since(self.updated).as_secs_f64() * rate;
         self.used = (self.used - freed).max(0.0);
         self.updated = now;
-        let is_free = self.used + 1.0 <= rate.max(1.0);
+        let burst = match is_urgent {
+            true => rate * READ_BURST,
+            false => rate * READ_BURST / 2.0,
+        };
+        let is_free = self.used + 1.0 <= burst.max(1.0);
         if is_free {
             self.used += 1.0;
         }
@@ -109,7 +117,8 @@
             return;
         }
         if sync.attempt.is_some() {
-            return self.start_read(shard, now);
+            self.start_read(shard, true, now);
+            return;
         }
         let age = sync.cached.as_ref().map(|cached| now.since(cached.read_at));
         let keys = sync
@@ -125,7 +134,7 @@
             Some(Urgency::Later) | None => {
                 let mut limits = plans.iter().filter_map(|(_, plan)| plan.read_after);
                 if limits.any(|limit| age.is_none_or(|age| age >= limit)) {
-                    self.start_read(shard, now);
+                    self.start_read(shard, true, now);
                 }
                 return;
             }
@@ -135,18 +144,29 @@
         }
         match age {
             Some(age) if age <= self.options.cache_age => self.start_write(shard, &plans, now),
-            _ => self.start_read(shard, now),
+            Some(_) if urgency == Some(Urgency::Now) => {
+                // Without a free read, an old value is better than no attempt.
+                if !self.start_read(shard, true, now) {
+                    self.start_write(shard, &plans, now);
+                }
+            }
+            _ => {
+                self.start_read(shard, urgency == Some(Urgency::Now), now);
+            }
         }
     }
 
-    fn start_read(&mut self, shard: ShardNumber, now: MonotonicTime) {
-        if !self.quota.take(self.options.read_rate, now) {
-            return;
-        }
-        if let Some(sync) = self.shards.get_mut(&shard) {
-            sync.call = ShardCall::Reading { since: now };
-            self.effects.push(LedgerEffect::ReadShard { shard });
+    /// Starts a read if the quota allows it. Returns whether it did.
+    fn start_read(&mut self, shard: ShardNumber, is_urgent: bool, now: MonotonicTime) -> bool {
+        let Some(sync) = self.shards.get_mut(&shard) else {
+            return false;
+        };
+        if !self.quota.take(self.options.read_rate, is_urgent, now) {
+            return false;
         }
+        sync.call = ShardCall::Reading { since: now };
+        self.effects.push(LedgerEffect::ReadShard { shard });
+        true
     }
 
     fn start_write(
@@ -189,7 +209,6 @@
             since: now,
             expected: cached.version,
         };
-        sync.wrote_at = Some(now);
         let expected_version = cached.version;
         self.effects.push(LedgerEffect::WriteShard {
             shard,
@@ -292,6 +311,8 @@
         }
         sync.call = ShardCall::Idle;
         sync.attempt = None;
+        // A refused write does not count, so that it is repeated right after the next read.
+        sync.wrote_at = Some(now);
         self.platform.observe(since, now);
         if let Some(cached) = &mut sync.cached {
             let accounts = sync.budgets.iter().map(|key| &self.accounts[*key]);
@@ -329,7 +350,7 @@
         if is_answered {
             self.platform.observe(since, now);
         }
-        self.start_read(shard, now);
+        self.start_read(shard, true, now);
     }
 
     /// Waits before the next call because the platform is away.
--- a/crates/core/src/budget/message.rs
+++ b/crates/core/src/budget/message.rs
@@ -40,7 +40,8 @@
     },
     /// Tells that a transfer has arrived.
     TransferAck {
-        /// The sequence of the transfer.
+        /// The sequence of the transfer, or 0 as the answer to a borrow request that cannot be
+        /// filled at once.
         sequence: u64,
     },
     /// Asks for idle tokens because the budget is exhausted at the platform.
--- a/crates/core/src/budget/options.rs
+++ b/crates/core/src/budget/options.rs
@@ -39,7 +39,8 @@
     /// The additional time that held tokens should last when the platform is away.
     pub outage_reserve: Duration,
     /// The largest part of the reachable tokens that one holder targets, before division by the
-    /// number of domains.
+    /// number of domains. The result is limited to three
+    /// quarters.
     pub hold_cap: f64,
     /// How long a request that does not fit waits; the daemon enforces it.
     pub end_wait: Duration,
@@ -51,10 +52,11 @@
     pub urgent_period: Duration,
     /// The time after which spent tokens are reported without a draw.
     pub idle_flush: Duration,
-    /// The time for which a surplus is kept before it is returned. A shorter time costs a draw and
+    /// The time for which a surplus of up to 20 requests is kept before it is returned. A shorter time costs a draw and
     /// a return for each request of a rarely used budget.
     pub idle_return: Duration,
-    /// The age up to which a shard value is used for a write without a new read.
+    /// The age up to which a shard value is used for a write without a new read. With several
+    /// writers per shard an older value mostly leads to a conflict, which costs a write and a read.
     pub cache_age: Duration,
     /// The least time between reads of a shard whose budget is exhausted.
     pub reread_period: Duration,
@@ -85,14 +87,14 @@
             horizon: Duration::from_secs(60),
             borrow_horizon: Duration::from_secs(10),
             outage_reserve: Duration::from_secs(3_900),
-            hold_cap: 1.0,
+            hold_cap: 3.0,
             end_wait: Duration::from_millis(250),
             read_rate: 5.0,
             flush_period: Duration::from_secs(1),
             urgent_period: Duration::from_millis(50),
             idle_flush: Duration::from_secs(1_200),
             idle_return: Duration::from_secs(1_200),
-            cache_age: Duration::from_secs(1),
+            cache_age: Duration::from_millis(10),
             reread_period: Duration::from_secs(1),
             borrow_timeout: Duration::from_millis(60),
             owner_silence: Duration::from_secs(5),
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -8,22 +8,40 @@
 };
 
 /// Requests that one draw should cover, so that draws stay far below one per request.
-const DRAW_REQUESTS: u64 = 20;
+pub(crate) const DRAW_REQUESTS: u64 = 20;
 
 /// Requests that a loan to a neighbour should cover.
 const LOAN_REQUESTS: u64 = 4;
 
+/// Requests that a balance should cover before a refill starts.
+const FEW_REQUESTS: u64 = 4;
+
+/// Part of the stock below which a refill starts.
+const REFILL_PART: f64 = 0.95;
+
+/// Part of the stock below which a refill from a nearly exhausted budget starts.
+const SCARCE_REFILL_PART: f64 = 0.5;
+
+/// Factor on the stock above which a balance counts as surplus.
+const KEEP_FACTOR: f64 = 1.5;
+
+/// Factor on the tokens that requests wait for, so that the next requests need not wait as well.
+const NEED_FACTOR: u64 = 8;
+
 /// Part of the paid amount below which the available tokens count as nearly exhausted.
 const SCARCE_PART: f64 = 0.1;
 
 /// Part of horizon, reserve and cap that remains when held money matters more.
 const HELD_MONEY_SCALE: f64 = 0.25;
 
+/// Largest part of the reachable tokens that any holder targets.
+const MAX_HOLD_PART: f64 = 0.75;
+
 /// Time for which a holder keeps tokens of a nearly exhausted budget.
 const SCARCE_HORIZON: Duration = Duration::from_secs(5);
 
 /// Period in which a holder that does not expect a request counts as idle.
-const IDLE_PERIOD: Duration = Duration::from_secs(60);
+pub(crate) const IDLE_PERIOD: Duration = Duration::from_secs(60);
 
 /// Factor on the refill delay, because the delay varies.
 const DELAY_MARGIN: u32 = 2;
@@ -74,8 +92,10 @@
 pub struct DrawGoal {
     /// A refill starts below this balance.
     pub refill_below: TokenCount,
-    /// The balance after a refill or a return.
+    /// The balance after a refill.
     pub target: TokenCount,
+    /// The balance after a return.
+    pub surplus_target: TokenCount,
     /// A return starts above this balance.
     pub keep: TokenCount,
     /// Whether the budget is nearly exhausted.
@@ -105,6 +125,7 @@
                 DrawGoal {
                     refill_below: need,
                     target: input.balance.saturating_add(rest),
+                    surplus_target: TokenCount::MAX,
                     keep: TokenCount::MAX,
                     is_scarce: false,
                 }
@@ -112,12 +133,14 @@
             Self::PerRequest => DrawGoal {
                 refill_below: need,
                 target: need,
+                surplus_target: need,
                 keep: need,
                 is_scarce: false,
             },
             Self::LowWater { low, high } => DrawGoal {
                 refill_below: low.saturating_add(need),
                 target: high.saturating_add(need),
+                surplus_target: high.saturating_add(need),
                 keep: high.scaled(2.0).saturating_add(need),
                 is_scarce: input.is_scarce,
             },
@@ -138,6 +161,7 @@
             return DrawGoal {
                 refill_below: need,
                 target: need,
+                surplus_target: need,
                 keep: need,
                 is_scarce: true,
             };
@@ -146,7 +170,11 @@
             Self::LowWater { low, high } => (low, high),
             Self::StaticSplit { .. } | Self::PerRequest => (TokenCount::ZERO, TokenCount::ZERO),
             Self::Predictive => {
-                let few = TokenCount::new(input.request_size.get().saturating_mul(LOAN_REQUESTS));
+                let few = match is_busy(input, forecast) {
+                    true => input.request_size.get().saturating_mul(LOAN_REQUESTS),
+                    false => 0,
+                };
+                let few = TokenCount::new(few);
                 let lead = options.borrow_timeout * DELAY_MARGIN + options.flush_period;
                 (
                     forecast.predict(lead),
@@ -157,47 +185,79 @@
         DrawGoal {
             refill_below: low.saturating_add(need),
             target: high.saturating_add(need),
+            surplus_target: high.saturating_add(need),
             keep: high.scaled(2.0).saturating_add(need),
             is_scarce: false,
         }
     }
 }
 
+fn is_busy(input: &DrawInput, forecast: &BurnForecast) -> bool {
+    !input.need.is_zero() || forecast.predict(IDLE_PERIOD) >= input.request_size
+}
+
 fn predict_goal(input: &DrawInput, forecast: &BurnForecast, options: &LedgerOptions) -> DrawGoal {
     let scale = match options.weight {
         BudgetWeight::FalseRefusals => 1.0,
         BudgetWeight::HeldMoney => HELD_MONEY_SCALE,
     };
-    let domains = f64::from(options.domains.max(1));
-    let reachable = input.totals.available.saturating_add(input.balance);
-    let is_scarce =
-        input.is_scarce || input.totals.available < input.totals.paid.scaled(SCARCE_PART);
-    let lead = (input.delay + options.flush_period) * DELAY_MARGIN;
-    let refill_below = forecast.predict(lead);
-    let is_busy = !input.need.is_zero() || forecast.predict(IDLE_PERIOD) >= input.request_size;
-    let (wish, cap) = if is_scarce {
-        // Half the fair share, so that what this domain takes leaves enough for the others.
-        (
-            forecast.predict(SCARCE_HORIZON),
-            reachable.scaled(0.5 / domains),
-        )
-    } else {
-        let soon = forecast.predict(options.horizon.mul_f64(scale));
-        let outage = forecast.predict_mean(options.outage_reserve.mul_f64(scale));
-        let batch = match is_busy {
-            true => input.request_size.get().saturating_mul(DRAW_REQUESTS),
-            false => 0,
-        };
-        let cap = reachable.scaled((options.hold_cap * scale / domains).min(1.0));
-        (soon.saturating_add(outage).max(TokenCount::new(batch)), cap)
+    let soon = forecast.predict(options.horizon.mul_f64(scale));
+    let outage = forecast.predict_mean(options.outage_reserve.mul_f64(scale));
+    let wish = soon.saturating_add(outage);
+    let low = input.totals.available < input.totals.paid.scaled(SCARCE_PART);
+    let stock = match input.is_scarce || low {
+        true => find_scarce_stock(input, forecast, options),
+        false => find_stock(input, forecast, options, wish, scale),
+    };
+    // A stock that is to cover an outage is kept nearly full, not refilled at the last moment.
+    let (part, surplus_target) = match input.is_scarce || low {
+        // Others ask for what they need. If every holder returned its reserve at the same moment,
+        // the budget would count as plentiful again and the next draws would be large.
+        true => (SCARCE_REFILL_PART, stock.max(wish)),
+        false => (REFILL_PART, stock),
     };
-    let stock = wish.min(cap);
-    // A stock that lasts for hours is refilled at half its size, not at the last moment.
-    let refill_below = refill_below.max(stock.scaled(0.5)).min(stock);
+    let few = TokenCount::new(input.request_size.get().saturating_mul(FEW_REQUESTS));
+    let lead = forecast.predict((input.delay + options.flush_period) * DELAY_MARGIN);
+    let refill_below = lead.max(stock.scaled(part)).max(few).min(stock);
     DrawGoal {
         refill_below: refill_below.saturating_add(input.need),
         target: stock.saturating_add(input.need),
-        keep: stock.scaled(1.5).saturating_add(input.need),
-        is_scarce,
+        surplus_target: surplus_target.saturating_add(input.need),
+        keep: surplus_target
+            .scaled(KEEP_FACTOR)
+            .saturating_add(input.need),
+        is_scarce: input.is_scarce || low,
     }
 }
+
+/// Returns the stock of a nearly exhausted budget: half the fair share, so that what this domain
+/// takes leaves enough for the others.
+fn find_scarce_stock(
+    input: &DrawInput,
+    forecast: &BurnForecast,
+    options: &LedgerOptions,
+) -> TokenCount {
+    let reachable = input.totals.available.saturating_add(input.balance);
+    let share = reachable.scaled(0.5 / f64::from(options.domains.max(1)));
+    forecast.predict(SCARCE_HORIZON).min(share)
+}
+
+/// Returns the stock of a budget with enough tokens.
+fn find_stock(
+    input: &DrawInput,
+    forecast: &BurnForecast,
+    options: &LedgerOptions,
+    wish: TokenCount,
+    scale: f64,
+) -> TokenCount {
+    let batch = match is_busy(input, forecast) {
+        true => input.request_size.get().saturating_mul(DRAW_REQUESTS),
+        false => 0,
+    };
+    // Requests that wait show that the forecast is too low, as after a start.
+    let batch = batch.max(input.need.get().saturating_mul(NEED_FACTOR));
+    let part = options.hold_cap * scale / f64::from(options.domains.max(1));
+    let reachable = input.totals.available.saturating_add(input.balance);
+    let cap = reachable.scaled(part.min(MAX_HOLD_PART));
+    wish.max(TokenCount::new(batch)).min(cap)
+}
--- /dev/null
+++ b/crates/measure/src/budgets/fleet/fault.rs
@@ -0,0 +1,86 @@
+//! Faults and changes of the fleet.
+
+use cornelarch_core::budget::{DomainPeer, LedgerEvent};
+use rand::seq::IndexedRandom;
+
+use super::{
+    super::instance::{budget_name, domain_name},
+    Event, Fleet, SECOND,
+};
+
+impl Fleet {
+    pub(super) fn top_up(&mut self) {
+        for budget in 0..self.settings.budgets {
+            let amount = self.settings.paid(budget) / 5;
+            self.platform.top_up(&budget_name(budget), amount, "top-up");
+        }
+    }
+
+    fn pick_live(&mut self) -> Option<usize> {
+        let live = self.instances.iter().enumerate();
+        let live: Vec<usize> = live
+            .filter(|(_, instance)| instance.is_live && !instance.is_draining)
+            .map(|(index, _)| index)
+            .collect();
+        live.choose(&mut self.rng).copied()
+    }
+
+    /// Ends a process at once and starts its next incarnation. Requests in progress are lost with
+    /// their cost unbilled.
+    pub(super) fn crash(&mut self) {
+        let Some(index) = self.pick_live() else {
+            return;
+        };
+        self.row.crashes += 1;
+        let snapshot = self.instances[index].ledger.snapshot();
+        for account in snapshot.accounts {
+            let budget = (0..self.settings.budgets)
+                .find(|budget| budget_name(*budget) == account.budget)
+                .expect("budgets of the scenario");
+            let unspent = account.balance.get() + account.reserved.get() + account.returning.get();
+            self.lost[budget] += unspent;
+            self.reserved[budget] -= account.reserved.get();
+            self.row.lost_unspent += unspent;
+            self.row.lost_unreported += account.unreported.get();
+        }
+        self.instances[index] = self.new_instance(index);
+        self.push(self.now + SECOND, Event::Announce);
+    }
+
+    pub(super) fn restart(&mut self) {
+        if let Some(index) = self.pick_live() {
+            self.instances[index].is_draining = true;
+            self.announce();
+            // Waiting requests are refused as draining by the daemon; they are not budget refusals.
+            self.instances[index].waiting.clear();
+            self.feed(index, LedgerEvent::DrainStarted);
+        }
+    }
+
+    /// Tells every instance which others it can reach.
+    pub(super) fn announce(&mut self) {
+        self.is_cut_known = self.is_cut;
+        let live: Vec<(usize, DomainPeer)> = self
+            .instances
+            .iter()
+            .filter(|instance| instance.is_live && !instance.is_draining)
+            .map(|instance| {
+                let holder = instance.ledger.holder().clone();
+                (
+                    instance.domain,
+                    DomainPeer {
+                        holder,
+                        domain: domain_name(instance.domain),
+                    },
+                )
+            })
+            .collect();
+        for index in 0..self.instances.len() {
+            let own = self.instances[index].domain;
+            let is_seen = |domain: usize| !self.is_cut_known || (own == 0) == (domain == 0);
+            let peers = live.iter().filter(|(domain, _)| is_seen(*domain));
+            let peers = peers.map(|(_, peer)| peer.clone()).collect();
+            self.feed(index, LedgerEvent::PeersChanged(peers));
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/budgets/fleet/mod.rs
@@ -0,0 +1,406 @@
+//! Driver of the measurement: instances, messages and platform calls in virtual time.
+
+mod fault;
+mod request;
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::Duration,
+};
+
+use cornelarch_core::{
+    base::{HolderId, MonotonicTime},
+    budget::{BudgetMessage, LedgerEffect, LedgerEvent, ReservationKey, ShardNumber, ShardValue},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    instance::{Instance, budget_name},
+    platform::PlatformFake,
+    result::ResultRow,
+    scenario::{PolicyCase, Scenario, ScenarioSettings},
+    workload::{Request, Workload},
+};
+
+const TICK: Duration = Duration::from_millis(100);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Time after which a lost platform call counts as failed.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which the others notice that an instance or a domain is gone.
+const DETECTION: Duration = Duration::from_secs(6);
+
+/// Part of the answers to writes that are lost.
+const LOST_ANSWERS: f64 = 0.001;
+
+/// Part of the peer messages that are lost.
+const LOST_MESSAGES: f64 = 0.001;
+
+/// Part of a budget, and requests, above which no refusal may be false.
+const TARGET_PART: f64 = 0.02;
+const TARGET_REQUESTS: u64 = 20;
+
+/// Time in which every instance draws for the first time.
+const START: Duration = Duration::from_secs(5);
+
+/// Time after the last request in which open requests end.
+const TAIL: Duration = Duration::from_secs(10);
+
+enum Event {
+    Arrival(Request),
+    Finish {
+        holder: HolderId,
+        budget: usize,
+        reservation: ReservationKey,
+        request: Request,
+    },
+    Deadline {
+        holder: HolderId,
+    },
+    Tick {
+        holder: HolderId,
+    },
+    Message {
+        from: HolderId,
+        to: HolderId,
+        message: BudgetMessage,
+    },
+    Read {
+        holder: HolderId,
+        shard: ShardNumber,
+    },
+    Write {
+        holder: HolderId,
+        shard: ShardNumber,
+        expected: u64,
+        value: ShardValue,
+    },
+    Answer {
+        holder: HolderId,
+        event: LedgerEvent,
+    },
+    Crash,
+    Restart,
+    Announce,
+    Cut(bool),
+    Outage(bool),
+    TopUp,
+    Second,
+}
+
+/// Runs one scenario with one policy.
+pub(crate) struct Fleet {
+    settings: ScenarioSettings,
+    policy: PolicyCase,
+    rng: ChaCha8Rng,
+    workload: Workload,
+    now: MonotonicTime,
+    end: MonotonicTime,
+    /// The due events; the number keeps equal times in order.
+    queue: BinaryHeap<Reverse<(MonotonicTime, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    platform: PlatformFake,
+    instances: Vec<Instance>,
+    epoch: u64,
+    is_cut: bool,
+    /// Whether the members know that the first domain is cut off.
+    is_cut_known: bool,
+    billed: Vec<u64>,
+    reserved: Vec<u64>,
+    lost: Vec<u64>,
+    row: ResultRow,
+}
+
+impl Fleet {
+    pub(crate) fn new(scenario: Scenario, policy: PolicyCase, seed: u64) -> Self {
+        let settings = scenario.settings();
+        let mut fleet = Self {
+            settings,
+            policy,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            workload: Workload::new(settings, seed),
+            now: MonotonicTime::START,
+            end: MonotonicTime::START + Duration::from_secs(settings.seconds),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            platform: PlatformFake::new(policy.options(&settings).shards),
+            instances: Vec::new(),
+            epoch: 0,
+            is_cut: false,
+            is_cut_known: false,
+            billed: vec![0; settings.budgets],
+            reserved: vec![0; settings.budgets],
+            lost: vec![0; settings.budgets],
+            row: ResultRow::new(scenario, policy),
+        };
+        fleet.prepare();
+        fleet
+    }
+
+    fn prepare(&mut self) {
+        let settings = self.settings;
+        for budget in 0..settings.budgets {
+            let name = budget_name(budget);
+            self.platform
+                .top_up(&name, settings.paid(budget), &format!("initial/{name}"));
+        }
+        for index in 0..settings.instances() {
+            let instance = self.new_instance(index);
+            self.instances.push(instance);
+        }
+        self.announce();
+        let at = |seconds: u64| MonotonicTime::START + Duration::from_secs(seconds);
+        if let Some((from, to)) = settings.cut {
+            self.push(at(from), Event::Cut(true));
+            self.push(at(to), Event::Cut(false));
+        }
+        if let Some((from, to)) = settings.outage {
+            self.push(at(from), Event::Outage(true));
+            self.push(at(to), Event::Outage(false));
+        }
+        if let Some(time) = settings.top_up_at {
+            self.push(at(time), Event::TopUp);
+        }
+        for (period, is_crash) in [
+            (settings.crash_period, true),
+            (settings.restart_period, false),
+        ] {
+            let times = period.into_iter().flat_map(|period| {
+                (1..settings.seconds / period).map(move |number| number * period)
+            });
+            for time in times {
+                let event = if is_crash {
+                    Event::Crash
+                } else {
+                    Event::Restart
+                };
+                self.push(at(time), event);
+            }
+        }
+        self.push(at(1), Event::Second);
+        self.schedule_arrival();
+    }
+
+    fn new_instance(&mut self, index: usize) -> Instance {
+        self.epoch += 1;
+        let settings = self.settings;
+        let domain = index / settings.instances_per_domain;
+        let options = self.policy.options(&settings);
+        let instance = Instance::new(index, self.epoch, domain, settings.budgets, options);
+        let holder = instance.ledger.holder().clone();
+        // The ticks of different instances are spread over the period.
+        let phase = Duration::from_micros(self.rng.random_range(0..100_000));
+        self.push(self.now + phase, Event::Tick { holder });
+        instance
+    }
+
+    fn push(&mut self, at: MonotonicTime, event: Event) {
+        self.queue.push(Reverse((at, self.next_event)));
+        self.events.insert(self.next_event, event);
+        self.next_event += 1;
+    }
+
+    fn schedule_arrival(&mut self) {
+        let (gap, request) = self.workload.next_request();
+        let at = self.now + gap;
+        if at < self.end {
+            self.push(at, Event::Arrival(request));
+        }
+    }
+
+    /// Runs the scenario to its end and returns its counts.
+    pub(crate) fn run(mut self) -> ResultRow {
+        let stop = self.end + TAIL;
+        while let Some(Reverse((at, number))) = self.queue.pop() {
+            if at > stop {
+                break;
+            }
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.handle(event);
+            }
+        }
+        self.finish()
+    }
+
+    fn finish(mut self) -> ResultRow {
+        let seconds = self.settings.seconds as f64;
+        self.row.writes_per_s = self.platform.writes as f64 / seconds;
+        self.row.reads_per_s = self.platform.reads as f64 / seconds;
+        self.row.conflicts = self.platform.conflicts;
+        for (budget, billed) in self.billed.iter().enumerate() {
+            let paid = self.platform.totals(&budget_name(budget)).paid.get();
+            self.row.overspend += billed.saturating_sub(paid);
+        }
+        self.row
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(request) => {
+                self.schedule_arrival();
+                self.admit(request);
+            }
+            Event::Finish {
+                holder,
+                budget,
+                reservation,
+                request,
+            } => {
+                self.settle(&holder, budget, reservation, request);
+            }
+            Event::Deadline { holder } => self.expire(&holder),
+            Event::Tick { holder } => self.tick(holder),
+            Event::Message { from, to, message } => self.deliver(from, to, message),
+            Event::Read { holder, shard } => {
+                let event = self.platform.read(shard, self.now);
+                self.answer(holder, event);
+            }
+            Event::Write {
+                holder,
+                shard,
+                expected,
+                value,
+            } => {
+                let event = self.platform.write(shard, expected, value, self.now);
+                let is_lost = self.rng.random_bool(LOST_ANSWERS);
+                let event = match is_lost {
+                    true => LedgerEvent::WriteUnknown { shard },
+                    false => event,
+                };
+                self.answer(holder, event);
+            }
+            Event::Answer { holder, event } => self.feed_holder(&holder, event),
+            Event::Crash => self.crash(),
+            Event::Restart => self.restart(),
+            Event::Announce => self.announce(),
+            Event::Cut(is_cut) => {
+                self.is_cut = is_cut;
+                self.push(self.now + DETECTION, Event::Announce);
+            }
+            Event::Outage(is_away) => self.platform.is_away = is_away,
+            Event::TopUp => self.top_up(),
+            Event::Second => self.sample(),
+        }
+    }
+
+    fn find(&self, holder: &HolderId) -> Option<usize> {
+        let mut instances = self.instances.iter();
+        instances.position(|instance| instance.is_live && instance.ledger.holder() == holder)
+    }
+
+    fn feed_holder(&mut self, holder: &HolderId, event: LedgerEvent) {
+        if let Some(index) = self.find(holder) {
+            self.feed(index, event);
+        }
+    }
+
+    fn feed(&mut self, index: usize, event: LedgerEvent) {
+        let effects = self.instances[index].ledger.handle(event, self.now);
+        let holder = self.instances[index].ledger.holder().clone();
+        let domain = self.instances[index].domain;
+        let arrival = self.now + self.settings.platform_delay(domain);
+        let timeout = self.now + CALL_TIMEOUT;
+        let is_cut = self.is_cut && domain == 0;
+        for effect in effects {
+            let holder = holder.clone();
+            match effect {
+                LedgerEffect::ReadShard { shard } if is_cut => {
+                    let event = LedgerEvent::PlatformDown { shard };
+                    self.push(timeout, Event::Answer { holder, event });
+                }
+                LedgerEffect::WriteShard { shard, .. } if is_cut => {
+                    let event = LedgerEvent::WriteUnknown { shard };
+                    self.push(timeout, Event::Answer { holder, event });
+                }
+                LedgerEffect::ReadShard { shard } => {
+                    self.push(arrival, Event::Read { holder, shard });
+                }
+                LedgerEffect::WriteShard {
+                    shard,
+                    expected_version: expected,
+                    value,
+                } => {
+                    self.push(
+                        arrival,
+                        Event::Write {
+                            holder,
+                            shard,
+                            expected,
+                            value,
+                        },
+                    );
+                }
+                LedgerEffect::Send { to, message } => self.send(domain, holder, to, message),
+                LedgerEffect::Wake { budget } => self.wake(index, budget),
+            }
+        }
+    }
+
+    fn answer(&mut self, holder: HolderId, event: LedgerEvent) {
+        if let Some(index) = self.find(&holder) {
+            let delay = self.settings.platform_delay(self.instances[index].domain);
+            self.push(self.now + delay, Event::Answer { holder, event });
+        }
+    }
+
+    fn send(&mut self, domain: usize, from: HolderId, to: HolderId, message: BudgetMessage) {
+        let Some(index) = self.find_instance(&to) else {
+            return;
+        };
+        let other = self.instances[index].domain;
+        let is_cut = self.is_cut && (domain == 0) != (other == 0);
+        if !is_cut && !self.rng.random_bool(LOST_MESSAGES) {
+            let at = self.now + self.settings.delay(domain, other);
+            self.push(at, Event::Message { from, to, message });
+        }
+    }
+
+    fn find_instance(&self, holder: &HolderId) -> Option<usize> {
+        let mut instances = self.instances.iter();
+        instances.position(|instance| {
+            instance.is_live && instance.ledger.holder().instance == holder.instance
+        })
+    }
+
+    fn deliver(&mut self, from: HolderId, to: HolderId, message: BudgetMessage) {
+        if let Some(index) = self.find_instance(&to) {
+            self.feed(index, LedgerEvent::Received { from, to, message });
+        }
+    }
+
+    fn tick(&mut self, holder: HolderId) {
+        let Some(index) = self.find(&holder) else {
+            return;
+        };
+        self.feed(index, LedgerEvent::Tick);
+        let is_gone =
+            self.instances[index].is_draining && self.instances[index].ledger.is_drained();
+        if is_gone {
+            self.instances[index] = self.new_instance(index);
+            self.announce();
+            return;
+        }
+        self.push(self.now + TICK, Event::Tick { holder });
+    }
+
+    /// Samples the tokens that are neither available at the platform nor spent.
+    fn sample(&mut self) {
+        let held: u64 = (0..self.settings.budgets)
+            .map(|budget| {
+                let totals = self.platform.totals(&budget_name(budget));
+                let unavailable = totals.paid.saturating_sub(totals.available);
+                unavailable.get().saturating_sub(self.billed[budget])
+            })
+            .sum();
+        self.row.held_max = self.row.held_max.max(held);
+        if self.now < self.end {
+            self.push(self.now + SECOND, Event::Second);
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/budgets/platform.rs
@@ -0,0 +1,107 @@
+//! Fake of the platform: versioned shard objects with a limited rate.
+
+use cornelarch_core::{
+    base::{BudgetName, MonotonicTime, TokenCount},
+    budget::{BudgetTotals, LedgerEvent, ShardNumber, ShardValue},
+};
+
+/// Writes that the platform accepts per second.
+const WRITE_RATE: u32 = 500;
+
+/// Reads that the platform accepts per second.
+const READ_RATE: u32 = 2_000;
+
+/// Stores the ledger shards.
+#[derive(Clone, Debug)]
+pub(crate) struct PlatformFake {
+    shards: Vec<(u64, ShardValue)>,
+    pub(crate) is_away: bool,
+    pub(crate) writes: u64,
+    pub(crate) conflicts: u64,
+    pub(crate) reads: u64,
+    pub(crate) refused_calls: u64,
+    second: u64,
+    second_writes: u32,
+    second_reads: u32,
+}
+
+impl PlatformFake {
+    pub(crate) fn new(shards: u32) -> Self {
+        Self {
+            shards: vec![(0, ShardValue::default()); shards as usize],
+            is_away: false,
+            writes: 0,
+            conflicts: 0,
+            reads: 0,
+            refused_calls: 0,
+            second: 0,
+            second_writes: 0,
+            second_reads: 0,
+        }
+    }
+
+    fn start_second(&mut self, now: MonotonicTime) {
+        let second = now.as_micros() / 1_000_000;
+        if second != self.second {
+            (self.second, self.second_writes, self.second_reads) = (second, 0, 0);
+        }
+    }
+
+    pub(crate) fn read(&mut self, shard: ShardNumber, now: MonotonicTime) -> LedgerEvent {
+        self.start_second(now);
+        self.second_reads += 1;
+        if self.is_away || self.second_reads > READ_RATE {
+            self.refused_calls += 1;
+            return LedgerEvent::PlatformDown { shard };
+        }
+        self.reads += 1;
+        let (version, value) = self.shards[shard.0 as usize].clone();
+        LedgerEvent::ShardRead {
+            shard,
+            version,
+            value,
+        }
+    }
+
+    pub(crate) fn write(
+        &mut self,
+        shard: ShardNumber,
+        expected: u64,
+        value: ShardValue,
+        now: MonotonicTime,
+    ) -> LedgerEvent {
+        self.start_second(now);
+        self.second_writes += 1;
+        if self.is_away || self.second_writes > WRITE_RATE {
+            self.refused_calls += 1;
+            return LedgerEvent::PlatformDown { shard };
+        }
+        self.writes += 1;
+        let place = &mut self.shards[shard.0 as usize];
+        if place.0 != expected {
+            self.conflicts += 1;
+            return LedgerEvent::WriteConflict { shard };
+        }
+        *place = (expected + 1, value);
+        LedgerEvent::WriteAccepted {
+            shard,
+            version: expected + 1,
+        }
+    }
+
+    /// Adds a payment, as the operator tool does by a conditional update.
+    pub(crate) fn top_up(&mut self, budget: &BudgetName, amount: u64, operation_id: &str) {
+        let shard = ShardNumber::of_budget(budget, self.shards.len() as u32);
+        let (version, value) = &mut self.shards[shard.0 as usize];
+        let amount = TokenCount::new(amount);
+        value
+            .top_up(budget, amount, operation_id)
+            .expect("amounts of the scenarios do not overflow");
+        *version += 1;
+    }
+
+    pub(crate) fn totals(&self, budget: &BudgetName) -> BudgetTotals {
+        let shard = ShardNumber::of_budget(budget, self.shards.len() as u32);
+        self.shards[shard.0 as usize].1.totals(budget)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/budgets/result.rs
@@ -0,0 +1,56 @@
+//! Result of one scenario with one policy.
+
+use super::scenario::{PolicyCase, Scenario};
+
+/// Counts what happened. Amounts are in tokens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResultRow {
+    pub(crate) scenario: Scenario,
+    pub(crate) policy: PolicyCase,
+    pub(crate) overspend: u64,
+    /// Refusals while the unspent paid amount covers the request.
+    pub(crate) false_refusals: u64,
+    /// False refusals by an instance that reaches the platform, while at least 2% of the budget or
+    /// 20 requests' worth are neither spent nor reserved nor lost with a crashed holder.
+    pub(crate) target_refusals: u64,
+    /// The same with at least 2% of the budget and 20 requests' worth.
+    pub(crate) wide_refusals: u64,
+    /// The part of `wide_refusals` in the first seconds, when no instance holds tokens yet.
+    pub(crate) start_refusals: u64,
+    pub(crate) refusals: u64,
+    pub(crate) admitted: u64,
+    pub(crate) held_max: u64,
+    pub(crate) writes_per_s: f64,
+    pub(crate) reads_per_s: f64,
+    pub(crate) conflicts: u64,
+    pub(crate) crashes: u64,
+    /// Unspent tokens of crashed holders.
+    pub(crate) lost_unspent: u64,
+    /// Tokens that crashed holders spent without having reported them.
+    pub(crate) lost_unreported: u64,
+    pub(crate) requests_waited: u64,
+}
+
+impl ResultRow {
+    pub(crate) const fn new(scenario: Scenario, policy: PolicyCase) -> Self {
+        Self {
+            scenario,
+            policy,
+            overspend: 0,
+            false_refusals: 0,
+            target_refusals: 0,
+            wide_refusals: 0,
+            start_refusals: 0,
+            refusals: 0,
+            admitted: 0,
+            held_max: 0,
+            writes_per_s: 0.0,
+            reads_per_s: 0.0,
+            conflicts: 0,
+            crashes: 0,
+            lost_unspent: 0,
+            lost_unreported: 0,
+            requests_waited: 0,
+        }
+    }
+}
