Keep room at busy upstreams for routers below their share

Cause: with one customer at ten times its share, a fifth of the small customers' requests was refused at some routers. While all upstreams are busy, each finished request makes room for one, so a router with few requests in flight keeps few; throughput per router differed by a factor of 2.5 (trial).

Change: beyond the limit of an upstream only routers below their even share send. The expected wait in the queue counts of each other customer what it really gets before the own backlog is served. The measurement prints the share of small customers' requests that were answered.

Conclusion: small customers are answered, but still wait when their router's turn is late.

--- a/crates/core/src/limit/queue.rs
+++ b/crates/core/src/limit/queue.rs
@@ -288,20 +288,21 @@
         if self.tickets.is_empty() || rate <= 0.0 {
             return Duration::ZERO;
         }
-        // A customer waits for its own backlog at its own share, and never for more than the
-        // whole queue.
-        let others = self
-            .flows
-            .iter()
-            .filter(|(customer, flow)| **customer != request.customer && !flow.is_empty());
-        let shares: f64 = others.map(|(_, flow)| flow.weight).sum();
+        // Until its own backlog is served, each other customer gets at most its share of the same
+        // time, and at most its own backlog.
         let weight = request.weight.max(WEIGHT_MIN);
         let own = self
             .flows
             .get(&request.customer)
-            .map_or(0, |flow| flow.cost);
-        let fair = own as f64 * (shares + weight) / weight;
-        Duration::from_secs_f64((fair.min(self.cost as f64) / rate).min(3600.0))
+            .map_or(0.0, |flow| flow.cost as f64);
+        let others = self
+            .flows
+            .iter()
+            .filter(|(customer, _)| **customer != request.customer);
+        let ahead: f64 = others
+            .map(|(_, flow)| (own * flow.weight / weight).min(flow.cost as f64))
+            .sum();
+        Duration::from_secs_f64(((own + ahead) / rate).min(3600.0))
     }
 
     fn bound(&self) -> usize {
--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -76,8 +76,20 @@
     }
 
     /// Returns how many more requests the upstream takes.
+    ///
+    /// Beyond the limit there is room only for routers below their even share. Otherwise a router
+    /// with few requests in flight keeps few while all are busy, because each finished request
+    /// makes room for one.
     pub(super) fn free(&self, options: &RoutingOptions, now: MonotonicTime) -> f64 {
-        self.capacity(options, now) * OVERCOMMIT - self.estimated_load(options, now)
+        let capacity = self.capacity(options, now);
+        let estimate = self.estimated_load(options, now);
+        let own = f64::from(self.load.own());
+        let share = capacity * OVERCOMMIT / f64::from(options.routers.max(1));
+        if own < share.floor() {
+            (capacity * OVERCOMMIT - estimate).max(share.floor() - own)
+        } else {
+            capacity - estimate
+        }
     }
 
     /// Returns the state in which the upstream is for selection.
--- a/crates/measure/src/routing/stats.rs
+++ b/crates/measure/src/routing/stats.rs
@@ -61,6 +61,11 @@
         self.good_tokens as f64 / self.seconds
     }
 
+    /// Returns the share of the small customers' requests that were answered.
+    pub(super) fn small_rate(&self) -> f64 {
+        self.small_answered as f64 / self.small_requests.max(1) as f64
+    }
+
     /// Returns retries per request.
     pub(super) fn retry_rate(&self) -> f64 {
         self.retries as f64 / self.requests.max(1) as f64
