Let the fakes of engines publish evictions

Cause: the fakes published stored prefixes only, so that every policy with a memory of prefixes believed in contents that were long gone.

--- a/crates/measure/src/routing/engine.rs
+++ b/crates/measure/src/routing/engine.rs
@@ -76,6 +76,8 @@
     step_end_us: Option<u64>,
     cache: VecDeque<u64>,
     history: VecDeque<(u64, u32, u32)>,
+    /// Prefixes that were stored (true) or evicted since the last call of `cache_events`.
+    events: Vec<(u64, bool)>,
 }
 
 impl EngineFake {
@@ -90,6 +92,7 @@
             step_end_us: None,
             cache: VecDeque::new(),
             history: VecDeque::new(),
+            events: Vec::new(),
         }
     }
 
@@ -174,6 +177,11 @@
         tokens
     }
 
+    /// Returns and forgets the changes of the cache.
+    pub(super) fn cache_events(&mut self) -> Vec<(u64, bool)> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Returns running and waiting requests as of `at_us`.
     pub(super) fn load_at(&self, at_us: u64) -> (u32, u32) {
         let past = self.history.iter().rev().find(|(time, ..)| *time <= at_us);
@@ -220,10 +228,16 @@
         let Some((digest, _)) = job.prefix else {
             return;
         };
+        let known = self.cache.len();
         self.cache.retain(|other| *other != digest);
+        if self.cache.len() == known {
+            self.events.push((digest, true));
+        }
         self.cache.push_back(digest);
-        if self.cache.len() > CACHE_MAX {
-            self.cache.pop_front();
+        if self.cache.len() > CACHE_MAX
+            && let Some(evicted) = self.cache.pop_front()
+        {
+            self.events.push((evicted, false));
         }
     }
 
--- a/crates/measure/src/routing/simulation.rs
+++ b/crates/measure/src/routing/simulation.rs
@@ -43,11 +43,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum SimulationEvent {
     Arrival,
-    StepEnd { engine: usize, epoch: u32 },
-    Report { router: usize, engine: usize },
-    CacheStored { engine: usize, digest: u64 },
-    Retry { request: RequestId },
-    Deadline { request: RequestId },
+    StepEnd {
+        engine: usize,
+        epoch: u32,
+    },
+    Report {
+        router: usize,
+        engine: usize,
+    },
+    CacheChanged {
+        engine: usize,
+        digest: u64,
+        is_stored: bool,
+    },
+    Retry {
+        request: RequestId,
+    },
+    Deadline {
+        request: RequestId,
+    },
     Crash,
     Restart,
     SlowDown,
@@ -158,9 +172,18 @@
             SimulationEvent::Arrival => self.arrive(),
             SimulationEvent::StepEnd { engine, epoch } => self.end_step(engine, epoch),
             SimulationEvent::Report { router, engine } => self.report(router, engine),
-            SimulationEvent::CacheStored { engine, digest } => {
+            SimulationEvent::CacheChanged {
+                engine,
+                digest,
+                is_stored,
+            } => {
+                let event = if is_stored {
+                    CacheEvent::Stored(digest)
+                } else {
+                    CacheEvent::Evicted(digest)
+                };
                 for router in &mut self.routers {
-                    router.cache_event(engine, CacheEvent::Stored(digest));
+                    router.cache_event(engine, event);
                 }
             }
             SimulationEvent::Retry { request } => self.route(request),
@@ -355,6 +378,17 @@
         if let Some(end) = self.engines[engine].start_step(self.now_us) {
             self.schedule(end, SimulationEvent::StepEnd { engine, epoch });
         }
+        for (digest, is_stored) in self.engines[engine].cache_events() {
+            if self.rng.random::<f64>() < CACHE_EVENT_LOSS {
+                continue;
+            }
+            let event = SimulationEvent::CacheChanged {
+                engine,
+                digest,
+                is_stored,
+            };
+            self.schedule(self.now_us + CACHE_EVENT_DELAY_US, event);
+        }
     }
 
     fn end_step(&mut self, engine: usize, epoch: u32) {
@@ -389,16 +423,6 @@
             if let Some(work) = entry.work {
                 router.table.first_token(work, now);
             }
-            if let Some((digest, _)) = entry.shape.prefix
-                && self.rng.random::<f64>() >= CACHE_EVENT_LOSS
-            {
-                let event = SimulationEvent::CacheStored { engine, digest };
-                self.events.push(Reverse((
-                    self.now_us + CACHE_EVENT_DELAY_US,
-                    u64::MAX,
-                    event,
-                )));
-            }
             if !std::mem::replace(&mut entry.is_first_seen, true) && is_measured {
                 let is_remote = router.domain != self.engines[engine].domain;
                 let network = if is_remote {
