--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -26,6 +26,8 @@
     pub start_wait: Duration,
     /// The wait before a request to the platform or a peer is repeated.
     pub retry_wait: Duration,
+    /// The wait for a base, after which it is read again.
+    pub base_wait: Duration,
     /// The time between two reads of the head by an instance that does not watch, in case all
     /// watchers that it hears are cut off.
     pub audit_interval: Duration,
@@ -39,6 +41,7 @@
             watchers: 2,
             start_wait: Duration::from_secs(2),
             retry_wait: Duration::from_secs(1),
+            base_wait: Duration::from_secs(30),
             audit_interval: Duration::from_secs(300),
             kept_deltas: 128,
         }
@@ -165,8 +168,8 @@
     pub version: u64,
     /// Whether this instance watches the head.
     pub watcher: bool,
-    /// The highest version that a peer or the platform told.
-    pub highest_seen: u64,
+    /// The highest version that was read from the platform; 0 if none was read.
+    pub newest_head: u64,
     /// The number of deltas that are kept for peers.
     pub kept_deltas: usize,
 }
@@ -184,8 +187,9 @@
     watch_open: bool,
     object_version: u64,
     pending: Option<HeadObject>,
+    base_deadline: MonotonicTime,
+    head_version: u64,
     candidates: BTreeMap<HolderId, u64>,
-    highest_seen: u64,
     started: MonotonicTime,
     next_read: MonotonicTime,
     next_request: MonotonicTime,
@@ -211,8 +215,9 @@
             watch_open: false,
             object_version: 0,
             pending: None,
+            base_deadline: now,
+            head_version: 0,
             candidates: BTreeMap::new(),
-            highest_seen: 0,
             started: now,
             next_read: now,
             next_request: now,
@@ -237,7 +242,7 @@
         ConfigStatus {
             version: self.version,
             watcher: self.watcher,
-            highest_seen: self.highest_seen.max(self.version),
+            newest_head: self.head_version,
             kept_deltas: self.deltas.len(),
         }
     }
@@ -290,7 +295,12 @@
     }
 
     fn tick(&mut self, now: MonotonicTime, effects: &mut Vec<ConfigEffect>) {
-        if now >= self.next_read && !self.watch_open {
+        if now >= self.base_deadline {
+            self.pending = None;
+        }
+        // An open watch does not tell again about a head whose base could not be read.
+        let behind = self.head_version > self.version && self.pending.is_none();
+        if now >= self.next_read && (!self.watch_open || behind) {
             self.read_head(now, effects);
         }
         if self.document.is_none() {
@@ -299,7 +309,7 @@
     }
 
     fn read_head(&mut self, now: MonotonicTime, effects: &mut Vec<ConfigEffect>) {
-        let idle = self.document.is_some() && !self.watcher && self.pending.is_none();
+        let idle = self.document.is_some() && !self.watcher;
         let wait = if idle {
             self.options.audit_interval
         } else {
@@ -345,7 +355,6 @@
         now: MonotonicTime,
         effects: &mut Vec<ConfigEffect>,
     ) {
-        self.highest_seen = self.highest_seen.max(version);
         if version <= self.version {
             return;
         }
@@ -406,7 +415,7 @@
     }
 
     fn take_head(&mut self, head: HeadObject, now: MonotonicTime, effects: &mut Vec<ConfigEffect>) {
-        self.highest_seen = self.highest_seen.max(head.version);
+        self.head_version = self.head_version.max(head.version);
         if head.version <= self.version {
             return;
         }
@@ -416,6 +425,7 @@
         } else {
             let reading = self.pending.as_ref();
             if reading.is_none_or(|pending| pending.base_id != head.base_id) {
+                self.base_deadline = now + self.options.base_wait;
                 effects.push(ConfigEffect::ReadBase {
                     base_id: head.base_id.clone(),
                     parts: head.base_parts,
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -4,6 +4,7 @@
 //! that does not answer, and spreads what it learns with its pings. The table is a hint for
 //! routing and for roles; no guarantee about budgets or orders depends on it.
 
+mod detect;
 mod message;
 mod options;
 mod probe;
@@ -11,6 +12,7 @@
 mod rendezvous;
 mod spread;
 mod table;
+mod update;
 
 pub use message::{InstanceHint, MemberEffect, MemberEvent, MemberMessage, PingBody};
 pub use options::MemberOptions;
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -19,10 +19,16 @@
     pub suspect_timeout: Duration,
     /// The time between two contacts with seeds, listed instances or dead members.
     pub contact_interval: Duration,
+    /// The time between two contacts while addresses wait that were never contacted.
+    pub burst_interval: Duration,
+    /// The time after which a member is expected to know the others.
+    pub settle_time: Duration,
     /// The time for which a dead member is remembered, so that old news does not revive it.
     pub dead_retention: Duration,
     /// The largest number of records in one message.
     pub max_updates: usize,
+    /// The largest size of one message, in bytes.
+    pub max_bytes: usize,
 }
 
 impl Default for MemberOptions {
@@ -35,8 +41,11 @@
             relays: 3,
             suspect_timeout: Duration::from_secs(5),
             contact_interval: Duration::from_secs(5),
+            burst_interval: Duration::from_millis(200),
+            settle_time: Duration::from_secs(60),
             dead_retention: Duration::from_secs(86_400),
             max_updates: 8,
+            max_bytes: 600,
         }
     }
 }
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -19,6 +19,17 @@
     Dead,
 }
 
+impl MemberState {
+    /// Returns whether a member in this state gets roles.
+    #[must_use]
+    pub fn is_live(self) -> bool {
+        match self {
+            Self::Alive | Self::Suspect => true,
+            Self::Leaving | Self::Dead => false,
+        }
+    }
+}
+
 /// Describes one member as it travels with pings.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -34,7 +45,17 @@
     pub state: MemberState,
 }
 
+/// Size of a record without its texts in thrift's compact protocol, in bytes, at the largest epoch
+/// and incarnation.
+const RECORD_BYTES: usize = 34;
+
 impl MemberRecord {
+    /// Returns an upper bound of the encoded size, in bytes.
+    #[must_use]
+    pub fn encoded_bytes(&self) -> usize {
+        RECORD_BYTES + self.holder.instance.len() + self.domain.len() + self.address.len()
+    }
+
     /// Returns whether this record replaces `other` about the same instance.
     ///
     /// Epochs are random, so they only break ties: a restarted process raises its incarnation
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -2,7 +2,10 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use rand::{Rng, seq::IndexedRandom};
+use rand::{
+    Rng,
+    seq::{IndexedRandom, SliceRandom},
+};
 use serde::Serialize;
 
 use crate::{
@@ -10,7 +13,7 @@
     membership::{
         InstanceHint, MemberEffect, MemberEvent, MemberMessage, MemberOptions, MemberRecord,
         MemberState, PingBody, choose_owner,
-        probe::{MemberProbe, ProbePhase, ProbeRound, RelayProbe},
+        probe::{MemberProbe, ProbeRound, RelayProbe},
         spread::SpreadQueue,
     },
 };
@@ -26,28 +29,35 @@
     pub config_version: u64,
     /// The load that the member told last, in thousandths of its capacity.
     pub load_permille: u32,
+    /// The direct pings since the member is suspected.
+    #[serde(skip)]
+    pub(super) checks: u32,
 }
 
 /// Holds the members as this instance sees them.
 #[derive(Clone, Debug)]
 pub struct MemberTable {
-    options: MemberOptions,
-    own: MemberRecord,
-    config_version: u64,
-    load_permille: u32,
-    members: BTreeMap<InstanceName, MemberView>,
-    seeds: Vec<String>,
-    contacts: VecDeque<String>,
-    domain_round: ProbeRound,
-    remote_round: ProbeRound,
-    probes: Vec<MemberProbe>,
-    relays: Vec<RelayProbe>,
-    spread: SpreadQueue,
-    next_nonce: u64,
-    next_domain: MonotonicTime,
-    next_remote: MonotonicTime,
-    next_contact: MonotonicTime,
-    live: Vec<HolderId>,
+    pub(super) options: MemberOptions,
+    pub(super) own: MemberRecord,
+    pub(super) config_version: u64,
+    pub(super) load_permille: u32,
+    pub(super) members: BTreeMap<InstanceName, MemberView>,
+    pub(super) seeds: Vec<String>,
+    pub(super) contacts: VecDeque<InstanceHint>,
+    pub(super) domain_round: ProbeRound,
+    pub(super) remote_round: ProbeRound,
+    pub(super) probes: Vec<MemberProbe>,
+    pub(super) relays: Vec<RelayProbe>,
+    pub(super) spread: SpreadQueue,
+    pub(super) next_nonce: u64,
+    pub(super) next_domain: MonotonicTime,
+    pub(super) next_remote: MonotonicTime,
+    pub(super) next_contact: MonotonicTime,
+    pub(super) next_expire: MonotonicTime,
+    pub(super) now: MonotonicTime,
+    started: MonotonicTime,
+    pub(super) live: Vec<HolderId>,
+    pub(super) live_changed: bool,
 }
 
 impl MemberTable {
@@ -73,7 +83,7 @@
             config_version: 0,
             load_permille: 0,
             members: BTreeMap::new(),
-            contacts: seeds.iter().cloned().collect(),
+            contacts: VecDeque::new(),
             seeds,
             domain_round: ProbeRound::default(),
             remote_round: ProbeRound::default(),
@@ -84,7 +94,11 @@
             next_domain: MonotonicTime::START,
             next_remote: MonotonicTime::START,
             next_contact: MonotonicTime::START,
+            next_expire: MonotonicTime::START,
+            now: MonotonicTime::START,
+            started: MonotonicTime::START,
             live: Vec::new(),
+            live_changed: true,
         }
     }
 
@@ -120,7 +134,7 @@
         let members = self.members.values().map(|member| &member.record);
         std::iter::once(&self.own)
             .chain(members)
-            .filter(|record| is_live(record.state))
+            .filter(|record| record.state.is_live())
     }
 
     /// Returns the owner of a key among the live members of a domain.
@@ -147,12 +161,16 @@
         rng: &mut R,
     ) -> Vec<MemberEffect> {
         let mut effects = Vec::new();
+        if self.now == MonotonicTime::START {
+            self.started = now;
+        }
+        self.now = now;
         match event {
             MemberEvent::Tick => self.tick(now, rng, &mut effects),
             MemberEvent::Received { from, message } => {
                 self.receive(from, message, now, rng, &mut effects);
             }
-            MemberEvent::InstanceList(hints) => self.note_hints(hints),
+            MemberEvent::InstanceList(hints) => self.note_hints(hints, rng),
             MemberEvent::ConfigVersion(version) => self.config_version = version,
             MemberEvent::LoadChanged(permille) => self.load_permille = permille,
             MemberEvent::LeaveStarted => self.leave(rng, &mut effects),
@@ -161,221 +179,14 @@
         effects
     }
 
-    fn tick<R: Rng>(&mut self, now: MonotonicTime, rng: &mut R, effects: &mut Vec<MemberEffect>) {
-        self.expire_probes(now, rng, effects);
-        self.expire_states(now, effects);
-        if now >= self.next_domain {
-            self.next_domain = now + self.options.domain_interval;
-            let target = self.next_target(true, rng);
-            self.probe(target, now, rng, effects);
-        }
-        if now >= self.next_remote {
-            self.next_remote = now + self.options.remote_interval;
-            let target = self.next_target(false, rng);
-            self.probe(target, now, rng, effects);
-        }
-        if now >= self.next_contact {
-            self.next_contact = now + self.contact_wait();
-            self.contact(rng, effects);
-        }
-    }
-
-    fn next_target<R: Rng>(&mut self, own_domain: bool, rng: &mut R) -> Option<InstanceName> {
-        let (members, domain) = (&self.members, &self.own.domain);
-        let usable = |member: &MemberView| {
-            member.record.state != MemberState::Dead
-                && (member.record.domain == *domain) == own_domain
-        };
-        let round = if own_domain {
-            &mut self.domain_round
-        } else {
-            &mut self.remote_round
-        };
-        let list = || {
-            members
-                .iter()
-                .filter(|(_, member)| usable(member))
-                .map(|(instance, _)| instance.clone())
-                .collect()
-        };
-        round.next(list, |name| members.get(name).is_some_and(usable), rng)
-    }
-
-    fn probe<R: Rng>(
-        &mut self,
-        target: Option<InstanceName>,
-        now: MonotonicTime,
-        rng: &mut R,
-        effects: &mut Vec<MemberEffect>,
-    ) {
-        let Some(target) = target else { return };
-        let Some(member) = self.members.get(&target) else {
-            return;
-        };
-        let record = member.record.clone();
-        let nonce = self.draw_nonce();
-        self.probes.push(MemberProbe {
-            nonce,
-            target,
-            phase: ProbePhase::Direct,
-            deadline: now + self.options.ping_timeout,
+    /// Keeps listed instances for contact, in random order, so that new instances do not all
+    /// contact the same ones first.
+    fn note_hints<R: Rng>(&mut self, mut hints: Vec<InstanceHint>, rng: &mut R) {
+        hints.retain(|hint| {
+            !self.members.contains_key(&hint.instance) && hint.instance != self.own.holder.instance
         });
-        let body = self.ping_body(nonce, Some(&record), rng);
-        effects.push(send(&record, MemberMessage::Ping(body)));
-    }
-
-    /// Pings an address that is not known as a live member, or a dead member in case a partition
-    /// has healed.
-    fn contact<R: Rng>(&mut self, rng: &mut R, effects: &mut Vec<MemberEffect>) {
-        let dead: Vec<&str> = self
-            .members
-            .values()
-            .filter(|member| member.record.state == MemberState::Dead)
-            .map(|member| member.record.address.as_str())
-            .collect();
-        let waiting = self.contacts.pop_front();
-        let address = waiting
-            .or_else(|| dead.choose(rng).map(|address| (*address).to_owned()))
-            .or_else(|| self.seeds.choose(rng).cloned());
-        let Some(address) = address else { return };
-        if address == self.own.address || self.is_live_address(&address) {
-            return;
-        }
-        let nonce = self.draw_nonce();
-        let body = self.ping_body(nonce, None, rng);
-        effects.push(MemberEffect::Send {
-            address,
-            to: None,
-            message: MemberMessage::Ping(body),
-        });
-    }
-
-    /// Returns the wait until the next contact, which is short while the instance is alone.
-    fn contact_wait(&self) -> std::time::Duration {
-        let alone = !self
-            .members
-            .values()
-            .any(|member| is_live(member.record.state));
-        if alone {
-            self.options.ping_timeout
-        } else if self.contacts.is_empty() {
-            self.options.contact_interval
-        } else {
-            self.options.domain_interval
-        }
-    }
-
-    fn is_live_address(&self, address: &str) -> bool {
-        self.members.values().any(|member| {
-            member.record.address == address && member.record.state != MemberState::Dead
-        })
-    }
-
-    fn note_hints(&mut self, hints: Vec<InstanceHint>) {
-        for hint in hints {
-            let known = self.members.contains_key(&hint.instance)
-                || hint.instance == self.own.holder.instance;
-            if !known && !self.contacts.contains(&hint.address) {
-                self.contacts.push_back(hint.address);
-            }
-        }
-    }
-
-    fn expire_probes<R: Rng>(
-        &mut self,
-        now: MonotonicTime,
-        rng: &mut R,
-        effects: &mut Vec<MemberEffect>,
-    ) {
-        self.relays.retain(|relay| relay.deadline > now);
-        let (expired, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.probes)
-            .into_iter()
-            .partition(|probe| probe.deadline <= now);
-        self.probes = open;
-        for probe in expired {
-            match probe.phase {
-                ProbePhase::Direct => self.ask_relays(probe, now, rng, effects),
-                ProbePhase::Relayed => self.suspect(&probe.target, now, effects),
-            }
-        }
-    }
-
-    fn ask_relays<R: Rng>(
-        &mut self,
-        probe: MemberProbe,
-        now: MonotonicTime,
-        rng: &mut R,
-        effects: &mut Vec<MemberEffect>,
-    ) {
-        let Some(target) = self.members.get(&probe.target) else {
-            return;
-        };
-        let holder = target.record.holder.clone();
-        let others: Vec<&MemberRecord> = self
-            .members
-            .values()
-            .map(|member| &member.record)
-            .filter(|record| {
-                record.state == MemberState::Alive && record.holder.instance != probe.target
-            })
-            .collect();
-        for record in others.choose_multiple(rng, self.options.relays) {
-            let message = MemberMessage::PingRequest {
-                nonce: probe.nonce,
-                target: holder.clone(),
-            };
-            effects.push(send(record, message));
-        }
-        self.probes.push(MemberProbe {
-            phase: ProbePhase::Relayed,
-            deadline: now + self.options.relay_timeout,
-            ..probe
-        });
-    }
-
-    fn suspect(
-        &mut self,
-        target: &InstanceName,
-        now: MonotonicTime,
-        effects: &mut Vec<MemberEffect>,
-    ) {
-        let Some(member) = self.members.get(target) else {
-            return;
-        };
-        let mut record = member.record.clone();
-        record.state = match record.state {
-            MemberState::Alive => MemberState::Suspect,
-            // A member that announced its end and does not answer any more has ended.
-            MemberState::Leaving => MemberState::Dead,
-            MemberState::Suspect | MemberState::Dead => return,
-        };
-        self.learn(record, now, effects);
-    }
-
-    fn expire_states(&mut self, now: MonotonicTime, effects: &mut Vec<MemberEffect>) {
-        let mut dead = Vec::new();
-        let mut forgotten = Vec::new();
-        for (instance, member) in &self.members {
-            let age = now.since(member.since);
-            match member.record.state {
-                MemberState::Suspect if age >= self.options.suspect_timeout => {
-                    dead.push(MemberRecord {
-                        state: MemberState::Dead,
-                        ..member.record.clone()
-                    });
-                }
-                MemberState::Dead if age >= self.options.dead_retention => {
-                    forgotten.push(instance.clone());
-                }
-                _ => {}
-            }
-        }
-        for record in dead {
-            self.learn(record, now, effects);
-        }
-        for instance in forgotten {
-            self.members.remove(&instance);
-        }
+        hints.shuffle(rng);
+        self.contacts = hints.into();
     }
 
     fn receive<R: Rng>(
@@ -482,7 +293,12 @@
     }
 
     /// Takes a record that is newer than the known one, and prepares to pass it on.
-    fn learn(&mut self, record: MemberRecord, now: MonotonicTime, effects: &mut Vec<MemberEffect>) {
+    pub(super) fn learn(
+        &mut self,
+        record: MemberRecord,
+        now: MonotonicTime,
+        effects: &mut Vec<MemberEffect>,
+    ) {
         let instance = record.holder.instance.clone();
         if instance == self.own.holder.instance {
             self.refute(&record);
@@ -519,9 +335,18 @@
             since,
             config_version,
             load_permille,
+            checks: 0,
         };
+        self.live_changed |= changed;
+        // Most others know a member that an instance learns while it joins itself.
+        let joining = now.since(self.started) < self.options.settle_time;
+        let brief = known.is_none() && joining && view.record.state == MemberState::Alive;
         self.members.insert(instance.clone(), view);
-        self.spread.push(instance);
+        if brief {
+            self.spread.push_briefly(instance, self.members.len());
+        } else {
+            self.spread.push(instance);
+        }
     }
 
     /// Overrides what others say about this instance.
@@ -539,6 +364,7 @@
             return;
         }
         self.own.state = MemberState::Leaving;
+        self.live_changed = true;
         self.own.incarnation += 1;
         self.spread.push(self.own.holder.instance.clone());
         let message = MemberMessage::Leaving {
@@ -560,75 +386,10 @@
         effects.extend(told.map(|record| send(record, message.clone())));
     }
 
-    fn ping_body<R: Rng>(
-        &mut self,
-        nonce: u64,
-        receiver: Option<&MemberRecord>,
-        rng: &mut R,
-    ) -> PingBody {
-        PingBody {
-            nonce,
-            sender: self.own.clone(),
-            config_version: self.config_version,
-            load_permille: self.load_permille,
-            updates: self.choose_updates(receiver, rng),
-        }
-    }
-
-    /// Chooses what the receiver is believed to be about, then news, then members of the
-    /// receiver's domain at random, which a new member needs first.
-    fn choose_updates<R: Rng>(
-        &mut self,
-        receiver: Option<&MemberRecord>,
-        rng: &mut R,
-    ) -> Vec<MemberRecord> {
-        let count = self.options.max_updates;
-        let mut names: Vec<InstanceName> = Vec::with_capacity(count);
-        let known = receiver.and_then(|record| self.members.get(&record.holder.instance));
-        if let (Some(member), Some(record)) = (known, receiver)
-            && member.record != *record
-        {
-            names.push(record.holder.instance.clone());
-        }
-        let known_of_receiver = known.filter(|member| member.record.state != MemberState::Alive);
-        if let Some(member) = known_of_receiver {
-            names.push(member.record.holder.instance.clone());
-        }
-        names.extend(self.spread.take(count, self.members.len() + 1));
-        let domain = receiver.map_or(&self.own.domain, |record| &record.domain);
-        let near: Vec<&InstanceName> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.record.domain == *domain)
-            .map(|(instance, _)| instance)
-            .collect();
-        let fill = count.saturating_sub(names.len());
-        names.extend(
-            near.choose_multiple(rng, fill / 2)
-                .map(|name| (*name).clone()),
-        );
-        let all: Vec<&InstanceName> = self.members.keys().collect();
-        let fill = count.saturating_sub(names.len());
-        names.extend(all.choose_multiple(rng, fill).map(|name| (*name).clone()));
-        let mut chosen: Vec<&InstanceName> = Vec::with_capacity(count);
-        for name in &names {
-            if !chosen.contains(&name) && chosen.len() < count {
-                chosen.push(name);
-            }
-        }
-        chosen
-            .into_iter()
-            .filter_map(|name| self.members.get(name))
-            .map(|member| member.record.clone())
-            .collect()
-    }
-
-    fn draw_nonce(&mut self) -> u64 {
-        self.next_nonce += 1;
-        self.next_nonce
-    }
-
     fn report_live(&mut self, effects: &mut Vec<MemberEffect>) {
+        if !std::mem::take(&mut self.live_changed) {
+            return;
+        }
         let live: Vec<HolderId> = self
             .live_records()
             .map(|record| record.holder.clone())
@@ -645,14 +406,7 @@
     }
 }
 
-fn is_live(state: MemberState) -> bool {
-    match state {
-        MemberState::Alive | MemberState::Suspect => true,
-        MemberState::Leaving | MemberState::Dead => false,
-    }
-}
-
-fn send(record: &MemberRecord, message: MemberMessage) -> MemberEffect {
+pub(super) fn send(record: &MemberRecord, message: MemberMessage) -> MemberEffect {
     MemberEffect::Send {
         address: record.address.clone(),
         to: Some(record.holder.clone()),
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,338 @@
+//! Membership in a simulated network with virtual time and seeds.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use cornelarch_core::{
+    base::{DomainName, HolderId, InstanceName, MonotonicTime},
+    membership::{
+        InstanceHint, MemberEffect, MemberEvent, MemberMessage, MemberOptions, MemberRecord,
+        MemberState, MemberTable, choose_owner,
+    },
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+/// Step of the simulation, in milliseconds; messages arrive one step after they were sent.
+const STEP_MS: u64 = 100;
+/// Members per domain, as at target size (350 in 12 domains).
+const DOMAIN_SIZE: usize = 29;
+/// Limit of the design for one message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 600;
+
+struct Fleet {
+    rng: ChaCha8Rng,
+    now_ms: u64,
+    tables: BTreeMap<String, MemberTable>,
+    under_way: Vec<(String, String, HolderId, MemberMessage)>,
+    /// Addresses that neither send nor receive.
+    stopped: BTreeSet<String>,
+    /// Addresses on the far side of a partition.
+    far: BTreeSet<String>,
+    loss: f64,
+    sent: HashMap<String, (u64, u64)>,
+    largest: usize,
+    deaths: Vec<String>,
+}
+
+fn address(index: usize) -> String {
+    format!("10.0.{}.{}:7100", index / 250, index % 250)
+}
+
+fn instance(index: usize) -> InstanceName {
+    InstanceName::from(format!("router-{index:03}"))
+}
+
+fn domain(index: usize, domains: usize) -> DomainName {
+    DomainName::from(format!("domain-{:02}", index % domains))
+}
+
+impl Fleet {
+    fn new(seed: u64, size: usize) -> Self {
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now_ms: 0,
+            tables: BTreeMap::new(),
+            under_way: Vec::new(),
+            stopped: BTreeSet::new(),
+            far: BTreeSet::new(),
+            loss: 0.0,
+            sent: HashMap::new(),
+            largest: 0,
+            deaths: Vec::new(),
+        };
+        let domains = size.div_ceil(DOMAIN_SIZE).max(2);
+        for index in 0..size {
+            fleet.start(index, domains);
+        }
+        fleet
+    }
+
+    fn start(&mut self, index: usize, domains: usize) {
+        let holder = HolderId::new(instance(index), self.rng.random());
+        let seeds = vec![address(0), address(1)];
+        let domain = domain(index, domains);
+        let options = MemberOptions::default();
+        let table = MemberTable::new(holder, domain, address(index), seeds, options);
+        self.tables.insert(address(index), table);
+        self.stopped.remove(&address(index));
+    }
+
+    fn feed(&mut self, address: &str, event: MemberEvent) {
+        let now = MonotonicTime::from_millis(self.now_ms);
+        let table = self.tables.get_mut(address).expect("table exists");
+        let effects = table.handle(event, now, &mut self.rng);
+        let own = table.own().holder.clone();
+        for effect in effects {
+            match effect {
+                MemberEffect::Send {
+                    address: to,
+                    message,
+                    ..
+                } => {
+                    let bytes = message_bytes(&message);
+                    let sent = self.sent.entry(address.to_owned()).or_default();
+                    *sent = (sent.0 + 1, sent.1 + bytes as u64);
+                    self.largest = self.largest.max(bytes);
+                    self.under_way
+                        .push((address.to_owned(), to, own.clone(), message));
+                }
+                MemberEffect::StateChanged {
+                    holder,
+                    state: MemberState::Dead,
+                    ..
+                } => self.deaths.push(holder.instance.to_string()),
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, duration: Duration) {
+        let end = self.now_ms + duration.as_millis() as u64;
+        while self.now_ms < end {
+            self.now_ms += STEP_MS;
+            for (from, to, holder, message) in std::mem::take(&mut self.under_way) {
+                let cut = self.far.contains(&from) != self.far.contains(&to);
+                let stopped = self.stopped.contains(&from) || self.stopped.contains(&to);
+                let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
+                if !cut && !stopped && !lost && self.tables.contains_key(&to) {
+                    let from = holder;
+                    self.feed(&to, MemberEvent::Received { from, message });
+                }
+            }
+            let addresses: Vec<String> = self.tables.keys().cloned().collect();
+            for address in addresses {
+                if !self.stopped.contains(&address) {
+                    self.feed(&address, MemberEvent::Tick);
+                }
+            }
+        }
+    }
+
+    fn run_s(&mut self, seconds: u64) {
+        self.run(Duration::from_secs(seconds));
+    }
+
+    fn hint_all(&mut self) {
+        let hints: Vec<InstanceHint> = self
+            .tables
+            .values()
+            .map(|table| InstanceHint {
+                instance: table.own().holder.instance.clone(),
+                address: table.own().address.clone(),
+            })
+            .collect();
+        let addresses: Vec<String> = self.tables.keys().cloned().collect();
+        for address in addresses {
+            self.feed(&address, MemberEvent::InstanceList(hints.clone()));
+        }
+    }
+
+    fn state(&self, at: usize, about: usize) -> Option<MemberState> {
+        let member = self.tables[&address(at)].member(&instance(about));
+        member.map(|member| member.record.state)
+    }
+
+    fn live_count(&self, at: usize) -> usize {
+        self.tables[&address(at)].live_records().count()
+    }
+}
+
+/// Returns the size of a message in thrift's compact protocol, counted generously.
+fn message_bytes(message: &MemberMessage) -> usize {
+    let holder = |holder: &HolderId| holder.instance.len() + 2 + 11 + 3;
+    let record = |record: &MemberRecord| {
+        holder(&record.holder) + record.domain.len() + record.address.len() + 4 + 4 + 6 + 1
+    };
+    // The envelope carries the sender and the receiver.
+    let envelope = 4 + 2 * 26 + 6;
+    envelope
+        + match message {
+            MemberMessage::Ping(body) | MemberMessage::Ack(body) => {
+                20 + record(&body.sender) + body.updates.iter().map(record).sum::<usize>()
+            }
+            MemberMessage::PingRequest { target, .. } => 12 + holder(target),
+            MemberMessage::Leaving { .. } => 6,
+        }
+}
+
+/// Guards against members that are not found, or declared dead although they answer, in calm and
+/// with message loss.
+#[rstest]
+fn members_are_found_and_stay_live(#[values(1, 2, 3)] seed: u64, #[values(0.0, 0.1)] loss: f64) {
+    let mut fleet = Fleet::new(seed, 30);
+    fleet.loss = loss;
+    fleet.run_s(60);
+    assert!((0..30).all(|index| fleet.live_count(index) == 30));
+    fleet.deaths.clear();
+    fleet.run_s(300);
+    assert_eq!(fleet.deaths, Vec::<String>::new());
+}
+
+/// Guards against a failed member that keeps its roles, and against others that lose theirs.
+#[rstest]
+fn failed_member_is_found_dead(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(seed, 30);
+    fleet.run_s(60);
+    fleet.stopped.insert(address(7));
+    fleet.run_s(25);
+    for index in (0..30).filter(|index| *index != 7) {
+        assert_eq!(fleet.state(index, 7), Some(MemberState::Dead), "at {index}");
+        assert_eq!(fleet.live_count(index), 29);
+    }
+    assert!(fleet.deaths.iter().all(|name| name == "router-007"));
+}
+
+/// Guards against a paused member that is declared dead without a chance to refute, and against a
+/// returning one that stays dead.
+#[rstest]
+#[case::short_pause(3, false)]
+#[case::long_pause(60, true)]
+fn paused_member_refutes(#[case] pause_s: u64, #[case] dies: bool, #[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(seed, 30);
+    fleet.run_s(60);
+    let before = fleet.tables[&address(7)].own().incarnation;
+    fleet.stopped.insert(address(7));
+    fleet.run_s(pause_s);
+    fleet.stopped.remove(&address(7));
+    fleet.run_s(40);
+    assert_eq!(!fleet.deaths.is_empty(), dies);
+    for index in (0..30).filter(|index| *index != 7) {
+        assert_eq!(
+            fleet.state(index, 7),
+            Some(MemberState::Alive),
+            "at {index}"
+        );
+    }
+    assert!(fleet.tables[&address(7)].own().incarnation > before);
+}
+
+/// Guards against a restarted process whose peers keep the epoch of the earlier one, which would
+/// send transfers to a dead incarnation.
+#[rstest]
+fn restarted_process_replaces_the_earlier_one(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(seed, 30);
+    fleet.run_s(60);
+    fleet.start(7, 2);
+    fleet.run_s(40);
+    let holder = fleet.tables[&address(7)].own().holder.clone();
+    for index in (0..30).filter(|index| *index != 7) {
+        let table = &fleet.tables[&address(index)];
+        let member = table.member(&instance(7)).expect("member is known");
+        assert_eq!(member.record.holder, holder, "at {index}");
+        assert_eq!(member.record.state, MemberState::Alive);
+    }
+    assert_eq!(fleet.live_count(7), 30);
+}
+
+/// Guards against work and roles for an instance that is being stopped.
+#[rstest]
+fn leaving_member_loses_its_roles_at_once(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(seed, 30);
+    fleet.run_s(60);
+    fleet.feed(&address(7), MemberEvent::LeaveStarted);
+    fleet.run(Duration::from_millis(STEP_MS));
+    for index in (0..30).filter(|index| index % 2 == 1 && *index != 7) {
+        assert_eq!(fleet.state(index, 7), Some(MemberState::Leaving));
+    }
+    fleet.run_s(10);
+    for index in (0..30).filter(|index| *index != 7) {
+        assert_eq!(
+            fleet.state(index, 7),
+            Some(MemberState::Leaving),
+            "at {index}"
+        );
+    }
+    assert_eq!(fleet.deaths, Vec::<String>::new());
+}
+
+/// Guards against parts of a fleet that do not find each other after a long partition.
+#[rstest]
+fn partition_heals(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(seed, 30);
+    fleet.run_s(60);
+    fleet.far = (0..30)
+        .filter(|index| index % 2 == 1)
+        .map(address)
+        .collect();
+    fleet.run_s(3_600);
+    assert!((0..30).all(|index| fleet.live_count(index) == 15));
+    fleet.far.clear();
+    fleet.run_s(60);
+    assert!((0..30).all(|index| fleet.live_count(index) == 30));
+}
+
+/// Guards against instances of one domain that choose different owners once they agree on the
+/// members, and against a failure that moves more than the failed member's share.
+#[test]
+fn owners_agree_and_move_little() {
+    let mut fleet = Fleet::new(1, 30);
+    fleet.run_s(60);
+    let own = domain(1, 2);
+    let members: Vec<usize> = (0..30).filter(|index| index % 2 == 1).collect();
+    let names: Vec<InstanceName> = members.iter().map(|index| instance(*index)).collect();
+    let mut moved = 0;
+    for shard in 0..1_000 {
+        let key = format!("ledger/{shard}");
+        let owners: BTreeSet<&InstanceName> = members
+            .iter()
+            .filter_map(|index| fleet.tables[&address(*index)].owner(&own, &key))
+            .map(|record| &record.holder.instance)
+            .collect();
+        assert_eq!(owners.len(), 1);
+        let before = choose_owner(&key, names.iter());
+        let after = choose_owner(&key, names[1..].iter());
+        assert!(before == after || before == Some(&names[0]));
+        moved += usize::from(before != after);
+    }
+    assert!((30..120).contains(&moved), "{moved} of 1000 moved");
+}
+
+/// Guards against a cost per instance that grows with the fleet.
+#[rstest]
+fn cost_per_instance_is_constant(#[values(9, 30, 350)] size: usize) {
+    let mut fleet = Fleet::new(5, size);
+    fleet.hint_all();
+    // After this time all members are settled, so the cost is that of a calm fleet.
+    fleet.run_s(100);
+    fleet.sent.clear();
+    fleet.largest = 0;
+    fleet.run_s(30);
+    let (messages, bytes) = fleet
+        .sent
+        .values()
+        .fold((0, 0), |sum, sent| (sum.0 + sent.0, sum.1 + sent.1));
+    let per_second = |amount: u64| amount as f64 / 30.0 / size as f64;
+    let (messages, bytes) = (per_second(messages), per_second(bytes));
+    println!(
+        "{size} instances: {messages:.2} messages/s and {bytes:.0} bytes/s sent per instance, \
+         largest message {} bytes",
+        fleet.largest
+    );
+    assert!((0..size).all(|index| fleet.live_count(index) == size));
+    assert!(messages < 3.5);
+    assert!(fleet.largest <= MAX_MESSAGE_BYTES);
+}
