Add the operator tool

Cause: operators had no way to publish documents, pay budgets or read the state of a fleet without the risk of overwriting each other.

A lost answer is resolved by the operation id, searched in the same read on which the next write is based. A run against the stand-in platform showed that bases must be JSON strings; the in-memory store of the tests now refuses other values.

--- a/crates/core/src/config/section.rs
+++ b/crates/core/src/config/section.rs
@@ -237,8 +237,8 @@
     /// Holds `[customer NAME]`.
     CustomerSection {
         /// The digests of the customer's keys; a digest may be followed by the budget that pays
-        /// for requests with this key.
-        key_sha256: Vec<KeyRule> = None;
+        /// for requests with this key. A customer without keys cannot send requests.
+        key_sha256: Vec<KeyRule> = Some(Vec::new());
         /// The budget that pays for requests.
         budget: BudgetName = None;
         /// The models that the customer may use.
--- a/crates/cornelarch/src/lib.rs
+++ b/crates/cornelarch/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder summary, replaced as the crate grows.
+//! Facade of cornelarch: the operator tool's commands and the demo.
+
+pub mod demo;
+pub mod operator;
--- /dev/null
+++ b/crates/cornelarch/src/operator/promote.rs
@@ -0,0 +1,326 @@
+//! Commands `prove` and `promote`.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use cornelarch_core::{
+    base::{EnvironmentName, InstanceName, TokenCount},
+    config::{
+        BudgetSection, Document, ProvenMark, SectionChange, SectionKind, SectionName, proven_key,
+    },
+};
+use cornelarch_platform::{ObjectStore, StoreError};
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::operator::{
+    CommandReport, PublishRequest, ToolError,
+    publish::{build_conflict, encode, publish, read_document, read_head, read_object, unix_time},
+    report::describe_changes,
+};
+
+/// Holds what `prove` needs of an instance's status.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct StatusView {
+    /// The instance.
+    pub instance: InstanceName,
+    /// The environment.
+    pub environment: EnvironmentName,
+    /// The version in force; 0 if there is none.
+    pub version: u64,
+    /// The requests that were answered since the version is in force.
+    pub answers_under_version: u64,
+    /// The promises that were broken since the start.
+    pub broken_promises: u64,
+}
+
+/// Marks the newest version of an environment as proven, if it is in force at every live
+/// instance, was used and no promise was broken.
+///
+/// # Errors
+///
+/// Returns [`ToolError::Refused`] with every condition that does not hold, and other errors of
+/// the platform.
+pub async fn prove_version<S: ObjectStore>(
+    store: &S,
+    environment: &EnvironmentName,
+    operator: &str,
+    statuses: &[StatusView],
+    live: &BTreeSet<InstanceName>,
+) -> Result<CommandReport, ToolError> {
+    let Some(read) = read_head(store, environment).await? else {
+        return Err(refuse(format!("environment {environment} has no document")));
+    };
+    let version = read.head.version;
+    check_statuses(environment, version, statuses, live)?;
+    let answered = statuses
+        .iter()
+        .map(|status| status.answers_under_version)
+        .sum();
+    let mark = ProvenMark {
+        version,
+        operator: operator.to_owned(),
+        time: unix_time(),
+        instances: statuses
+            .iter()
+            .map(|status| status.instance.clone())
+            .collect(),
+        answered,
+    };
+    write_mark(store, environment, &mark).await?;
+    let instances = mark.instances.len();
+    let text = format!("version {version} of {environment} is proven at {instances} instances");
+    Ok(CommandReport::new(text, json!(mark)))
+}
+
+fn refuse(message: String) -> ToolError {
+    ToolError::Refused { message }
+}
+
+fn check_statuses(
+    environment: &EnvironmentName,
+    version: u64,
+    statuses: &[StatusView],
+    live: &BTreeSet<InstanceName>,
+) -> Result<(), ToolError> {
+    let mut problems = Vec::new();
+    for status in statuses {
+        let name = &status.instance;
+        if status.environment != *environment {
+            problems.push(format!("{name} serves environment {}", status.environment));
+        }
+        if status.version != version {
+            problems.push(format!(
+                "{name} is at version {}, not {version}",
+                status.version
+            ));
+        }
+        if status.broken_promises > 0 {
+            problems.push(format!("{name} broke {} promises", status.broken_promises));
+        }
+    }
+    if statuses
+        .iter()
+        .all(|status| status.answers_under_version == 0)
+    {
+        problems.push(format!("no request was answered under version {version}"));
+    }
+    for name in live {
+        if !statuses.iter().any(|status| status.instance == *name) {
+            problems.push(format!("the status of live instance {name} was not read"));
+        }
+    }
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(refuse(problems.join("; ")))
+    }
+}
+
+/// Writes the mark unless a newer version is marked already.
+async fn write_mark<S: ObjectStore>(
+    store: &S,
+    environment: &EnvironmentName,
+    mark: &ProvenMark,
+) -> Result<(), ToolError> {
+    let key = proven_key(environment);
+    let value = encode(&key, mark)?;
+    let mut last = None;
+    for _ in 0..3 {
+        let read: Option<(u64, ProvenMark)> = read_object(store, &key).await?;
+        if let Some((_, newer)) = read
+            .as_ref()
+            .filter(|(_, other)| other.version >= mark.version)
+        {
+            if newer.version == mark.version {
+                return Ok(());
+            }
+            return Err(refuse(format!(
+                "version {} is proven already",
+                newer.version
+            )));
+        }
+        let expected = read.map_or(0, |(version, _)| version);
+        match store.put(&key, expected, value.clone()).await {
+            Ok(_) => return Ok(()),
+            Err(error @ (StoreError::Conflict { .. } | StoreError::Unknown { .. })) => {
+                last = Some(error);
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Err(last.map_or_else(
+        || refuse("the mark was not written".to_owned()),
+        ToolError::from,
+    ))
+}
+
+/// Holds the parameters of `promote`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromoteRequest {
+    /// The environment in which the version was proven.
+    pub source: EnvironmentName,
+    /// The environment that receives it.
+    pub target: EnvironmentName,
+    /// The version to promote.
+    pub version: u64,
+    /// Who promotes it.
+    pub operator: String,
+    /// The id by which the change is recognised.
+    pub operation_id: String,
+    /// Whether the target keeps its own `[upstream]` sections.
+    pub keep_upstreams: bool,
+    /// Whether the change is written; otherwise only the difference is shown.
+    pub write: bool,
+    /// The version of the target whose difference the operator has seen, if given.
+    pub from_version: Option<u64>,
+}
+
+/// Brings exactly a proven version into another environment.
+///
+/// # Errors
+///
+/// Returns [`ToolError::Refused`] if the version is not the proven one, [`ToolError::Conflict`]
+/// if the target changed in between, and other errors of the platform.
+pub async fn promote_version<S: ObjectStore>(
+    store: &S,
+    request: &PromoteRequest,
+) -> Result<CommandReport, ToolError> {
+    let read = read_head(store, &request.target).await?;
+    let earlier = read
+        .as_ref()
+        .and_then(|read| read.head.find_operation(&request.operation_id));
+    if let Some(delta) = earlier {
+        let text = format!(
+            "version {} was published by an earlier attempt",
+            delta.version
+        );
+        return Ok(CommandReport::new(
+            text,
+            json!({"version": delta.version, "earlier": true}),
+        ));
+    }
+    let proven = read_proven(store, request).await?;
+    let old = match &read {
+        Some(read) => Some(read_document(store, &request.target, &read.head).await?),
+        None => None,
+    };
+    let current = read.as_ref().map_or(0, |read| read.head.version);
+    if let (Some(read), Some(seen)) = (&read, request.from_version)
+        && seen != current
+    {
+        return Err(build_conflict(store, &request.target, None, seen, &read.head).await);
+    }
+    let new = plan_promotion(&proven, old.as_ref(), request)?;
+    let empty = Document::default();
+    let changes = old.as_ref().unwrap_or(&empty).diff(&new);
+    let mut lines = describe_changes(old.as_ref(), &changes);
+    let sections: Vec<String> = changes
+        .iter()
+        .map(|change| change.section.to_string())
+        .collect();
+    if changes.is_empty() || !request.write {
+        lines.push(match changes.is_empty() {
+            true => format!("{} is unchanged at version {current}", request.target),
+            false => format!(
+                "nothing was written; {} stays at version {current}",
+                request.target
+            ),
+        });
+        let json = json!({"version": current, "changed": false, "sections": sections});
+        return Ok(CommandReport::new(lines.join("\n"), json));
+    }
+    let publish_request = PublishRequest {
+        environment: request.target.clone(),
+        operator: request.operator.clone(),
+        operation_id: request.operation_id.clone(),
+        based_on: read,
+        old,
+        new,
+    };
+    let published = publish(store, &publish_request).await?;
+    lines.push(format!(
+        "version {} of {} is published",
+        published.version, request.target
+    ));
+    let json = json!({"version": published.version, "changed": true, "sections": sections});
+    Ok(CommandReport::new(lines.join("\n"), json))
+}
+
+/// Reads the document of the wanted version, which must be the proven one.
+async fn read_proven<S: ObjectStore>(
+    store: &S,
+    request: &PromoteRequest,
+) -> Result<Document, ToolError> {
+    let source = &request.source;
+    let mark: Option<(u64, ProvenMark)> = read_object(store, &proven_key(source)).await?;
+    let proven = mark.map_or(0, |(_, mark)| mark.version);
+    if proven != request.version || proven == 0 {
+        let wanted = request.version;
+        return Err(refuse(format!(
+            "version {wanted} of {source} is not proven; the proven version is {proven}"
+        )));
+    }
+    let read = read_head(store, source).await?;
+    let mut head = read
+        .map(|read| read.head)
+        .filter(|head| head.base_version <= proven);
+    if let Some(head) = &mut head {
+        // Later changes of the source are not proven.
+        head.deltas.retain(|delta| delta.version <= proven);
+        head.version = proven;
+    }
+    match head {
+        Some(head) => read_document(store, source, &head).await,
+        None => Err(refuse(format!(
+            "version {proven} of {source} is older than its base; prove the newest version"
+        ))),
+    }
+}
+
+/// Builds the document of the target: the proven one, with the target's own budgets and keys.
+///
+/// # Errors
+///
+/// Returns [`ToolError::Invalid`] if the result is not a valid document.
+pub fn plan_promotion(
+    proven: &Document,
+    old: Option<&Document>,
+    request: &PromoteRequest,
+) -> Result<Document, ToolError> {
+    let empty = Document::default();
+    let old = old.unwrap_or(&empty);
+    let mut plan = proven.clone();
+    // A new budget starts empty: only an explicit payment in the target gives it tokens.
+    for section in Arc::make_mut(&mut plan.budgets).values_mut() {
+        *section = BudgetSection {
+            paid: TokenCount::ZERO,
+        };
+    }
+    for (name, section) in Arc::make_mut(&mut plan.customers) {
+        let own = old.customers.get(name);
+        section.key_sha256 = own.map(|own| own.key_sha256.clone()).unwrap_or_default();
+    }
+    let budgets = Arc::make_mut(&mut plan.budgets);
+    budgets.extend(
+        old.budgets
+            .iter()
+            .map(|(name, section)| (name.clone(), section.clone())),
+    );
+    for (name, section) in old.customers.iter() {
+        let customers = Arc::make_mut(&mut plan.customers);
+        customers
+            .entry(name.clone())
+            .or_insert_with(|| section.clone());
+    }
+    if request.keep_upstreams {
+        plan.upstreams = Arc::clone(&old.upstreams);
+    }
+    let mut changes = Document::default().diff(&plan);
+    changes.retain(|change| change.section.kind != SectionKind::Environment);
+    changes.push(SectionChange {
+        section: SectionName::new(SectionKind::Environment, ""),
+        body: Some(format!("name = {}\n", request.target)),
+    });
+    let plan = Document::default().apply(&changes);
+    plan.map_err(|errors| ToolError::invalid("the promoted document", &errors))
+}
--- /dev/null
+++ b/crates/cornelarch/src/operator/publish.rs
@@ -0,0 +1,366 @@
+//! Conditional updates of a configuration's head.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use cornelarch_core::{
+    base::EnvironmentName,
+    config::{Delta, Document, HeadObject, SectionChange, base_key, head_key, split_base},
+};
+use cornelarch_platform::{ObjectStore, StoreError};
+use serde::de::DeserializeOwned;
+
+use crate::operator::{ToolError, report::describe_changes};
+
+/// Tries to find out whether a write took effect before the command gives up.
+const RESOLVE_TRIES: u32 = 5;
+/// Wait before such a try, doubled each time.
+const RESOLVE_WAIT: Duration = Duration::from_millis(100);
+
+/// Holds a head as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeadRead {
+    /// The version of the object at the platform.
+    pub object_version: u64,
+    /// The head.
+    pub head: HeadObject,
+}
+
+/// Describes a change that is to be published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishRequest {
+    /// The environment.
+    pub environment: EnvironmentName,
+    /// Who makes the change.
+    pub operator: String,
+    /// The id by which the change is recognised.
+    pub operation_id: String,
+    /// The head that the change is based on; `None` for a new environment.
+    pub based_on: Option<HeadRead>,
+    /// The document before the change.
+    pub old: Option<Document>,
+    /// The document after the change.
+    pub new: Document,
+}
+
+/// Describes a published change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Published {
+    /// The version of the document.
+    pub version: u64,
+    /// Whether an earlier attempt of the same operation had published it.
+    pub earlier: bool,
+}
+
+/// Reads the head of an environment, or `None` if there is none.
+///
+/// # Errors
+///
+/// Returns a [`ToolError`] if the platform does not answer or the object cannot be used.
+pub async fn read_head<S: ObjectStore>(
+    store: &S,
+    environment: &EnvironmentName,
+) -> Result<Option<HeadRead>, ToolError> {
+    let read = read_object(store, &head_key(environment)).await?;
+    Ok(read.map(|(object_version, head)| HeadRead {
+        object_version,
+        head,
+    }))
+}
+
+/// Reads the document that a head leads to.
+///
+/// # Errors
+///
+/// Returns a [`ToolError`] if the platform does not answer or the objects cannot be used.
+pub async fn read_document<S: ObjectStore>(
+    store: &S,
+    environment: &EnvironmentName,
+    head: &HeadObject,
+) -> Result<Document, ToolError> {
+    let mut text = String::new();
+    for part in 0..head.base_parts {
+        let key = base_key(environment, &head.base_id, part);
+        let part: Option<(u64, String)> = read_object(store, &key).await?;
+        let (_, part) = part.ok_or_else(|| ToolError::Stored {
+            key,
+            message: "a part of the base is missing".to_owned(),
+        })?;
+        text.push_str(&part);
+    }
+    let key = head_key(environment);
+    head.build(&text)
+        .map_err(|error| ToolError::head(&key, &error))
+}
+
+/// Reads a JSON object with its version, or `None` if there is none.
+pub(crate) async fn read_object<S: ObjectStore, T: DeserializeOwned>(
+    store: &S,
+    key: &str,
+) -> Result<Option<(u64, T)>, ToolError> {
+    let read = match store.get(key).await {
+        Ok(read) => read,
+        Err(StoreError::NotFound { .. }) => return Ok(None),
+        Err(error) => return Err(error.into()),
+    };
+    let value = serde_json::from_slice(&read.value).map_err(|error| ToolError::Stored {
+        key: key.to_owned(),
+        message: error.to_string(),
+    })?;
+    Ok(Some((read.version, value)))
+}
+
+/// Returns the bytes of an object.
+pub(crate) fn encode<T: serde::Serialize>(key: &str, value: &T) -> Result<Bytes, ToolError> {
+    let bytes = serde_json::to_vec(value).map_err(|error| ToolError::Stored {
+        key: key.to_owned(),
+        message: error.to_string(),
+    })?;
+    Ok(Bytes::from(bytes))
+}
+
+/// Returns the time in seconds since 1970.
+pub(crate) fn unix_time() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
+
+/// Publishes a change if no other was published since the head was read.
+///
+/// An answer that is lost is resolved by the operation id: the head is read again, and the same
+/// bytes are sent again only while the head is still the one that the change is based on.
+pub(crate) async fn publish<S: ObjectStore>(
+    store: &S,
+    request: &PublishRequest,
+) -> Result<Published, ToolError> {
+    let mut request = request.clone();
+    loop {
+        let (expected, head) = build_head(store, &request).await?;
+        let key = head_key(&request.environment);
+        let value = encode(&key, &head)?;
+        match put_head(store, &request, expected, value).await? {
+            PutResult::Published(published) => {
+                if head.needs_base() {
+                    write_new_base(store, &request, expected + 1, &head).await;
+                }
+                return Ok(published);
+            }
+            PutResult::Rebased(read) => request.based_on = Some(read),
+        }
+    }
+}
+
+/// Tells how a write of the head ended.
+enum PutResult {
+    Published(Published),
+    /// Another operator wrote a new base of the same version, on which the change can be based.
+    Rebased(HeadRead),
+}
+
+async fn build_head<S: ObjectStore>(
+    store: &S,
+    request: &PublishRequest,
+) -> Result<(u64, HeadObject), ToolError> {
+    let changes = match &request.old {
+        Some(old) => old.diff(&request.new),
+        None => Vec::new(),
+    };
+    let delta = Delta {
+        version: 0,
+        operator: request.operator.clone(),
+        operation_id: request.operation_id.clone(),
+        time: unix_time(),
+        changes,
+        base_only: false,
+    };
+    let Some(based_on) = &request.based_on else {
+        let parts = write_base(store, request, 1, &request.new).await?;
+        return Ok((0, HeadObject::first(delta, parts)));
+    };
+    let head = &based_on.head;
+    let next = if delta.is_large() {
+        let parts = write_base(store, request, head.version + 1, &request.new).await?;
+        head.with_base_delta(delta, parts)
+    } else {
+        head.with_delta(delta)
+    };
+    Ok((based_on.object_version, next))
+}
+
+async fn put_head<S: ObjectStore>(
+    store: &S,
+    request: &PublishRequest,
+    expected: u64,
+    value: Bytes,
+) -> Result<PutResult, ToolError> {
+    let key = head_key(&request.environment);
+    let mut wait = RESOLVE_WAIT;
+    for _ in 0..RESOLVE_TRIES {
+        let error = match store.put(&key, expected, value.clone()).await {
+            Ok(_) => None,
+            Err(error @ (StoreError::Conflict { .. } | StoreError::Unknown { .. })) => Some(error),
+            Err(error) => return Err(error.into()),
+        };
+        let Some(source) = error else {
+            let version = request
+                .based_on
+                .as_ref()
+                .map_or(0, |read| read.head.version)
+                + 1;
+            return Ok(PutResult::Published(Published {
+                version,
+                earlier: false,
+            }));
+        };
+        let read = match read_head(store, &request.environment).await {
+            Ok(read) => read,
+            // The write may have taken effect, so its result stays unknown.
+            Err(_) if matches!(source, StoreError::Unknown { .. }) => {
+                tokio::time::sleep(wait).await;
+                wait *= 2;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        let newer = read.filter(|read| read.object_version != expected);
+        if let Some(newer) = newer {
+            return resolve_newer(store, request, newer).await;
+        }
+        tokio::time::sleep(wait).await;
+        wait *= 2;
+    }
+    Err(ToolError::Unknown {
+        source: StoreError::Unknown {
+            key,
+            reason: format!("no answer in {RESOLVE_TRIES} tries"),
+        },
+        operation_id: request.operation_id.clone(),
+    })
+}
+
+/// Tells whether the newer head contains this operation or that of another operator.
+async fn resolve_newer<S: ObjectStore>(
+    store: &S,
+    request: &PublishRequest,
+    newer: HeadRead,
+) -> Result<PutResult, ToolError> {
+    if let Some(delta) = newer.head.find_operation(&request.operation_id) {
+        return Ok(PutResult::Published(Published {
+            version: delta.version,
+            earlier: false,
+        }));
+    }
+    let expected = request.based_on.as_ref();
+    let expected = expected.map_or(0, |read| read.head.version);
+    if newer.head.version == expected {
+        return Ok(PutResult::Rebased(newer));
+    }
+    let (environment, old) = (&request.environment, request.old.as_ref());
+    Err(build_conflict(store, environment, old, expected, &newer.head).await)
+}
+
+/// Builds the error that tells an operator what another one changed.
+pub(crate) async fn build_conflict<S: ObjectStore>(
+    store: &S,
+    environment: &EnvironmentName,
+    old: Option<&Document>,
+    expected: u64,
+    head: &HeadObject,
+) -> ToolError {
+    let since = head.deltas.iter().filter(|delta| delta.version > expected);
+    let mut lines: Vec<String> = since
+        .map(|delta| {
+            let (version, operator) = (delta.version, &delta.operator);
+            let sections = list_sections(&delta.changes);
+            format!("version {version} by {operator}: {sections}")
+        })
+        .collect();
+    if let (Some(old), Ok(new)) = (old, read_document(store, environment, head).await) {
+        lines.extend(describe_changes(Some(old), &old.diff(&new)));
+    }
+    ToolError::Conflict {
+        expected,
+        version: head.version,
+        changes: lines,
+    }
+}
+
+/// Lists the sections of a change in one line.
+pub(crate) fn list_sections(changes: &[SectionChange]) -> String {
+    if changes.is_empty() {
+        return "whole document".to_owned();
+    }
+    let sections = changes.iter().map(|change| match &change.body {
+        Some(_) => format!("[{}]", change.section),
+        None => format!("[{}] removed", change.section),
+    });
+    sections.collect::<Vec<String>>().join(", ")
+}
+
+/// Writes the parts of a base and returns their number. The folder carries the operation id, so a
+/// part that exists already is this operation's own.
+async fn write_base<S: ObjectStore>(
+    store: &S,
+    request: &PublishRequest,
+    version: u64,
+    document: &Document,
+) -> Result<usize, ToolError> {
+    let text = document.to_text();
+    let parts = split_base(&text);
+    for (part, content) in parts.iter().enumerate() {
+        let folder = format!("{version}-{}", request.operation_id);
+        let key = base_key(&request.environment, &folder, part);
+        let content = encode(&key, content)?;
+        match store.put(&key, 0, content.clone()).await {
+            Ok(_) => {}
+            Err(StoreError::Conflict { .. } | StoreError::Unknown { .. }) => {
+                if store.get(&key).await?.value != content {
+                    let message = "another text has the same operation id".to_owned();
+                    return Err(ToolError::Stored { key, message });
+                }
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Ok(parts.len())
+}
+
+/// Writes a new base after many deltas. A failure leaves the old base, which stays valid, and the
+/// next change tries again.
+async fn write_new_base<S: ObjectStore>(
+    store: &S,
+    request: &PublishRequest,
+    object_version: u64,
+    head: &HeadObject,
+) {
+    let Ok(parts) = write_base(store, request, head.version, &request.new).await else {
+        return;
+    };
+    let rebased = head.rebased(&request.operation_id, parts);
+    let key = head_key(&request.environment);
+    let Ok(value) = encode(&key, &rebased) else {
+        return;
+    };
+    if store.put(&key, object_version, value).await.is_ok() {
+        delete_old_bases(store, &request.environment, head.base_version).await;
+    }
+}
+
+/// Deletes the bases before the previous one, which instances may still be reading.
+async fn delete_old_bases<S: ObjectStore>(store: &S, environment: &EnvironmentName, previous: u64) {
+    let prefix = format!("config/{environment}/base/");
+    let Ok(keys) = store.list(&prefix, "").await else {
+        return;
+    };
+    for (key, version) in keys {
+        let folder = key.strip_prefix(&prefix).unwrap_or_default();
+        let base_version = folder
+            .split('-')
+            .next()
+            .and_then(|number| number.parse::<u64>().ok());
+        if base_version.is_some_and(|base| base < previous) {
+            // An object that stays costs space only.
+            let _ = store.delete(&key, version).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelarch/src/operator/show.rs
@@ -0,0 +1,164 @@
+//! Commands `history`, `status`, `dump` and `unblock`.
+
+use std::collections::BTreeSet;
+
+use cornelarch_core::base::InstanceName;
+use reqwest::Method;
+use serde_json::{Value, json};
+
+use crate::operator::{
+    CommandReport, InstanceClient, StatusView, ToolError,
+    arguments::CommandArguments,
+    publish::{list_sections, read_head},
+};
+
+/// Shows the recent changes of an environment.
+pub(crate) async fn history(arguments: &CommandArguments) -> Result<CommandReport, ToolError> {
+    arguments.free([])?;
+    let environment = arguments.environment()?;
+    let Some(read) = read_head(&arguments.store()?, &environment).await? else {
+        let message = format!("environment {environment} has no document");
+        return Err(ToolError::Refused { message });
+    };
+    let head = read.head;
+    let mut text = format!("environment {environment} is at version {}", head.version);
+    for delta in head.deltas.iter().rev() {
+        text.push_str(&format!(
+            "\n{:>8}  {} s  {}  {}  {}",
+            delta.version,
+            delta.time,
+            delta.operator,
+            delta.operation_id,
+            list_sections(&delta.changes)
+        ));
+    }
+    Ok(CommandReport::new(text, json!(head)))
+}
+
+/// Calls all instances; an instance that fails becomes an entry with `error`.
+async fn call_all(
+    instances: &[InstanceClient],
+    method: &Method,
+    path: &str,
+) -> (Vec<Value>, usize) {
+    let calls = instances
+        .iter()
+        .map(|instance| instance.call(method.clone(), path));
+    let results = futures_util::future::join_all(calls).await;
+    let failed = results.iter().filter(|result| result.is_err()).count();
+    let values = results
+        .into_iter()
+        .zip(instances)
+        .map(|(result, instance)| match result {
+            Ok(value) => json!({"address": instance.address, "answer": value}),
+            Err(error) => json!({"address": instance.address, "error": error.to_string()}),
+        });
+    (values.collect(), failed)
+}
+
+fn check_failures(values: &[Value], failed: usize) -> Result<(), ToolError> {
+    if failed == 0 || failed < values.len() {
+        return Ok(());
+    }
+    let errors = values.iter().filter_map(|value| value["error"].as_str());
+    Err(ToolError::Instance {
+        address: "all".to_owned(),
+        message: errors.collect::<Vec<&str>>().join("; "),
+    })
+}
+
+/// Shows the status of instances.
+pub(crate) async fn status(arguments: &CommandArguments) -> Result<CommandReport, ToolError> {
+    arguments.free([])?;
+    let (values, failed) = call_all(&arguments.instances()?, &Method::GET, "/status").await;
+    check_failures(&values, failed)?;
+    let mut text = format!(
+        "{:<16} {:<12} {:<10} {:>8} {:>8} {:>10} {:>10}",
+        "instance", "domain", "phase", "version", "running", "answers", "broken"
+    );
+    for value in &values {
+        let answer = &value["answer"];
+        let word = |key: &str| answer[key].as_str().unwrap_or("-").to_owned();
+        let number = |key: &str| {
+            answer[key]
+                .as_u64()
+                .map_or("-".to_owned(), |n| n.to_string())
+        };
+        text.push_str(&match value["error"].as_str() {
+            Some(error) => format!("\n{error}"),
+            None => format!(
+                "\n{:<16} {:<12} {:<10} {:>8} {:>8} {:>10} {:>10}",
+                word("instance"),
+                word("domain"),
+                word("phase"),
+                number("version"),
+                number("running"),
+                number("answers"),
+                number("broken_promises")
+            ),
+        });
+    }
+    Ok(CommandReport::new(text, values.into()))
+}
+
+/// Shows the state of instances.
+pub(crate) async fn dump(arguments: &CommandArguments) -> Result<CommandReport, ToolError> {
+    arguments.free([])?;
+    let (values, failed) = call_all(&arguments.instances()?, &Method::GET, "/dump").await;
+    check_failures(&values, failed)?;
+    let json = Value::from(values);
+    let text = serde_json::to_string_pretty(&json).unwrap_or_default();
+    Ok(CommandReport::new(text, json))
+}
+
+/// Removes the block of a request at all given instances, which tell the others of their domain.
+pub(crate) async fn unblock(arguments: &CommandArguments) -> Result<CommandReport, ToolError> {
+    let [fingerprint] = arguments.free(["FINGERPRINT"])?;
+    let valid = fingerprint.len() == 32 && fingerprint.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !valid {
+        let message = "a fingerprint has 32 hexadecimal digits".to_owned();
+        return Err(ToolError::Usage { message });
+    }
+    let path = format!("/unblock/{fingerprint}");
+    let (values, failed) = call_all(&arguments.instances()?, &Method::POST, &path).await;
+    if failed > 0 {
+        let errors = values.iter().filter_map(|value| value["error"].as_str());
+        let message = errors.collect::<Vec<&str>>().join("; ");
+        return Err(ToolError::Instance {
+            address: format!("{failed} failed"),
+            message,
+        });
+    }
+    let text = format!("{fingerprint} is unblocked at {} instances", values.len());
+    Ok(CommandReport::new(text, values.into()))
+}
+
+/// Reads what `prove` needs: the status of every given instance, and the live members they know.
+pub(crate) async fn read_statuses(
+    instances: &[InstanceClient],
+) -> Result<(Vec<StatusView>, BTreeSet<InstanceName>), ToolError> {
+    let mut statuses = Vec::new();
+    let mut live = BTreeSet::new();
+    for instance in instances {
+        let dump = instance.call(Method::GET, "/dump").await?;
+        let status = serde_json::from_value(dump["status"].clone());
+        statuses.push(status.map_err(|error| ToolError::Instance {
+            address: instance.address.clone(),
+            message: format!("status cannot be used: {error}"),
+        })?);
+        live.extend(list_live(&dump["members"]));
+    }
+    Ok((statuses, live))
+}
+
+/// Lists the live members of a dump.
+fn list_live(members: &Value) -> Vec<InstanceName> {
+    let members = members.as_array().map(Vec::as_slice).unwrap_or_default();
+    let live = members.iter().filter_map(|member| {
+        let record = &member["record"];
+        let live = matches!(record["state"].as_str(), Some("alive" | "suspect"));
+        let (name, _) = record["holder"].as_str()?.rsplit_once('~')?;
+        live.then(|| InstanceName::new(name))
+    });
+    live.collect()
+}
--- /dev/null
+++ b/crates/cornelarch/tests/common/mod.rs
@@ -0,0 +1,154 @@
+//! In-memory object store whose writes can fail in the ways of the platform.
+
+#![allow(dead_code)] // Each test file uses a part.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Mutex,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cornelarch_core::config::Document;
+use cornelarch_platform::{InstanceEntry, ObjectStore, StoreError, VersionedValue};
+
+/// Lists what happens to one write.
+#[derive(Clone, Debug)]
+pub(crate) enum WriteFault {
+    None,
+    /// The write takes effect, and its answer is lost.
+    AnswerLost,
+    /// The write does not take effect, and the caller cannot know.
+    WriteLost,
+    /// Another operator's value is written first.
+    Overtaken(Bytes),
+    /// The platform is down.
+    Down,
+}
+
+#[derive(Default)]
+struct Content {
+    objects: BTreeMap<String, (u64, Bytes)>,
+    faults: VecDeque<WriteFault>,
+    faulty_key: String,
+}
+
+/// Holds objects in memory.
+#[derive(Default)]
+pub(crate) struct MemoryStore {
+    content: Mutex<Content>,
+}
+
+impl MemoryStore {
+    /// Applies the faults to the next writes of keys that begin with `key`, in this order.
+    pub(crate) fn fail_writes(&self, key: &str, faults: impl IntoIterator<Item = WriteFault>) {
+        let mut content = self.content.lock().expect("lock");
+        content.faulty_key = key.to_owned();
+        content.faults = faults.into_iter().collect();
+    }
+
+    pub(crate) fn value(&self, key: &str) -> Option<(u64, Bytes)> {
+        let content = self.content.lock().expect("lock");
+        content.objects.get(key).cloned()
+    }
+
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        let content = self.content.lock().expect("lock");
+        let keys = content.objects.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+}
+
+impl Content {
+    fn put(&mut self, key: &str, expected: u64, value: Bytes) -> Result<u64, StoreError> {
+        let current = self.objects.get(key).map_or(0, |(version, _)| *version);
+        if current != expected {
+            let key = key.to_owned();
+            return Err(StoreError::Conflict { key, current });
+        }
+        self.objects.insert(key.to_owned(), (current + 1, value));
+        Ok(current + 1)
+    }
+}
+
+impl ObjectStore for MemoryStore {
+    async fn get(&self, key: &str) -> Result<VersionedValue, StoreError> {
+        let found = self.value(key);
+        let (version, value) = found.ok_or_else(|| StoreError::NotFound {
+            key: key.to_owned(),
+        })?;
+        Ok(VersionedValue { version, value })
+    }
+
+    async fn put(&self, key: &str, expected: u64, value: Bytes) -> Result<u64, StoreError> {
+        // The platform stores JSON only.
+        serde_json::from_slice::<serde_json::Value>(&value).expect("value is JSON");
+        let mut content = self.content.lock().expect("lock");
+        let faulty = key.starts_with(&content.faulty_key);
+        let fault = if faulty {
+            content.faults.pop_front()
+        } else {
+            None
+        };
+        let unknown = StoreError::Unknown {
+            key: key.to_owned(),
+            reason: "answer lost".to_owned(),
+        };
+        match fault.unwrap_or(WriteFault::None) {
+            WriteFault::None => content.put(key, expected, value),
+            WriteFault::AnswerLost => {
+                // A conflict is lost, too: the caller learns nothing.
+                let _ = content.put(key, expected, value);
+                Err(unknown)
+            }
+            WriteFault::WriteLost => Err(unknown),
+            WriteFault::Overtaken(other) => {
+                content.put(key, expected, other)?;
+                content.put(key, expected, value)
+            }
+            WriteFault::Down => Err(StoreError::Unavailable {
+                reason: "down".to_owned(),
+            }),
+        }
+    }
+
+    async fn delete(&self, key: &str, _expected: u64) -> Result<(), StoreError> {
+        self.content.lock().expect("lock").objects.remove(key);
+        Ok(())
+    }
+
+    async fn list(&self, prefix: &str, _after: &str) -> Result<Vec<(String, u64)>, StoreError> {
+        let keys = self.keys(prefix).into_iter();
+        Ok(keys.map(|key| (key, 1)).collect())
+    }
+
+    async fn watch(
+        &self,
+        _key: &str,
+        _after: u64,
+        _timeout: Duration,
+    ) -> Result<Option<VersionedValue>, StoreError> {
+        Ok(None)
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
+        Ok(Vec::new())
+    }
+}
+
+/// Returns a document with one customer and one engine.
+pub(crate) fn document(environment: &str, paid: u64, order_rate: u64) -> Document {
+    let text = format!(
+        "[environment]\nname = {environment}\n\
+         [limits]\norder_rate = {order_rate}\n\
+         [model small]\n\
+         [budget acme]\npaid = {paid}\n\
+         [customer acme]\nkey_sha256 = {}\nbudget = acme\nmodels = small\n\
+         [upstream engine-1]\nkind = engine\naddress = 127.0.0.1:9001\ndomain = north\n\
+         models = small\n",
+        "ab".repeat(32)
+    );
+    Document::parse(&text).expect("document is valid")
+}
