--- a/crates/cornelarch/src/demo/check.rs
+++ b/crates/cornelarch/src/demo/check.rs
@@ -11,7 +11,7 @@
 use crate::demo::{
     call::{CallKind, CallRecord, CallResult, item_path},
     script::{DemoJournal, ProbeRecord},
-    seed::read_entry,
+    seed::read_totals,
     world::DemoWorld,
 };
 
@@ -93,7 +93,7 @@
     let counts = RunCounts::collect(world);
     let mut lines = Vec::new();
     for budget in world.document.budgets.keys() {
-        let entry = read_entry(&world.store, &world.document, budget).await?;
+        let totals = read_totals(&world.store, &world.document, budget).await?;
         let records = journal.records.iter();
         let records: Vec<_> = records
             .filter(|record| record.spec.budget == *budget)
@@ -101,7 +101,7 @@
         let (unreported, uncertain) = count_unreported(world, budget);
         lines.push(BudgetLine {
             budget: budget.clone(),
-            totals: entry.totals(),
+            totals,
             unreported,
             uncertain,
             reported: count_reported(&records, &counts),
--- a/crates/cornelarch/src/demo/script.rs
+++ b/crates/cornelarch/src/demo/script.rs
@@ -17,7 +17,7 @@
     call::{CallKind, CallRecord, CallResult, CallSpec},
     client::{DemoClient, read_refusal},
     document::{change_upstream, demo_key},
-    seed::change_document,
+    seed::apply,
     world::DemoWorld,
 };
 
@@ -267,9 +267,9 @@
             section.state = UpstreamState::Leaving;
         });
         let started = Instant::now();
-        let head = change_document(&self.world.store, &self.world.document, &changed).await?;
+        let version = apply(&self.world.store, &changed).await?;
         let load = self.start_load(80, MAX_TOKENS);
-        if self.world.wait_version(head.version, CONFIG_LIMIT).await {
+        if self.world.wait_version(version, CONFIG_LIMIT).await {
             self.journal.config_time = Some(started.elapsed());
         }
         self.world.document = changed;
--- a/crates/cornelarch/src/demo/world.rs
+++ b/crates/cornelarch/src/demo/world.rs
@@ -24,7 +24,7 @@
 
 use crate::demo::{
     document::{adapt_document, list_domains, load_document},
-    seed::{LEDGER_SHARDS, pay_budgets, store_document},
+    seed::{LEDGER_SHARDS, apply},
 };
 
 /// Number of routers in each failure domain.
@@ -112,8 +112,7 @@
             nodes: Vec::new(),
             started,
         };
-        store_document(&world.store, &world.document).await?;
-        pay_budgets(&world.store, &world.document).await?;
+        apply(&world.store, &world.document).await?;
         world.start_nodes().await?;
         Ok(world)
     }
--- a/crates/cornelarch/src/lib.rs
+++ b/crates/cornelarch/src/lib.rs
@@ -1,3 +1,4 @@
-//! Facade of the cornelarch router fleet, with the operator tool and the demonstration.
+//! Facade of cornelarch: the operator tool's commands and the demo.
 
 pub mod demo;
+pub mod operator;
