--- /dev/null
+++ b/crates/measure/src/path/usage.rs
@@ -0,0 +1,64 @@
+//! Processor time of named threads and memory of the process, from `/proc`.
+
+use std::{fs, io, time::Duration};
+
+/// Returns the processor time of all threads whose name begins with `prefix`.
+///
+/// # Errors
+///
+/// Returns an error if the system does not provide these numbers.
+pub(crate) fn thread_time(prefix: &str) -> io::Result<Duration> {
+    let mut nanos = 0;
+    for entry in fs::read_dir("/proc/self/task")? {
+        let path = entry?.path();
+        // A thread may end between the listing and the reads.
+        let (Ok(name), Ok(stat)) = (
+            fs::read_to_string(path.join("comm")),
+            fs::read_to_string(path.join("schedstat")),
+        ) else {
+            continue;
+        };
+        if name.trim_end().starts_with(prefix) {
+            let first = stat.split_whitespace().next().unwrap_or_default();
+            nanos += first.parse::<u64>().unwrap_or(0);
+        }
+    }
+    Ok(Duration::from_nanos(nanos))
+}
+
+/// Returns the resident memory of the process in KiB.
+///
+/// # Errors
+///
+/// Returns an error if the system does not provide this number.
+pub(crate) fn resident_kib() -> io::Result<u64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let value = line.and_then(|line| line.split_whitespace().next());
+    let value = value.and_then(|value| value.parse().ok());
+    value.ok_or_else(|| io::Error::other("/proc/self/status has no VmRSS"))
+}
+
+/// Returns the largest number of open files of the process.
+///
+/// # Errors
+///
+/// Returns an error if the system does not provide this number.
+pub(crate) fn open_file_limit() -> io::Result<u64> {
+    let limits = fs::read_to_string("/proc/self/limits")?;
+    let line = limits
+        .lines()
+        .find_map(|line| line.strip_prefix("Max open files"));
+    let value = line.and_then(|line| line.split_whitespace().next());
+    let value = value.and_then(|value| value.parse().ok());
+    value.ok_or_else(|| io::Error::other("/proc/self/limits has no open files"))
+}
+
+/// Returns the load average of the last minute as the system prints it.
+pub(crate) fn load_average() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace()
+        .next()
+        .unwrap_or("unknown")
+        .to_owned()
+}
