Measure an observer with exact counts

Change: a sixth policy, `exact-counts`, knows all counts and speeds without delay, but not the prompts in progress.

--- a/crates/measure/src/routing/engine.rs
+++ b/crates/measure/src/routing/engine.rs
@@ -188,17 +188,17 @@
         past.map_or((0, 0), |(_, running, waiting)| (*running, *waiting))
     }
 
-    /// Returns the exact expected time to first token in microseconds of a job that arrives now.
-    pub(super) fn expected_us(&self, job: &EngineJob, now_us: u64) -> f64 {
+    /// Returns the expected time to first token in microseconds of a job that arrives now.
+    ///
+    /// Without `knows_prompts` the rest of the step and the prompts of waiting jobs are unknown.
+    pub(super) fn expected_us(&self, job: &EngineJob, knows_prompts: bool, now_us: u64) -> f64 {
         if self.is_down {
             return f64::MAX;
         }
-        let rest = self.step_end_us.map_or(0, |end| end.saturating_sub(now_us)) as f64;
-        let ahead: u32 = self
-            .waiting
-            .iter()
-            .map(|job| self.prefill_tokens(job))
-            .sum();
+        let end_us = self.step_end_us.filter(|_| knows_prompts);
+        let rest = end_us.map_or(0, |end| end.saturating_sub(now_us)) as f64;
+        let waiting = self.waiting.iter().filter(|_| knows_prompts);
+        let ahead: u32 = waiting.map(|job| self.prefill_tokens(job)).sum();
         let prefill = f64::from(ahead + self.prefill_tokens(job));
         let total = self.running.len() + self.waiting.len() + 1;
         let excess = total.saturating_sub(BATCH_MAX);
--- a/crates/measure/src/routing/policy.rs
+++ b/crates/measure/src/routing/policy.rs
@@ -11,16 +11,19 @@
     TwoChoices,
     /// The policy of the design.
     Design,
+    /// One instance knows exact counts and speeds, but not the prompts in progress.
+    ExactCounts,
     /// One instance knows the exact state of every engine.
     Omniscient,
 }
 
 impl PolicyKind {
-    pub(super) const ALL: [Self; 5] = [
+    pub(super) const ALL: [Self; 6] = [
         Self::RoundRobin,
         Self::Random,
         Self::TwoChoices,
         Self::Design,
+        Self::ExactCounts,
         Self::Omniscient,
     ];
 
@@ -30,6 +33,7 @@
             Self::Random => "random",
             Self::TwoChoices => "two-choices",
             Self::Design => "design",
+            Self::ExactCounts => "exact-counts",
             Self::Omniscient => "omniscient",
         }
     }
--- a/crates/measure/src/routing/router.rs
+++ b/crates/measure/src/routing/router.rs
@@ -110,7 +110,10 @@
                 let is_first = self.own[first] <= self.own[second];
                 Some(if is_first { first } else { second })
             }
-            PolicyKind::Random | PolicyKind::Design | PolicyKind::Omniscient => Some(draw()),
+            PolicyKind::Random
+            | PolicyKind::Design
+            | PolicyKind::ExactCounts
+            | PolicyKind::Omniscient => Some(draw()),
         }
     }
 
--- a/crates/measure/src/routing/simulation.rs
+++ b/crates/measure/src/routing/simulation.rs
@@ -238,7 +238,8 @@
         }
         let (choice, key) = match self.policy {
             PolicyKind::Design => self.choose_design(request),
-            PolicyKind::Omniscient => (self.choose_omniscient(request), None),
+            PolicyKind::ExactCounts => (self.choose_central(request, false), None),
+            PolicyKind::Omniscient => (self.choose_central(request, true), None),
             policy => {
                 let SimulatedRequest { router, tried, .. } = &self.requests[request];
                 let router = &mut self.routers[*router];
@@ -253,13 +254,17 @@
         }
     }
 
-    fn choose_omniscient(&self, request: RequestId) -> RouteChoice {
+    fn choose_central(&self, request: RequestId, knows_prompts: bool) -> RouteChoice {
         let id = request;
         let request = &self.requests[id];
         let job = job_of(id, request);
         let free = (0..self.engines.len()).filter(|engine| !request.tried.contains(engine));
-        let scored =
-            free.map(|engine| (engine, self.engines[engine].expected_us(&job, self.now_us)));
+        let scored = free.map(|engine| {
+            (
+                engine,
+                self.engines[engine].expected_us(&job, knows_prompts, self.now_us),
+            )
+        });
         let best = scored.min_by(|left, right| left.1.total_cmp(&right.1));
         best.map_or(RouteChoice::Refuse, |(engine, _)| RouteChoice::Send(engine))
     }
