--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,11 +3,12 @@
 mod budgets;
 mod path;
 mod routing;
+mod slopes;
 
 use std::process::ExitCode;
 
 /// Subcommands in the order of the documentation; each prints its options with `--help`.
-const USAGE: &str = "Usage: cornelarch-measure budgets|routing|path [OPTIONS]";
+const USAGE: &str = "Usage: cornelarch-measure budgets|routing|path|slopes [OPTIONS]";
 
 fn main() -> ExitCode {
     let default = env_logger::Env::default().default_filter_or("error");
@@ -21,6 +22,7 @@
         "budgets" => budgets::run(rest),
         "routing" => routing::run(rest),
         "path" => path::run(rest),
+        "slopes" => slopes::run(rest),
         "-h" | "--help" => {
             println!("{USAGE}");
             ExitCode::SUCCESS
--- /dev/null
+++ b/crates/measure/src/slopes/members.rs
@@ -0,0 +1,129 @@
+//! Cost of the member table.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use cornelarch_core::{
+    base::{DomainName, HolderId, InstanceName, MonotonicTime},
+    membership::{
+        MemberEffect, MemberEvent, MemberMessage, MemberOptions, MemberRecord, MemberState,
+        MemberTable, PingBody,
+    },
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{SlopeRow, memory::measure_growth};
+
+/// Members of a fleet of today, and of the target size.
+const MEMBERS: [u32; 2] = [9, 350];
+/// Tables that are built at once, because one is small against the pages of the allocator.
+const TABLES: u32 = 200;
+/// Domains of the target size.
+const DOMAINS: u32 = 12;
+/// Simulated time of the measurement of ticks.
+const TICKED: Duration = Duration::from_secs(60);
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Measures memory per member and processor time per second of membership.
+pub(super) fn measure(seed: u64) -> Vec<SlopeRow> {
+    let memory = MEMBERS.map(|members| {
+        let build = || {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let tables = (0..TABLES).map(|_| build_table(members, &mut rng));
+            tables.collect::<Vec<_>>()
+        };
+        measure_growth(build) / f64::from(TABLES)
+    });
+    let time = MEMBERS.map(|members| measure_ticks(members, seed));
+    let row = |name, unit, costs: [f64; 2]| SlopeRow {
+        name,
+        unit,
+        small: (f64::from(MEMBERS[0]), costs[0]),
+        large: (f64::from(MEMBERS[1]), costs[1]),
+    };
+    vec![
+        row("member table memory", "bytes/member", memory),
+        row(
+            "membership, one second, every ping answered",
+            "us/member",
+            time,
+        ),
+    ]
+}
+
+fn build_record(number: u32) -> MemberRecord {
+    MemberRecord {
+        holder: HolderId::new(
+            InstanceName::from(format!("router-{number:03}")),
+            u64::from(number),
+        ),
+        domain: DomainName::from(format!("domain-{}", number % DOMAINS)),
+        address: format!("127.0.0.1:{}", 20_000 + number),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+fn build_ack(number: u32, nonce: u64) -> MemberMessage {
+    MemberMessage::Ack(PingBody {
+        nonce,
+        sender: build_record(number),
+        config_version: 1,
+        load_permille: 500,
+        updates: Vec::new(),
+    })
+}
+
+fn build_table(members: u32, rng: &mut ChaCha8Rng) -> MemberTable {
+    let own = build_record(0);
+    let mut table = MemberTable::new(
+        own.holder.clone(),
+        own.domain.clone(),
+        own.address.clone(),
+        Vec::new(),
+        MemberOptions::default(),
+    );
+    let now = MonotonicTime::from_millis(1);
+    for number in 1..members {
+        let message = build_ack(number, 0);
+        let from = build_record(number).holder;
+        // No effect of these first contacts is carried out.
+        let _ = table.handle(MemberEvent::Received { from, message }, now, rng);
+    }
+    table
+}
+
+/// Returns the processor time of one second of membership in microseconds.
+fn measure_ticks(members: u32, seed: u64) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut table = build_table(members, &mut rng);
+    let records: Vec<MemberRecord> = (0..members).map(build_record).collect();
+    let mut now = MonotonicTime::from_millis(1);
+    let end = now + TICKED;
+    let start = Instant::now();
+    while now < end {
+        now = now + TICK;
+        for effect in table.handle(MemberEvent::Tick, now, &mut rng) {
+            let MemberEffect::Send {
+                address,
+                message: MemberMessage::Ping(ping),
+                ..
+            } = effect
+            else {
+                continue;
+            };
+            let Some(target) = records.iter().position(|record| record.address == address) else {
+                continue;
+            };
+            let number = u32::try_from(target).unwrap_or_default();
+            let from = records[target].holder.clone();
+            let message = build_ack(number, ping.nonce);
+            black_box(table.handle(MemberEvent::Received { from, message }, now, &mut rng));
+        }
+    }
+    start.elapsed().as_micros() as f64 / TICKED.as_secs_f64()
+}
