--- a/crates/core/src/budget/ledger/account.rs
+++ b/crates/core/src/budget/ledger/account.rs
@@ -10,6 +10,9 @@
 /// Part of a new reservation in the mean reservation: one in this many.
 const SIZE_WEIGHT: u64 = 8;
 
+/// Time after the last request in which a budget counts as recently used.
+const RECENT_TIME: Duration = Duration::from_secs(10);
+
 /// Counters of the row of this process as last confirmed by the platform.
 #[derive(Clone, Copy, Debug, Default, Hash)]
 pub(super) struct OwnRow {
@@ -84,6 +87,7 @@
     /// Spent tokens that are in no confirmed row, including those of neighbours.
     pub(super) unreported: TokenCount,
     pub(super) wanted: TokenCount,
+    used_at: MonotonicTime,
     pub(super) request_size: TokenCount,
     pub(super) forecast: BurnForecast,
     pub(super) work: Option<Box<AccountWork>>,
@@ -100,18 +104,26 @@
             spent: TokenCount::ZERO,
             unreported: TokenCount::ZERO,
             wanted: TokenCount::ZERO,
+            used_at: MonotonicTime::START,
             request_size: TokenCount::ZERO,
             forecast: BurnForecast::default(),
             work: None,
         }
     }
 
+    /// Returns whether a request used the budget lately or waits for it.
+    pub(super) fn is_recent(&self, now: MonotonicTime) -> bool {
+        let is_waiting = !self.wanted.is_zero();
+        is_waiting || now.since(self.used_at) <= RECENT_TIME
+    }
+
     pub(super) fn work(&mut self) -> &mut AccountWork {
         self.work.get_or_insert_default()
     }
 
     /// Moves tokens from the balance to a reservation if they suffice.
-    pub(super) fn reserve(&mut self, amount: TokenCount) -> bool {
+    pub(super) fn reserve(&mut self, amount: TokenCount, now: MonotonicTime) -> bool {
+        self.used_at = now;
         self.observe_size(amount);
         let Some(balance) = self.balance.checked_sub(amount) else {
             return false;
@@ -125,6 +137,7 @@
     /// Moves a reservation to the spent tokens; the rest goes back to the balance.
     pub(super) fn settle(&mut self, reserved: TokenCount, billed: TokenCount, now: MonotonicTime) {
         let rest = reserved.saturating_sub(billed);
+        self.used_at = now;
         self.reserved = self.reserved.saturating_sub(reserved);
         self.spent = self.spent.saturating_add(billed);
         self.forecast.remove(rest);
--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -226,7 +226,7 @@
     }
 
     fn owner(&self, account: &Account) -> Option<&HolderId> {
-        self.peers.owner(&self.options.domain, account.shard)
+        self.shards.get(&account.shard)?.owner.as_ref()
     }
 
     /// Returns whether this instance draws from the platform for itself.
--- a/crates/core/src/budget/ledger/mod.rs
+++ b/crates/core/src/budget/ledger/mod.rs
@@ -22,6 +22,9 @@
 use account::Account;
 use sync::{ReadQuota, ShardSync};
 
+/// Sweeps after which a budget that was not used lately is visited again.
+const REST_SWEEPS: u64 = 10;
+
 new_key_type! {
     /// Identifies a registered budget of one ledger.
     pub struct BudgetKey;
@@ -108,6 +111,7 @@
     /// The budgets that every event visits.
     urgent: BTreeSet<BudgetKey>,
     swept_at: MonotonicTime,
+    sweeps: u64,
     is_draining: bool,
     effects: Vec<LedgerEffect>,
 }
@@ -132,6 +136,7 @@
             active: Vec::new(),
             urgent: BTreeSet::new(),
             swept_at: MonotonicTime::START,
+            sweeps: 0,
             is_draining: false,
             effects: Vec::new(),
         }
@@ -151,7 +156,11 @@
         let shard = ShardNumber::of_budget(&budget, self.options.shards);
         let key = self.accounts.insert(Account::new(budget.clone(), shard));
         self.names.insert(budget, key);
-        self.shards.entry(shard).or_default().budgets.push(key);
+        let sync = self.shards.entry(shard).or_insert_with(|| {
+            let owner = self.peers.owner(&self.options.domain, shard);
+            ShardSync::new(&self.holder, owner)
+        });
+        sync.budgets.push(key);
         key
     }
 
@@ -179,7 +188,7 @@
             account.is_active = true;
             self.active.push(key);
         }
-        if account.reserve(amount) {
+        if account.reserve(amount, now) {
             return Ok(self.reservations.insert(Reservation {
                 budget: key,
                 amount,
@@ -277,6 +286,7 @@
             LedgerEvent::PeersChanged(peers) => {
                 self.peers = PeerTable::new(&self.holder, &self.options.domain, peers);
                 self.heard.retain(|holder, _| self.peers.contains(holder));
+                self.refresh_owners();
             }
             LedgerEvent::Received { from, to, message } => self.receive(&from, &to, message, now),
             LedgerEvent::DrainStarted => self.start_drain(),
@@ -294,11 +304,17 @@
             return;
         }
         self.swept_at = now;
+        self.sweeps = self.sweeps.wrapping_add(1);
         let mut keys = std::mem::take(&mut self.active);
-        for key in &keys {
+        let due: Vec<BudgetKey> = (self.sweeps..)
+            .zip(&keys)
+            .filter(|(turn, key)| turn % REST_SWEEPS == 0 || self.accounts[**key].is_recent(now))
+            .map(|(_, key)| *key)
+            .collect();
+        for key in &due {
             self.visit(*key, now);
         }
-        for key in &keys {
+        for key in &due {
             self.sync_shard(self.accounts[*key].shard, now);
         }
         let accounts = &mut self.accounts;
--- a/crates/core/src/budget/ledger/sync.rs
+++ b/crates/core/src/budget/ledger/sync.rs
@@ -8,7 +8,7 @@
     plan::{RowPlan, Urgency},
 };
 use crate::{
-    base::MonotonicTime,
+    base::{HolderId, MonotonicTime},
     budget::{BudgetEntry, HolderRow, LedgerEffect, ShardNumber, ShardValue},
 };
 
@@ -49,11 +49,26 @@
 pub(super) struct ShardSync {
     pub(super) budgets: Vec<BudgetKey>,
     pub(super) cached: Option<CachedShard>,
+    /// The shard owner in the own domain; kept because a sweep needs it for every budget.
+    pub(super) owner: Option<HolderId>,
+    /// Whether this instance is the shard owner.
+    pub(super) is_own: bool,
     call: ShardCall,
     attempt: Option<WriteAttempt>,
     wrote_at: Option<MonotonicTime>,
 }
 
+impl ShardSync {
+    /// Creates the state of a shard that was not read yet.
+    pub(super) fn new(own: &HolderId, owner: Option<&HolderId>) -> Self {
+        Self {
+            owner: owner.cloned(),
+            is_own: owner == Some(own),
+            ..Self::default()
+        }
+    }
+}
+
 /// Tells whether the platform answers.
 #[derive(Clone, Copy, Debug, Default, Hash)]
 pub(super) struct PlatformState {
@@ -107,6 +122,15 @@
 }
 
 impl BudgetLedger {
+    /// Looks up the shard owners again after the live instances have changed.
+    pub(super) fn refresh_owners(&mut self) {
+        for (shard, sync) in &mut self.shards {
+            let owner = self.peers.owner(&self.options.domain, *shard);
+            sync.is_own = owner == Some(&self.holder);
+            sync.owner = owner.cloned();
+        }
+    }
+
     /// Starts the next platform call for a shard if one is due.
     pub(super) fn sync_shard(&mut self, shard: ShardNumber, now: MonotonicTime) {
         let Some(sync) = self.shards.get(&shard) else {
