Shorten ledger shards and refill rarely used budgets less often

Cause: a full shard (16 budgets, 12 rows each) would have had about 29 KB with named fields, by hand count, against 3 KB in the design; the refill at 95% of a small stock would have started after every request. Conclusion: shards are still five times the size in the design when all rows are open; see docs/budgets.md.

--- a/crates/core/src/budget/ledger/plan.rs
+++ b/crates/core/src/budget/ledger/plan.rs
@@ -100,8 +100,11 @@
         }
         if self.is_surplus_old(account, goal, now) {
             let give_back = account.balance.saturating_sub(goal.surplus_target);
+            // The row of a budget that is no longer used would make every write longer.
+            let is_closing = give_back == account.balance && can_close(account);
             let change = RowChange {
                 give_back,
+                is_closing,
                 ..RowChange::default()
             };
             return RowPlan {
@@ -163,11 +166,16 @@
     }
 }
 
+/// Returns whether the own row exists and no reservation may add to it.
+fn can_close(account: &Account) -> bool {
+    account.has_row() && account.reserved.is_zero()
+}
+
 /// Returns the change by which a draining process gives up a budget.
 fn plan_drain(account: &Account) -> RowPlan {
     let has_amounts = !account.balance.is_zero() || !account.unreported.is_zero();
     // A row that was never written cannot be closed: a lost answer could not be resolved.
-    let is_closing = account.has_row() && account.reserved.is_zero();
+    let is_closing = can_close(account);
     if !has_amounts && !is_closing {
         return RowPlan::NONE;
     }
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -216,9 +216,20 @@
         true => (SCARCE_REFILL_PART, stock.max(wish)),
         false => (REFILL_PART, stock),
     };
-    let few = TokenCount::new(input.request_size.get().saturating_mul(FEW_REQUESTS));
+    let requests = |count: u64| TokenCount::new(input.request_size.get().saturating_mul(count));
+    let few = match is_busy(input, forecast) {
+        true => requests(FEW_REQUESTS),
+        false => TokenCount::ZERO,
+    };
     let lead = forecast.predict((input.delay + options.flush_period) * DELAY_MARGIN);
-    let refill_below = lead.max(stock.scaled(part)).max(few).min(stock);
+    // A rarely used budget would otherwise be refilled after every request.
+    let part = match input.is_scarce || low {
+        true => stock.scaled(part),
+        false => stock
+            .scaled(part)
+            .min(stock.saturating_sub(requests(DRAW_REQUESTS))),
+    };
+    let refill_below = lead.max(part).max(few).min(stock);
     DrawGoal {
         refill_below: refill_below.saturating_add(input.need),
         target: stock.saturating_add(input.need),
--- a/crates/core/src/budget/row.rs
+++ b/crates/core/src/budget/row.rs
@@ -4,10 +4,14 @@
 
 use crate::base::{HolderId, TokenCount};
 
+/// Stored form of a row. Field names would double the size of a shard object.
+type RowTuple = (HolderId, u32, u64, TokenCount, TokenCount, TokenCount, bool);
+
 /// Holds the cumulative counters of one holder for one budget, in tokens.
 ///
 /// Only the holder changes its row. An operator may seal it; a sealed row is never written again.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(into = "RowTuple", from = "RowTuple")]
 pub struct HolderRow {
     /// The process that owns the row.
     pub holder: HolderId,
@@ -50,6 +54,38 @@
     }
 }
 
+impl From<HolderRow> for RowTuple {
+    fn from(row: HolderRow) -> Self {
+        let HolderRow {
+            holder,
+            generation,
+            sequence,
+            granted,
+            returned,
+            spent,
+            sealed,
+        } = row;
+        (
+            holder, generation, sequence, granted, returned, spent, sealed,
+        )
+    }
+}
+
+impl From<RowTuple> for HolderRow {
+    fn from(tuple: RowTuple) -> Self {
+        let (holder, generation, sequence, granted, returned, spent, sealed) = tuple;
+        Self {
+            holder,
+            generation,
+            sequence,
+            granted,
+            returned,
+            spent,
+            sealed,
+        }
+    }
+}
+
 /// Aggregates the rows of closed holders, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct FoldedRows {
