Let requests pass a waiting one that may not use the free upstream

Change: a pump tries up to 64 waiting requests and then returns the unfit ones to the queue; the attempt has its own file. Conclusion: one customer's restriction no longer holds up the queue.

--- /dev/null
+++ b/crates/router/src/process/desk/attempt.rs
@@ -0,0 +1,78 @@
+//! One attempt at an upstream.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use cornelarch_core::{base::UpstreamName, retry::AttemptOutcome, routing::RouteTarget};
+use tokio_util::sync::CancellationToken;
+
+use crate::process::{MetricName, RouterState, desk::StartedWork, log_event};
+
+/// Represents one attempt at an upstream; a drop counts as cancelled.
+#[derive(Debug)]
+pub(crate) struct UpstreamAttempt {
+    state: Arc<RouterState>,
+    target: RouteTarget,
+    started: Option<StartedWork>,
+}
+
+impl UpstreamAttempt {
+    /// Wraps work that was started at the desk.
+    pub(super) fn new(state: &Arc<RouterState>, target: RouteTarget, started: StartedWork) -> Self {
+        Self {
+            state: Arc::clone(state),
+            target,
+            started: Some(started),
+        }
+    }
+
+    /// Returns the name of the upstream.
+    pub(crate) fn upstream(&self) -> Option<&UpstreamName> {
+        self.started.as_ref().map(|started| &started.upstream)
+    }
+
+    /// Returns the address of the upstream.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        self.started.as_ref().map(|started| started.address)
+    }
+
+    /// Returns the signal that this attempt must stop because its request is blocked.
+    pub(crate) fn cancelled(&self) -> CancellationToken {
+        let started = self.started.as_ref();
+        started.map_or_else(CancellationToken::new, |started| started.cancel.clone())
+    }
+
+    /// Records the first token.
+    pub(crate) fn first_token(&self) {
+        if let Some(started) = &self.started {
+            let now = self.state.clock.now();
+            let mut inner = self.state.desk.inner.lock();
+            inner.table.first_token(started.work, now);
+        }
+    }
+
+    /// Records the end of the attempt. `broken` tells that the connection broke, which may mean
+    /// that the upstream crashed.
+    pub(crate) fn finish(mut self, outcome: AttemptOutcome, broken: bool) {
+        self.end(outcome, broken);
+    }
+
+    fn end(&mut self, outcome: AttemptOutcome, broken: bool) {
+        let Some(started) = self.started.take() else {
+            return;
+        };
+        let now = self.state.clock.now();
+        let reports = self.state.desk.finish(&started, outcome, broken, now);
+        if broken {
+            self.state.metrics.count(MetricName::UpstreamLosses);
+            log_event!(UpstreamLost, "{} ({outcome:?})", started.upstream);
+        }
+        self.state.share_reports(&reports);
+        self.state.desk.pump(&self.state, &self.target);
+    }
+}
+
+impl Drop for UpstreamAttempt {
+    fn drop(&mut self) {
+        self.end(AttemptOutcome::Cancelled, false);
+    }
+}
--- a/crates/router/src/process/desk.rs
+++ b/crates/router/src/process/desk/mod.rs
@@ -1,5 +1,7 @@
 //! Upstream desk: selection, admission queues, retry budget and crash table behind one mutex.
 
+mod attempt;
+
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
@@ -24,10 +26,12 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    process::{MetricName, RouterState, log_event},
-    request::RequestRefusal,
-};
+pub(crate) use attempt::UpstreamAttempt;
+
+use crate::{process::RouterState, request::RequestRefusal};
+
+/// Waiting requests that are tried per pump, which bounds the time under the lock.
+const PUMP_TRIES: usize = 64;
 
 /// Describes a request that needs an upstream.
 #[derive(Clone, Debug)]
@@ -95,14 +99,6 @@
     inner: Mutex<DeskState>,
 }
 
-/// Represents one attempt at an upstream; a drop counts as cancelled.
-#[derive(Debug)]
-pub(crate) struct UpstreamAttempt {
-    state: Arc<RouterState>,
-    target: RouteTarget,
-    started: Option<StartedWork>,
-}
-
 impl UpstreamDesk {
     /// Creates a desk without upstreams.
     pub(crate) fn new(domain: DomainName, capacity: f64) -> Self {
@@ -313,12 +309,7 @@
     pub(crate) fn pump(&self, state: &Arc<RouterState>, target: &RouteTarget) {
         let now = state.clock.now();
         // Attempts whose caller has gone must be dropped after the lock is released.
-        let mut orphans = Vec::new();
-        let mut inner = self.inner.lock();
-        while let Some(orphan) = inner.pump_one(state, target, now) {
-            orphans.extend(orphan);
-        }
-        drop(inner);
+        let orphans = self.inner.lock().pump(state, target, now);
         drop(orphans);
     }
 
@@ -446,38 +437,54 @@
         Ok((ticket, receiver))
     }
 
-    /// Handles at most one admission. Returns `None` when nothing more can be done, and an
-    /// attempt whose caller has gone.
-    fn pump_one(
+    /// Admits waiting requests, and returns the attempts whose caller has gone.
+    fn pump(
         &mut self,
         state: &Arc<RouterState>,
         target: &RouteTarget,
         now: MonotonicTime,
-    ) -> Option<Option<UpstreamAttempt>> {
-        let free = self.table.free_slots(target, now).min(1);
-        let desk = self.queues.get_mut(target)?;
-        let effects = desk.queue.poll(free, now);
-        let admitted = effects.iter().find_map(|effect| match effect {
-            QueueEffect::Admit(ticket) => Some(*ticket),
-            QueueEffect::Refuse(..) => None,
-        });
-        desk.refuse(effects);
-        let ticket = desk.tickets.remove(&admitted?)?;
-        if ticket.answer.is_closed() {
-            return Some(None);
-        }
-        match self.start(&ticket.request, now) {
-            Ok(started) => {
-                let attempt = UpstreamAttempt::new(state, target.clone(), started);
-                Some(ticket.answer.send(Ok(attempt)).err().and_then(Result::ok))
-            }
-            Err(SelectError::Full { .. }) => {
-                self.requeue(ticket, now);
-                None
+    ) -> Vec<UpstreamAttempt> {
+        let (mut orphans, mut unfit) = (Vec::new(), Vec::new());
+        for _ in 0..PUMP_TRIES {
+            let free = self.table.free_slots(target, now).min(1);
+            let Some(ticket) = self.take_ticket(target, free, now) else {
+                break;
+            };
+            match self.start(&ticket.request, now) {
+                Ok(started) => {
+                    let attempt = UpstreamAttempt::new(state, target.clone(), started);
+                    orphans.extend(ticket.answer.send(Ok(attempt)).err().and_then(Result::ok));
+                }
+                // The free upstream is not one that the request may use, so the next one gets it.
+                Err(SelectError::Full { .. }) => unfit.push(ticket),
+                // A closed channel belongs to a caller that has gone.
+                Err(error) => drop(ticket.answer.send(Err(refuse_selection(&error)))),
             }
-            Err(error) => {
-                let _ = ticket.answer.send(Err(refuse_selection(&error)));
-                Some(None)
+        }
+        for ticket in unfit {
+            self.requeue(ticket, now);
+        }
+        orphans
+    }
+
+    /// Takes the next request whose caller still waits, and answers those that are too late.
+    fn take_ticket(
+        &mut self,
+        target: &RouteTarget,
+        free: usize,
+        now: MonotonicTime,
+    ) -> Option<DeskTicket> {
+        let desk = self.queues.get_mut(target)?;
+        loop {
+            let effects = desk.queue.poll(free, now);
+            let admitted = effects.iter().find_map(|effect| match effect {
+                QueueEffect::Admit(ticket) => Some(*ticket),
+                QueueEffect::Refuse(..) => None,
+            });
+            desk.refuse(effects);
+            let ticket = desk.tickets.remove(&admitted?)?;
+            if !ticket.answer.is_closed() {
+                return Some(ticket);
             }
         }
     }
@@ -573,64 +580,3 @@
         drop(ticket);
     }
 }
-
-impl UpstreamAttempt {
-    fn new(state: &Arc<RouterState>, target: RouteTarget, started: StartedWork) -> Self {
-        Self {
-            state: Arc::clone(state),
-            target,
-            started: Some(started),
-        }
-    }
-
-    /// Returns the name of the upstream.
-    pub(crate) fn upstream(&self) -> Option<&UpstreamName> {
-        self.started.as_ref().map(|started| &started.upstream)
-    }
-
-    /// Returns the address of the upstream.
-    pub(crate) fn address(&self) -> Option<SocketAddr> {
-        self.started.as_ref().map(|started| started.address)
-    }
-
-    /// Returns the signal that this attempt must stop because its request is blocked.
-    pub(crate) fn cancelled(&self) -> CancellationToken {
-        let started = self.started.as_ref();
-        started.map_or_else(CancellationToken::new, |started| started.cancel.clone())
-    }
-
-    /// Records the first token.
-    pub(crate) fn first_token(&self) {
-        if let Some(started) = &self.started {
-            let now = self.state.clock.now();
-            let mut inner = self.state.desk.inner.lock();
-            inner.table.first_token(started.work, now);
-        }
-    }
-
-    /// Records the end of the attempt. `broken` tells that the connection broke, which may mean
-    /// that the upstream crashed.
-    pub(crate) fn finish(mut self, outcome: AttemptOutcome, broken: bool) {
-        self.end(outcome, broken);
-    }
-
-    fn end(&mut self, outcome: AttemptOutcome, broken: bool) {
-        let Some(started) = self.started.take() else {
-            return;
-        };
-        let now = self.state.clock.now();
-        let reports = self.state.desk.finish(&started, outcome, broken, now);
-        if broken {
-            self.state.metrics.count(MetricName::UpstreamLosses);
-            log_event!(UpstreamLost, "{} ({outcome:?})", started.upstream);
-        }
-        self.state.share_reports(&reports);
-        self.state.desk.pump(&self.state, &self.target);
-    }
-}
-
-impl Drop for UpstreamAttempt {
-    fn drop(&mut self) {
-        self.end(AttemptOutcome::Cancelled, false);
-    }
-}
