--- a/crates/core/src/blocklist/table.rs
+++ b/crates/core/src/blocklist/table.rs
@@ -376,6 +376,8 @@
 
     /// Returns the entry of a fingerprint, which is added if necessary.
     fn entry_mut(&mut self, fingerprint: Fingerprint, now: MonotonicTime) -> &mut LossEntry {
+        // Losses of an expired entry must not add to new ones.
+        self.expire(now);
         if !self.entries.contains_key(&fingerprint) {
             self.make_room();
             self.ages.insert((now, fingerprint));
--- a/crates/core/tests/blocklist.rs
+++ b/crates/core/tests/blocklist.rs
@@ -238,3 +238,12 @@
             .is_err()
     );
 }
+
+/// Guards against a loss of long ago that blocks a request at its next loss.
+#[test]
+fn forgets_losses_of_expired_entries() {
+    let mut crashes = table();
+    lose(&mut crashes, "e1", &[KILLER], at(0));
+    lose(&mut crashes, "e2", &[KILLER], at(3_600));
+    assert_eq!(crashes.verdict(KILLER, at(3_600)), CrashVerdict::Suspect);
+}
