--- a/crates/measure/src/config/mod.rs
+++ b/crates/measure/src/config/mod.rs
@@ -20,14 +20,19 @@
         "quick",
         "only 9 and 30 instances, and no large document",
     );
+    options.optflag("h", "help", "print this text");
+    let brief = "Usage: cornelarch-measure config [OPTIONS]";
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
         Err(error) => {
-            let brief = "usage: cornelarch-measure config --seed N";
             eprintln!("{error}\n{}", options.usage(brief));
             return ExitCode::FAILURE;
         }
     };
+    if matches.opt_present("help") {
+        println!("{}", options.usage(brief));
+        return ExitCode::SUCCESS;
+    }
     match matches.opt_get_default("seed", 1) {
         Ok(seed) => report::print_all(seed, matches.opt_present("quick")),
         Err(error) => {
