Keep the drain test's probe out of the bill

Cause: drain_waits_for_a_running_stream failed in 2 of 3 runs at a load average of 28: its chat probe was served, and rightly billed, before the router refused new requests, so the sums differed by 56 tokens. Change: the test probes with GET /v1/models, which costs nothing, and then requires that a chat request is refused with draining and not_run.

--- a/crates/router/tests/drain.rs
+++ b/crates/router/tests/drain.rs
@@ -37,6 +37,7 @@
     let response = fleet.chat(0, prompt, true).send().await.unwrap();
     let stream = tokio::spawn(read_stream(response));
     let ready = format!("http://{}/readyz", fleet.callers(0));
+    let models = format!("http://{}/v1/models", fleet.callers(0));
     let late = fleet.chat(0, "too late", false);
     let router = fleet.routers.remove(0);
     let view = router.view();
@@ -44,11 +45,14 @@
     let client = fleet.client.clone();
     let draining = async || client.get(&ready).send().await.unwrap().status() == 503;
     wait_until("readiness fails", draining).await;
+    // A chat request could still be served, and billed, before the router refuses.
     let refuses = async || {
-        let response = late.try_clone().unwrap().send().await.unwrap();
-        response.status() == 503 && read_refusal(response).await.2 == "draining"
+        let response = client.get(&models).bearer_auth(common::KEY).send();
+        response.await.unwrap().status() == 503
     };
     wait_until("new requests are refused", refuses).await;
+    let refusal = read_refusal(late.send().await.unwrap()).await;
+    assert_eq!(refusal, (503, "not_run".into(), "draining".into()));
     assert_eq!(view.running(), 1, "the stream was cut");
     let stream = stream.await.unwrap();
     assert!(stream.done);
