Measure the distribution of configurations

Live members are listed only when they change. An unanswered ping is repeated once beside the relayed ones.

--- a/crates/core/src/membership/detect.rs
+++ b/crates/core/src/membership/detect.rs
@@ -187,6 +187,11 @@
             };
             effects.push(send(record, message));
         }
+        // One lost message is more likely than a failed member, and the news of a false suspicion
+        // fills the messages of the whole fleet.
+        let record = target.record.clone();
+        let body = self.ping_body(probe.nonce, Some(&record), rng);
+        effects.push(send(&record, MemberMessage::Ping(body)));
         self.probes.push(MemberProbe {
             phase: ProbePhase::Relayed,
             deadline: now + self.options.relay_timeout,
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -315,6 +315,10 @@
         let changed = known.is_none_or(|member| {
             member.record.state != record.state || member.record.holder != record.holder
         });
+        let moved = known.is_none_or(|member| {
+            member.record.state.is_live() != record.state.is_live()
+                || member.record.holder != record.holder
+        });
         if changed {
             effects.push(MemberEffect::StateChanged {
                 holder: record.holder.clone(),
@@ -337,7 +341,7 @@
             load_permille,
             checks: 0,
         };
-        self.live_changed |= changed;
+        self.live_changed |= moved;
         // Most others know a member that an instance learns while it joins itself.
         let joining = now.since(self.started) < self.options.settle_time;
         let brief = known.is_none() && joining && view.record.state == MemberState::Alive;
--- a/crates/cornelarch/tests/promote.rs
+++ b/crates/cornelarch/tests/promote.rs
@@ -100,6 +100,27 @@
     assert!(promote(&store, 2).await.is_err());
 }
 
+/// Guards against a mark for a version under which no request was answered.
+#[tokio::test]
+async fn unused_version_is_refused() {
+    let store = MemoryStore::default();
+    apply(&store, document("trial", 1, 5), 0).await;
+    let mut statuses = [status("r1", 1), status("r2", 1)];
+    for status in &mut statuses {
+        status.answers_under_version = 0;
+    }
+    let error = prove_version(&store, &trial(), "ann", &statuses, &live()).await;
+    let error = error.expect_err("not proven");
+    assert!(
+        error.to_string().contains("no request was answered"),
+        "{error}"
+    );
+    statuses[0].answers_under_version = 1;
+    prove_version(&store, &trial(), "ann", &statuses, &live())
+        .await
+        .expect("one request is enough");
+}
+
 /// Guards against trial keys and amounts in production, and against lost production settings.
 #[tokio::test]
 async fn budgets_and_keys_stay_those_of_production() {
--- a/crates/measure/src/config/mod.rs
+++ b/crates/measure/src/config/mod.rs
@@ -34,7 +34,10 @@
         return ExitCode::SUCCESS;
     }
     match matches.opt_get_default("seed", 1) {
-        Ok(seed) => report::print_all(seed, matches.opt_present("quick")),
+        Ok(seed) => {
+            let instances = matches.opt_get("instances").ok().flatten();
+            report::print_all(seed, matches.opt_present("quick"), instances)
+        }
         Err(error) => {
             eprintln!("option --seed: {error}");
             ExitCode::FAILURE
--- a/crates/measure/src/config/report.rs
+++ b/crates/measure/src/config/report.rs
@@ -25,9 +25,11 @@
 const TARGET_RATE: f64 = 12_000.0 / 86_400.0;
 
 /// Prints every row; returns failure if a target is missed.
-pub(super) fn print_all(seed: u64, quick: bool) -> ExitCode {
+pub(super) fn print_all(seed: u64, quick: bool, only: Option<usize>) -> ExitCode {
     // First, because memory that a simulation has freed would hide that of a document.
-    print_costs(quick);
+    if only.is_none() {
+        print_costs(quick);
+    }
     println!(
         "\nconfiguration: {} s of virtual time, seed {seed}",
         DURATION.as_secs()
@@ -50,6 +52,9 @@
     );
     let mut missed = 0;
     let fleets = if quick { &FLEETS[..2] } else { &FLEETS[..] };
+    let fleets = fleets
+        .iter()
+        .filter(|(instances, _)| only.is_none_or(|only| only == *instances));
     for (instances, domains) in fleets {
         for change_interval in [TODAY_INTERVAL, TARGET_INTERVAL] {
             for loss in [0.0, 0.1] {
