Keep the concurrency limit while nothing waits at the upstream

Cause: the limit compares the time to the first token with the learnt minimum. Ruled out: a real queue; the engine reported none. Change: while a fresh load report says that at most a quarter of the requests at the upstream wait, growing latency does not shrink the limit.

Test: keeps_its_limit_while_nothing_is_queued; the gradient test stays.

--- a/crates/core/src/limit/concurrency.rs
+++ b/crates/core/src/limit/concurrency.rs
@@ -77,6 +77,21 @@
     ///
     /// Latencies of requests of different length must be made comparable first.
     pub fn observe(&mut self, latency: Duration, in_flight: u32) {
+        let gradient = self.learn(latency);
+        self.follow(gradient, in_flight);
+    }
+
+    /// Records the latency of a request while the upstream reports that hardly any request waits.
+    ///
+    /// A larger batch takes longer for each step, so a growing latency without a queue does not
+    /// mean that the limit is too large.
+    pub fn observe_unqueued(&mut self, latency: Duration, in_flight: u32) {
+        self.learn(latency);
+        self.follow(1.0, in_flight);
+    }
+
+    /// Learns from a latency and returns the gradient.
+    fn learn(&mut self, latency: Duration) -> f64 {
         let sample_s = latency.as_secs_f64().max(1e-6);
         let average_s = self.average_s.unwrap_or(sample_s);
         let latency_s = average_s + (sample_s - average_s) * LATENCY_SMOOTHING;
@@ -86,7 +101,10 @@
             None => latency_s,
         };
         self.minimum_s = Some(minimum_s);
-        let gradient = (self.options.tolerance * minimum_s / latency_s).clamp(GRADIENT_MIN, 1.0);
+        (self.options.tolerance * minimum_s / latency_s).clamp(GRADIENT_MIN, 1.0)
+    }
+
+    fn follow(&mut self, gradient: f64, in_flight: u32) {
         // Without load the latency tells nothing about a larger limit.
         if gradient >= 1.0 && f64::from(in_flight) * 2.0 < self.limit {
             return;
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -6,10 +6,15 @@
 
 /// Changes of the own load that are kept to correct a load report.
 const CHANGES_MAX: usize = 4096;
+/// Largest share of waiting requests at an upstream that counts as no queue: between two steps of
+/// an engine, new requests wait although the batch has room.
+const QUEUE_SHARE: f64 = 0.25;
 
 #[derive(Clone, Copy, Debug)]
 struct ReportedLoad {
     requests: f64,
+    /// Requests that wait at the upstream.
+    queued: f64,
     at: MonotonicTime,
 }
 
@@ -40,12 +45,13 @@
     }
 
     /// Records a report that was taken at `at`. An older report than the last is ignored.
-    pub(super) fn report(&mut self, requests: u32, at: MonotonicTime) {
+    pub(super) fn report(&mut self, running: u32, queued: u32, at: MonotonicTime) {
         if self.report.is_some_and(|report| report.at > at) {
             return;
         }
         self.report = Some(ReportedLoad {
-            requests: f64::from(requests),
+            requests: f64::from(running) + f64::from(queued),
+            queued: f64::from(queued),
             at,
         });
         while let Some(&(time, change)) = self.changes.front() {
@@ -64,6 +70,13 @@
         self.delta = 0;
     }
 
+    /// Returns whether a fresh report says that the upstream has hardly any queue.
+    pub(super) fn is_unqueued(&self, max_age: Duration, now: MonotonicTime) -> bool {
+        self.report.is_some_and(|report| {
+            now.since(report.at) < max_age && report.queued <= report.requests * QUEUE_SHARE
+        })
+    }
+
     /// Returns the age of the report.
     pub(super) fn report_age(&self, now: MonotonicTime) -> Option<Duration> {
         self.report.map(|report| now.since(report.at))
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -144,9 +144,12 @@
             let line = &mut group.line;
             // Long prompts take longer without any overload.
             let scale = line.value_s(REFERENCE_TOKENS) / line.value_s(work.tokens);
-            entry
-                .limit
-                .observe(latency.mul_f64(scale), work.load as u32);
+            let comparable = latency.mul_f64(scale);
+            let in_flight = work.load as u32;
+            match entry.load.is_unqueued(self.options.report_max_age, now) {
+                true => entry.limit.observe_unqueued(comparable, in_flight),
+                false => entry.limit.observe(comparable, in_flight),
+            }
             let speed = &mut entry.speed;
             speed.first_token(line, service_s, work.tokens, now);
         }
@@ -191,9 +194,7 @@
             now.as_micros()
                 .saturating_sub(u64::try_from(report.age.as_micros()).unwrap_or(u64::MAX)),
         );
-        entry
-            .load
-            .report(report.running.saturating_add(report.queued), at);
+        entry.load.report(report.running, report.queued, at);
         entry.says_leaving = report.leaving;
     }
 
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -251,6 +251,27 @@
     assert_eq!(limit.limit(), 2);
 }
 
+/// Guards against a limit that shrinks because a larger batch has longer steps: an engine with
+/// steps of 20 to 500 ms and no queue refused nearly all of 500 streams.
+#[test]
+fn keeps_its_limit_while_nothing_is_queued() {
+    let options = ConcurrencyOptions {
+        max: 64.0,
+        ..ConcurrencyOptions::default()
+    };
+    let mut limit = ConcurrencyLimit::new(options);
+    for in_flight in 1..=64 {
+        let latency = Duration::from_millis(10 * u64::from(in_flight));
+        limit.observe_unqueued(latency, in_flight);
+        assert_eq!(limit.limit(), 64, "{in_flight} in flight");
+    }
+    // The same latency with a queue shrinks the limit.
+    for _ in 0..100 {
+        limit.observe(Duration::from_millis(640), limit.limit());
+    }
+    assert!(limit.limit() < 32, "limit {}", limit.limit());
+}
+
 /// Guards against a queue in which requests wait for minutes because their callers would.
 #[test]
 fn refuses_after_the_longest_wait() {
