--- a/crates/measure/src/config/mod.rs
+++ b/crates/measure/src/config/mod.rs
@@ -20,6 +20,12 @@
         "quick",
         "only 9 and 30 instances, and no large document",
     );
+    options.optopt(
+        "",
+        "instances",
+        "only the fleet of this size, and no documents",
+        "N",
+    );
     options.optflag("h", "help", "print this text");
     let brief = "Usage: cornelarch-measure config [OPTIONS]";
     let matches = match options.parse(arguments) {
@@ -35,8 +41,9 @@
     }
     match matches.opt_get_default("seed", 1) {
         Ok(seed) => {
-            let instances = matches.opt_get("instances").ok().flatten();
-            report::print_all(seed, matches.opt_present("quick"), instances)
+            let only = matches.opt_str("instances");
+            let only = only.map(|text| text.parse().unwrap_or(0));
+            report::print_all(seed, matches.opt_present("quick"), only)
         }
         Err(error) => {
             eprintln!("option --seed: {error}");
