Measure the request path over HTTP

Cause: the targets of the design for added latency, tokens per core and memory were not measured.

Change: cornelarch-measure path compares direct and routed requests in alternating blocks, and measures requests and tokens per core of the router's own threads, and memory with open streams. The engine stand-in can pace the tokens of one request, and counts a crash before it cuts connections: a router test saw the cut first and found 1 crash instead of 2 in one run of the workspace tests.

--- a/crates/measure/src/path/fleet.rs
+++ b/crates/measure/src/path/fleet.rs
@@ -1,6 +1,6 @@
 //! The measured parts, each on its own threads: platform and engine stand-ins, and one router.
 
-use std::time::Duration;
+use std::{future::Future, time::Duration};
 
 use cornelarch_core::{
     base::{BudgetName, EnvironmentName, TokenCount},
@@ -13,7 +13,10 @@
     platform::{self, PlatformHandle, PlatformOptions},
 };
 use serde_json::json;
-use tokio::runtime::{Builder, Runtime};
+use tokio::{
+    runtime::{Builder, Runtime},
+    task::JoinHandle,
+};
 
 use crate::path::PathError;
 
@@ -34,38 +37,64 @@
 
 /// Holds the running parts.
 pub(crate) struct PathFleet {
-    pub(crate) engine: EngineHandle,
+    pub(crate) engines: Vec<EngineHandle>,
     pub(crate) router_url: String,
     platform: PlatformHandle,
     router: Router,
-    router_runtime: Runtime,
-    standin_runtime: Runtime,
+    router_runtime: PartRuntime,
+    standin_runtime: PartRuntime,
+}
+
+/// Holds the threads of a part; they end in the background, because a drop within asynchronous
+/// code must not block.
+struct PartRuntime(Option<Runtime>);
+
+impl PartRuntime {
+    fn spawn<F>(&self, future: F) -> Result<JoinHandle<F::Output>, PathError>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        let runtime = self.0.as_ref().ok_or("the threads have ended")?;
+        Ok(runtime.spawn(future))
+    }
+}
+
+impl Drop for PartRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl PathFleet {
-    /// Starts all parts with an engine of the given speed.
+    /// Starts all parts with `count` engines of the given speed.
     ///
     /// # Errors
     ///
     /// Returns an error if a part cannot be started.
-    pub(crate) async fn start(options: EngineOptions) -> Result<Self, PathError> {
-        let standin_runtime = build_runtime("path-standin")?;
-        let router_runtime = build_runtime(ROUTER_THREAD)?;
+    pub(crate) async fn start(options: EngineOptions, count: usize) -> Result<Self, PathError> {
+        let standin_runtime = PartRuntime(Some(build_runtime("path-standin")?));
+        let router_runtime = PartRuntime(Some(build_runtime(ROUTER_THREAD)?));
         let platform = platform::bind(PlatformOptions::default());
-        let platform = standin_runtime.spawn(platform).await??;
-        let engine = standin_runtime.spawn(engine::bind(options)).await??;
-        store_document(&platform, &engine)?;
+        let platform = standin_runtime.spawn(platform)?.await??;
+        let mut engines = Vec::new();
+        for _ in 0..count {
+            let engine = engine::bind(options.clone());
+            engines.push(standin_runtime.spawn(engine)?.await??);
+        }
+        store_document(&platform, &engines)?;
         let settings = RouterSettings {
             instance: "router".into(),
             platform: platform.url(),
             ..RouterSettings::default()
         };
-        let router = router_runtime.spawn(Router::bind(settings)).await??;
+        let router = router_runtime.spawn(Router::bind(settings))?.await??;
         if !router.wait_version(1, READY_LIMIT).await {
             return Err("the router has no configuration".into());
         }
         Ok(Self {
-            engine,
+            engines,
             router_url: format!("http://{}", router.addresses().callers),
             platform,
             router,
@@ -74,13 +103,27 @@
         })
     }
 
+    /// Returns the number of requests that the engines work on.
+    pub(crate) fn running(&self) -> u64 {
+        let loads = self.engines.iter().map(EngineHandle::load);
+        loads.map(|load| load.running).sum()
+    }
+
+    /// Returns the number of tokens that the engines have generated.
+    pub(crate) fn tokens(&self) -> u64 {
+        let counts = self.engines.iter().map(EngineHandle::counts);
+        counts.map(|counts| counts.decode_tokens).sum()
+    }
+
     /// Ends all parts at once.
     pub(crate) async fn close(self) {
-        self.router_runtime.shutdown_background();
+        drop(self.router_runtime);
         drop(self.router);
-        self.engine.close().await;
+        for engine in self.engines {
+            engine.close().await;
+        }
         self.platform.close().await;
-        self.standin_runtime.shutdown_background();
+        drop(self.standin_runtime);
     }
 }
 
@@ -94,16 +137,21 @@
     Ok(builder.build()?)
 }
 
-fn store_document(platform: &PlatformHandle, engine: &EngineHandle) -> Result<(), PathError> {
-    let (digest, address) = (KeyDigest::of_key(KEY), engine.address());
-    let text = format!(
+fn store_document(platform: &PlatformHandle, engines: &[EngineHandle]) -> Result<(), PathError> {
+    let digest = KeyDigest::of_key(KEY);
+    let mut text = format!(
         "[environment]\nname = trial\n[limits]\nqueue_requests = 100000\n\
          [model larch]\nmax_tokens_limit = 1000000\nresume = yes\n\
          [budget path]\npaid = {PAID}\n\
-         [customer path]\nkey_sha256 = {digest}\nbudget = path\nmodels = *\n\
-         [upstream engine]\nkind = engine\naddress = {address}\ndomain = a\nmodels = larch\n\
-         concurrency = 100000\n"
+         [customer path]\nkey_sha256 = {digest}\nbudget = path\nmodels = *\n"
     );
+    for (index, engine) in engines.iter().enumerate() {
+        let address = engine.address();
+        text.push_str(&format!(
+            "[upstream engine-{index}]\nkind = engine\naddress = {address}\ndomain = a\n\
+             models = larch\nconcurrency = 100000\n"
+        ));
+    }
     if let Err(errors) = Document::parse(&text) {
         return Err(format!("the document has faults: {errors:?}").into());
     }
--- a/crates/measure/src/path/mod.rs
+++ b/crates/measure/src/path/mod.rs
@@ -41,6 +41,20 @@
 /// Length of the answers in the latency measurement, in tokens.
 const SHORT_ANSWER: u64 = 16;
 
+/// Step of the engine with paced streams. It dominates the time to the first token, so that noise
+/// of the machine does not look like an overloaded engine to the router.
+const FIRST_TOKEN_TIME: Duration = Duration::from_millis(10);
+
+/// Pause between the starts of two streams; a burst would look like an overloaded engine.
+const STREAM_PAUSE: Duration = Duration::from_millis(2);
+
+/// Streams per engine. The router's adaptive limit keeps about 100 to 150 requests at one engine,
+/// so more streams need more engines.
+const STREAMS_PER_ENGINE: u64 = 50;
+
+/// Longest wait until all streams are open.
+const OPEN_LIMIT: Duration = Duration::from_secs(30);
+
 /// Blocks of direct and routed requests, which alternate so that both see the same machine.
 const BLOCKS: u32 = 4;
 
@@ -48,7 +62,7 @@
 const FILES_PER_STREAM: u64 = 4;
 
 /// Open files that are kept for everything else.
-const SPARE_FILES: u64 = 256;
+const SPARE_FILES: u64 = 1_600;
 
 /// Runs the measurement; the exit status tells whether it could be made.
 pub(crate) fn run(arguments: &[String]) -> ExitCode {
@@ -115,21 +129,20 @@
         record_runs: false,
         ..EngineOptions::default()
     };
-    let fleet = PathFleet::start(fast.clone()).await?;
+    let fleet = PathFleet::start(fast.clone(), 1).await?;
     measure_latency(&fleet, block).await?;
     measure_requests(&fleet, block).await?;
     measure_tokens(&fleet, "unpaced, 32 streams", 32, 2_000, block * 2).await?;
     fleet.close().await;
     let paced = EngineOptions {
-        step_min: Duration::from_millis(20),
+        step_min: FIRST_TOKEN_TIME,
+        token_gap: Duration::from_millis(20),
         ..fast.clone()
     };
-    let fleet = PathFleet::start(paced).await?;
-    let what = "50 tokens/s each, 500 streams";
-    measure_tokens(&fleet, what, 500, 100, block * 2).await?;
-    fleet.close().await;
+    measure_paced(paced, 500, block * 2).await?;
     let slow = EngineOptions {
-        step_min: Duration::from_millis(500),
+        step_min: FIRST_TOKEN_TIME,
+        token_gap: Duration::from_millis(500),
         ..fast
     };
     measure_memory(slow, streams, block * 10).await?;
@@ -144,7 +157,7 @@
          mode    rate/s  direct p50    p99  routed p50    p99   added p50    p99  failed"
     );
     for mode in [AnswerMode::Json, AnswerMode::Stream] {
-        let direct = PathClient::direct(&fleet.engine, mode, SHORT_ANSWER)?;
+        let direct = PathClient::direct(&fleet.engines[0], mode, SHORT_ANSWER)?;
         let routed = PathClient::new(&fleet.router_url, mode, SHORT_ANSWER)?;
         let mut warm = TimeSummary::new()?;
         direct.send_at_rate(RATES[0], block / 4, &mut warm).await;
@@ -238,16 +251,75 @@
     let used = usage::thread_time(ROUTER_THREAD)?
         .saturating_sub(before)
         .as_secs_f64();
-    let per_core = summary.tokens as f64 / used;
-    let per_s = summary.tokens as f64 / wall;
-    let cores = used / wall;
+    println!("{} failed", summary.failed);
+    print_tokens(summary.tokens, wall, used);
+    Ok(())
+}
+
+fn print_tokens(tokens: u64, wall_s: f64, used_s: f64) {
+    let per_core = tokens as f64 / used_s;
     println!(
-        "{per_s:.0} tokens/s with {cores:.2} cores, {} failed",
-        summary.failed
+        "{:.0} tokens/s with {:.2} cores",
+        tokens as f64 / wall_s,
+        used_s / wall_s
     );
     let met = per_core >= TARGET_TOKENS_PER_CORE;
     let unit = "tokens/s and core";
     print_target("streamed", per_core, TARGET_TOKENS_PER_CORE, unit, met);
+}
+
+fn engines_for(streams: u64) -> usize {
+    streams.div_ceil(STREAMS_PER_ENGINE).max(1) as usize
+}
+
+/// Opens streams that do not end one after the other, and returns their tasks with the number
+/// that is open.
+async fn open_streams(fleet: &PathFleet, streams: u64) -> Result<(JoinSet<()>, u64), PathError> {
+    let client = PathClient::new(&fleet.router_url, AnswerMode::Stream, 1_000_000)?;
+    let mut tasks = JoinSet::new();
+    for _ in 0..streams {
+        let client = client.clone();
+        tasks.spawn(async move {
+            client.send().await;
+        });
+        tokio::time::sleep(STREAM_PAUSE).await;
+    }
+    let deadline = tokio::time::Instant::now() + OPEN_LIMIT;
+    while fleet.running() < streams && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok((tasks, fleet.running()))
+}
+
+/// Measures streamed tokens per second and core of the router when every token is an event of its
+/// own on the network, as engines send them.
+async fn measure_paced(
+    options: EngineOptions,
+    streams: u64,
+    time: Duration,
+) -> Result<(), PathError> {
+    println!(
+        "\nstreamed tokens per second and core of the router (its threads only; {streams} streams, \
+         {:.0} tokens/s each at most)",
+        1.0 / options.token_gap.as_secs_f64()
+    );
+    let fleet = PathFleet::start(options, engines_for(streams)).await?;
+    let (mut tasks, open) = open_streams(&fleet, streams).await?;
+    let before = (fleet.tokens(), usage::thread_time(ROUTER_THREAD)?);
+    let ticks = usage::thread_ticks(ROUTER_THREAD)?;
+    let started = std::time::Instant::now();
+    tokio::time::sleep(time).await;
+    let tokens = fleet.tokens() - before.0;
+    let used = usage::thread_time(ROUTER_THREAD)?.saturating_sub(before.1);
+    let (user, system) = usage::thread_ticks(ROUTER_THREAD)?;
+    let (user, system) = (user - ticks.0, system - ticks.1);
+    let share = system as f64 / (user + system).max(1) as f64 * 100.0;
+    println!(
+        "{open} of {streams} streams are open; {share:.0}% of the router's time is system time"
+    );
+    print_tokens(tokens, started.elapsed().as_secs_f64(), used.as_secs_f64());
+    tasks.abort_all();
+    fleet.close().await;
     Ok(())
 }
 
@@ -266,31 +338,19 @@
     if streams < wanted {
         println!("limited by the number of open files; {wanted} were wanted");
     }
-    let fleet = PathFleet::start(options).await?;
+    let fleet = PathFleet::start(options, engines_for(streams)).await?;
     let before = usage::resident_kib()?;
-    let client = PathClient::new(&fleet.router_url, AnswerMode::Stream, 1_000_000)?;
-    let mut tasks = JoinSet::new();
-    for _ in 0..streams {
-        let client = client.clone();
-        tasks.spawn(async move { client.send().await });
-        // Opening all at once would overflow the accept queue of the listener.
-        tokio::time::sleep(Duration::from_micros(200)).await;
-    }
-    let deadline = tokio::time::Instant::now() + Duration::from_secs(30);
-    while fleet.engine.load().running < streams && tokio::time::Instant::now() < deadline {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    let open = fleet.engine.load().running;
+    let (mut tasks, open) = open_streams(&fleet, streams).await?;
     // The first tokens fill buffers that stay.
     tokio::time::sleep(time / 10).await;
-    let tokens = fleet.engine.counts().decode_tokens;
+    let tokens = fleet.tokens();
     let mut kib = [usage::resident_kib()?, 0, 0];
     for sample in &mut kib[1..] {
         tokio::time::sleep(time / 2).await;
         *sample = usage::resident_kib()?;
     }
-    let tokens = fleet.engine.counts().decode_tokens - tokens;
-    let still = fleet.engine.load().running;
+    let tokens = fleet.tokens() - tokens;
+    let still = fleet.running();
     println!(
         "before {before} KiB, start {} KiB, middle {} KiB, end {} KiB after {:.0} s and {tokens} \
          tokens",
@@ -302,7 +362,7 @@
     let per_stream = kib[2].saturating_sub(before) as f64 / open.max(1) as f64;
     println!("{open} streams open at the start, {still} at the end, {per_stream:.1} KiB each");
     let growth = kib[2] as f64 / kib[0] as f64 - 1.0;
-    let met = growth <= MEMORY_GROWTH && open == wanted && still == wanted;
+    let met = growth <= MEMORY_GROWTH && open == streams && still == streams;
     print_target("growth", growth, MEMORY_GROWTH, "of the memory", met);
     tasks.abort_all();
     fleet.close().await;
--- a/crates/measure/src/path/usage.rs
+++ b/crates/measure/src/path/usage.rs
@@ -26,6 +26,36 @@
     Ok(Duration::from_nanos(nanos))
 }
 
+/// Returns the processor time in user mode and in system mode of all threads whose name begins
+/// with `prefix`, in clock ticks.
+pub(crate) fn thread_ticks(prefix: &str) -> io::Result<(u64, u64)> {
+    let (mut user, mut system) = (0, 0);
+    for entry in fs::read_dir("/proc/self/task")? {
+        let Ok(stat) = fs::read_to_string(entry?.path().join("stat")) else {
+            continue;
+        };
+        // The name stands in brackets and may contain spaces.
+        let Some((head, tail)) = stat.rsplit_once(") ") else {
+            continue;
+        };
+        if head
+            .split_once('(')
+            .is_some_and(|(_, name)| name.starts_with(prefix))
+        {
+            let mut fields = tail.split_whitespace().skip(11);
+            let mut next = || {
+                fields
+                    .next()
+                    .and_then(|field| field.parse().ok())
+                    .unwrap_or(0)
+            };
+            user += next();
+            system += next();
+        }
+    }
+    Ok((user, system))
+}
+
 /// Returns the resident memory of the process in KiB.
 ///
 /// # Errors
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -52,6 +52,8 @@
 struct RunEntry {
     request: RunRequest,
     next: u64,
+    /// The time before which the next token is not generated.
+    due: Instant,
     sender: UnboundedSender<u64>,
 }
 
@@ -114,6 +116,7 @@
         self.arrivals += 1;
         let entry = RunEntry {
             next: request.from,
+            due: Instant::now(),
             request,
             sender,
         };
@@ -203,11 +206,17 @@
 
     fn decode(&mut self) {
         let counts = &mut self.counts;
+        let gap = self.options.token_gap;
+        let now = Instant::now();
         self.running.retain_mut(|entry| {
             if entry.sender.is_closed() {
                 counts.cancelled += 1;
                 return false;
             }
+            if now < entry.due {
+                return true;
+            }
+            entry.due = now + gap;
             if entry.next < entry.request.end {
                 // A caller that disconnects in this moment is noticed in the next step.
                 let _ = entry.sender.send(entry.next);
--- a/crates/standin/src/engine/handle.rs
+++ b/crates/standin/src/engine/handle.rs
@@ -31,6 +31,8 @@
     pub decode_tokens_per_s: u32,
     /// The shortest time of a step, in which each running request gets one token.
     pub step_min: Duration,
+    /// The shortest time between two tokens of one request; 0 means one token in each step.
+    pub token_gap: Duration,
     /// The largest number of requests that run at once.
     pub batch_limit: usize,
     /// The largest number of requests that wait; more are refused with 503.
@@ -52,6 +54,7 @@
             prefill_tokens_per_s: 50_000,
             decode_tokens_per_s: 5_000,
             step_min: Duration::from_millis(2),
+            token_gap: Duration::ZERO,
             batch_limit: 16,
             queue_limit: 1_000,
             cache_blocks: 256,
@@ -191,12 +194,13 @@
 /// Drops all connections and work, and comes back after the crash time.
 async fn crash(shared: &EngineShared, gate: &ListenerGate) {
     gate.set_open(false);
-    gate.cut_all();
+    // A caller that notices the crash must find it in the counts.
     let time = {
         let mut batch = shared.batch.lock();
         batch.crash();
         batch.options.crash_time
     };
+    gate.cut_all();
     tokio::time::sleep(time).await;
     // A request that was accepted during the cut is lost with the rest.
     gate.cut_all();
