--- a/crates/standin/src/engine/handle.rs
+++ b/crates/standin/src/engine/handle.rs
@@ -194,12 +194,13 @@
 /// Drops all connections and work, and comes back after the crash time.
 async fn crash(shared: &EngineShared, gate: &ListenerGate) {
     gate.set_open(false);
-    gate.cut_all();
+    // A caller that notices the crash must find it in the counts.
     let time = {
         let mut batch = shared.batch.lock();
         batch.crash();
         batch.options.crash_time
     };
+    gate.cut_all();
     tokio::time::sleep(time).await;
     // A request that was accepted during the cut is lost with the rest.
     gate.cut_all();
