--- /dev/null
+++ b/crates/core/tests/protocol_matrix/fleet/network.rs
@@ -0,0 +1,241 @@
+//! Delivery of messages and platform calls, and recognition of the steps.
+
+use super::*;
+
+/// Returns the tokens granted and not returned over all rows, and the sealed rows.
+fn sum_rows(value: &ShardValue) -> (i64, Vec<String>) {
+    let (mut sum, mut sealed) = (0, Vec::new());
+    for entry in value.budgets.values() {
+        let mut folded = entry.folded;
+        entry.rows.iter().for_each(|row| folded.add(row));
+        sum += folded.granted.get() as i64 - folded.returned.get() as i64;
+        let rows = entry.rows.iter().filter(|row| row.sealed);
+        sealed.extend(rows.map(|row| format!("{row:?}")));
+    }
+    (sum, sealed)
+}
+
+impl BudgetFleet {
+    pub(super) fn feed(&mut self, index: usize, event: LedgerEvent) {
+        for effect in self.processes[index].ledger.handle(event, self.now) {
+            self.route(index, effect);
+        }
+    }
+
+    pub(super) fn push(&mut self, delay: Duration, item: Item) {
+        self.queue.push((self.now + delay, item));
+    }
+
+    /// Sends an effect on its way. The fault may strike right after it was sent.
+    fn route(&mut self, index: usize, effect: LedgerEffect) {
+        let step = self.find_step(index, &effect);
+        let passage = step.map_or(Passage::Normal, |step| self.reach(step, true, index));
+        let holder = self.processes[index].ledger.holder().clone();
+        let delay = match passage {
+            Passage::Late if self.hits == 1 => LATE_WRITE,
+            Passage::Late => SLOW_CALL,
+            _ if self.now < self.slow_until => SLOW_CALL,
+            _ => HOP,
+        };
+        let is_cut = self.now < self.platform_cut[index] && passage != Passage::AnswerLost;
+        match effect {
+            LedgerEffect::Wake { .. } => {}
+            LedgerEffect::Send { to, message } => self.send((holder, to, message), passage),
+            LedgerEffect::ReadShard { shard } | LedgerEffect::WriteShard { shard, .. }
+                if is_cut =>
+            {
+                self.push(
+                    HOP,
+                    Item::Answer(holder, LedgerEvent::PlatformDown { shard }),
+                );
+            }
+            LedgerEffect::ReadShard { .. } => self.push(delay, Item::Read(holder)),
+            LedgerEffect::WriteShard {
+                shard,
+                expected_version: expected,
+                value,
+            } => {
+                let is_answered = passage == Passage::Normal;
+                if !is_answered {
+                    let event = LedgerEvent::WriteUnknown { shard };
+                    self.push(HOP, Item::Answer(holder.clone(), event));
+                }
+                self.push(
+                    delay,
+                    Item::Write(Some(holder), expected, value, is_answered),
+                );
+            }
+        }
+    }
+
+    fn send(&mut self, (from, to, message): (HolderId, HolderId, BudgetMessage), passage: Passage) {
+        let item = Item::Message(from.clone(), to.clone(), message.clone());
+        match (passage, message) {
+            (Passage::Lost, BudgetMessage::TransferAck { sequence })
+                if self.variant == Variant::Broken =>
+            {
+                // The sender gets as a transfer back what the receiver owns by now.
+                let amount = self.arrived[&(to.clone(), from.clone(), sequence)];
+                let (sequence, budget) = (u64::MAX, budget());
+                let (amount, spent) = (TokenCount::new(amount), TokenCount::ZERO);
+                let message = BudgetMessage::Transfer {
+                    sequence,
+                    budget,
+                    amount,
+                    spent,
+                };
+                let sender = self.find(&to).expect("sender runs");
+                self.feed(sender, LedgerEvent::Received { from, to, message });
+            }
+            (Passage::Lost, _) => {}
+            (Passage::Doubled, _) => [HOP, TICK * 20, TICK * 200]
+                .into_iter()
+                .for_each(|delay| self.push(delay, item.clone())),
+            _ => self.push(HOP, item),
+        }
+    }
+
+    /// Returns the step that an effect is. A write may draw and report: the step under test counts.
+    fn find_step(&self, index: usize, effect: &LedgerEffect) -> Option<Step> {
+        let is_draining = self.processes[index].is_draining;
+        let account = find_account(&self.processes[index].ledger)?;
+        match effect {
+            LedgerEffect::ReadShard { .. } => (!account.wanted.is_zero()).then_some(Step::DrawRead),
+            LedgerEffect::WriteShard { .. } if is_draining => Some(Step::DrainReturn),
+            LedgerEffect::WriteShard { .. } => match self.cell.step {
+                Step::DrawSent if !account.drawing.is_zero() => Some(Step::DrawSent),
+                Step::ReportWritten if !account.reporting.is_zero() => Some(Step::ReportWritten),
+                Step::IdleReturned if !account.returning.is_zero() => Some(Step::IdleReturned),
+                _ => None,
+            },
+            LedgerEffect::Send { message, .. } => match message {
+                BudgetMessage::BorrowRequest { .. } => Some(Step::BorrowRequested),
+                BudgetMessage::Transfer { .. } if is_draining => Some(Step::DrainHandOver),
+                BudgetMessage::Transfer { .. } => Some(Step::TransferSent),
+                BudgetMessage::TransferAck { sequence: 1.. } => Some(Step::TransferAcknowledged),
+                BudgetMessage::TransferAck { .. } | BudgetMessage::ReturnIdle { .. } => None,
+            },
+            LedgerEffect::Wake { .. } => None,
+        }
+    }
+
+    pub(super) fn find(&self, holder: &HolderId) -> Option<usize> {
+        let mut processes = self.processes.iter();
+        processes.position(|process| process.ledger.holder() == holder)
+    }
+
+    /// Returns whether an item waits until its paused receiver goes on.
+    pub(super) fn is_waiting(&self, item: &Item) -> bool {
+        let (Item::Message(_, holder, _) | Item::Answer(holder, _)) = item else {
+            return false;
+        };
+        let process = self.find(holder).map(|index| &self.processes[index]);
+        process.is_some_and(|process| !process.is_crashed && self.now < process.stopped_until)
+    }
+
+    pub(super) fn handle_item(&mut self, item: Item) {
+        match item {
+            Item::Message(from, to, message) => self.deliver(from, to, message),
+            Item::Read(holder) => {
+                let event = LedgerEvent::ShardRead {
+                    shard: SHARD,
+                    version: self.version,
+                    value: self.value.clone(),
+                };
+                self.push(HOP, Item::Answer(holder, event));
+            }
+            Item::Write(holder, expected, value, is_answered) => {
+                let event = self.write(holder.as_ref(), expected, value);
+                if let Some(holder) = holder.filter(|_| is_answered) {
+                    self.push(HOP, Item::Answer(holder, event));
+                }
+            }
+            Item::Answer(holder, event) => self.answer(&holder, event),
+            Item::Operate(operation, id) => self.run_operation(operation, id),
+        }
+    }
+
+    /// Writes the shard object if it has the expected version. Whatever the write grants and
+    /// returns belongs to the holder that sent it.
+    pub(super) fn write(
+        &mut self,
+        holder: Option<&HolderId>,
+        expected: u64,
+        value: ShardValue,
+    ) -> LedgerEvent {
+        let shard = SHARD;
+        if expected != self.version {
+            return LedgerEvent::WriteConflict { shard };
+        }
+        let ((before, sealed), (after, still)) = (sum_rows(&self.value), sum_rows(&value));
+        match holder {
+            Some(holder) => *self.granted.entry(holder.clone()).or_default() += after - before,
+            None if before != after => self.violation = Some("an operation moved tokens"),
+            None => {}
+        }
+        if !sealed.iter().all(|row| still.contains(row)) {
+            self.violation = Some("a sealed row was written");
+        }
+        (self.value, self.version) = (value, expected + 1);
+        let version = self.version;
+        LedgerEvent::WriteAccepted { shard, version }
+    }
+
+    fn answer(&mut self, holder: &HolderId, mut event: LedgerEvent) {
+        let index = self.find(holder);
+        let Some(index) = index.filter(|index| !self.processes[*index].is_crashed) else {
+            return;
+        };
+        let is_accepted = matches!(event, LedgerEvent::WriteAccepted { .. });
+        let account = find_account(&self.processes[index].ledger);
+        let is_draw = account.is_some_and(|account| !account.drawing.is_zero());
+        let passage = self.reach(Step::DrawConfirmed, is_accepted && is_draw, index);
+        if passage == Passage::AnswerLost {
+            event = LedgerEvent::WriteUnknown { shard: SHARD };
+        }
+        match self.is_stopped(index) {
+            // A crashed process ignores the answer, and a paused one handles it later.
+            true => self.push(HOP, Item::Answer(holder.clone(), event)),
+            false => self.feed(index, event),
+        }
+    }
+
+    fn deliver(&mut self, from: HolderId, to: HolderId, message: BudgetMessage) {
+        let place = |holder: &HolderId| {
+            let place = self.names.iter().position(|name| *name == holder.instance);
+            place.expect("instance exists")
+        };
+        let (source, index) = (place(&from), place(&to));
+        let cut_until = self.peer_cut[source].max(self.peer_cut[index]);
+        if self.now < cut_until || self.processes[index].is_crashed {
+            return;
+        }
+        let mut is_new = false;
+        if let BudgetMessage::Transfer {
+            sequence, amount, ..
+        } = &message
+            && *self.processes[index].ledger.holder() == to
+        {
+            let key = (from.clone(), to.clone(), *sequence);
+            is_new = self.arrived.insert(key, amount.get()).is_none();
+        }
+        self.feed(index, LedgerEvent::Received { from, to, message });
+        self.reach(Step::TransferApplied, is_new, index);
+    }
+
+    /// Carries out an operation; the operator repeats it with the same id until it is answered.
+    fn run_operation(&mut self, operation: Step, id: String) {
+        let passage = self.reach(operation, true, OWNER);
+        let (expected, mut value) = (self.version, self.value.clone());
+        self.apply(&mut value, operation, 1_000, &id, OWNER);
+        let is_cut = self.now < self.platform_cut[OWNER];
+        if is_cut || passage != Passage::Normal {
+            self.push(OPERATOR_RETRY, Item::Operate(operation, id));
+        }
+        match passage {
+            _ if is_cut => {}
+            Passage::Late => self.push(SLOW_CALL, Item::Write(None, expected, value, false)),
+            _ => drop(self.write(None, expected, value)),
+        }
+    }
+}
