Let each router work with a subset of the upstreams

Cause: each router polled every upstream every 2 s, 2,100 polls/s per node at the target size.

Change: UpstreamSubset chooses the upstreams of a router by rendezvous hashing, PollSchedule spreads the polls, and select prefers the subset and falls back to all allowed upstreams. Small fleets see everything.

--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -33,6 +33,10 @@
 pub(super) struct UpstreamEntry {
     pub(super) spec: UpstreamSpec,
     pub(super) removed: bool,
+    /// Routers that share the upstream, if these are not all.
+    pub(super) sharing: Option<u32>,
+    /// Age after which a load report is ignored.
+    pub(super) report_max_age: Duration,
     pub(super) penalty: Duration,
     pub(super) listed: InstanceState,
     pub(super) says_leaving: bool,
@@ -54,11 +58,16 @@
             || self.listed == InstanceState::Leaving
     }
 
+    /// Returns the number of routers that share the upstream.
+    fn routers(&self, options: &RoutingOptions) -> u32 {
+        self.sharing.unwrap_or(options.routers).max(1)
+    }
+
     /// Returns the estimated number of requests at the upstream.
     pub(super) fn estimated_load(&self, options: &RoutingOptions, now: MonotonicTime) -> f64 {
-        let others = f64::from(options.routers.saturating_sub(1));
+        let others = f64::from(self.routers(options) - 1);
         let scale = 1.0 + options.others_weight * others;
-        self.load.estimate(scale, options.report_max_age, now)
+        self.load.estimate(scale, self.report_max_age, now)
     }
 
     /// Returns the number of requests that the upstream should have at most.
@@ -86,7 +95,7 @@
         let capacity = self.capacity(options, now);
         let estimate = self.estimated_load(options, now);
         let own = f64::from(self.load.own());
-        let share = capacity * OVERCOMMIT / f64::from(options.routers.max(1));
+        let share = capacity * OVERCOMMIT / f64::from(self.routers(options));
         if own < share.floor() {
             (capacity * OVERCOMMIT - estimate).max(share.floor() - own)
         } else {
--- a/crates/core/src/routing/options.rs
+++ b/crates/core/src/routing/options.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::base::DomainName;
+use crate::{
+    base::{DomainName, InstanceName},
+    routing::SubsetOptions,
+};
 
 /// Smallest number of candidates.
 const CHOICES_MIN: usize = 2;
@@ -12,6 +15,12 @@
 pub struct RoutingOptions {
     /// Failure domain of this router.
     pub domain: DomainName,
+    /// Name of this router.
+    pub instance: InstanceName,
+    /// Live routers of the domain. As long as there are none, every upstream is used.
+    pub members: Vec<InstanceName>,
+    /// Choice of the upstreams that this router works with.
+    pub subset: SubsetOptions,
     /// Routers that share the upstreams, including this one.
     pub routers: u32,
     /// Additional time to an upstream of another domain.
@@ -42,13 +51,13 @@
 }
 
 impl RoutingOptions {
-    /// Returns the number of candidates that are drawn from a group of `size` upstreams.
+    /// Returns the number of candidates that are drawn from `size` upstreams that `routers` share.
     ///
     /// Many routers that share few upstreams see the same reports, and would all choose the same
     /// best upstream if they compared all of them. Two random candidates prevent that.
     #[must_use]
-    pub fn candidates(&self, size: usize) -> usize {
-        let routers = usize::try_from(self.routers).unwrap_or(usize::MAX).max(1);
+    pub fn candidates(&self, size: usize, routers: u32) -> usize {
+        let routers = usize::try_from(routers).unwrap_or(usize::MAX).max(1);
         let fair = self.choices.saturating_mul(size) / routers;
         fair.clamp(CHOICES_MIN, self.choices.max(CHOICES_MIN))
     }
@@ -58,6 +67,9 @@
     pub fn new(domain: DomainName) -> Self {
         Self {
             domain,
+            instance: InstanceName::new(""),
+            members: Vec::new(),
+            subset: SubsetOptions::default(),
             routers: 1,
             remote_penalty: Duration::from_millis(2),
             domain_penalties: HashMap::new(),
--- a/crates/core/src/routing/select.rs
+++ b/crates/core/src/routing/select.rs
@@ -8,17 +8,18 @@
     base::MonotonicTime,
     routing::{
         RouteRequest, SelectError, Selection, UpstreamKey, UpstreamTable, UseState,
-        entry::UpstreamEntry, group::UpstreamGroup,
+        entry::UpstreamEntry,
+        group::{UpstreamGroup, UpstreamPool},
     },
 };
 
-/// Groups up to this size are scanned; larger ones are sampled.
+/// Pools up to this size are scanned; larger ones are sampled.
 const SCAN_MAX: usize = 32;
-/// Draws from a large group before it is scanned.
+/// Draws from a large pool before it is scanned.
 const DRAWS_MAX: usize = 32;
 /// Share of draws from other domains, so that a faster remote upstream is found.
 const REMOTE_SHARE: f64 = 0.25;
-/// Upstreams of a large group whose load is averaged.
+/// Upstreams of a large pool whose load is averaged.
 const MEAN_SAMPLES: usize = 8;
 /// Steps on the ring before affinity is given up.
 const RING_STEPS_MAX: usize = 8;
@@ -42,18 +43,11 @@
             .ok_or_else(|| SelectError::UnknownTarget {
                 target: target.clone(),
             })?;
-        let mut candidates = if group.len() > SCAN_MAX {
-            self.sample(group, request, now, rng)
-        } else {
-            Vec::new()
-        };
-        if candidates.is_empty() {
-            candidates = self.scan(group, request, now, rng)?;
-        }
+        let (pool, mut candidates) = self.draw(group, request, now, rng)?;
         let bound = request
             .prefix
-            .map(|_| self.options().affinity_bound * self.mean_utilisation(group, now, rng));
-        let preferred = bound.and_then(|bound| self.preferred(group, request, bound, now));
+            .map(|_| self.options().affinity_bound * self.mean_utilisation(pool, now, rng));
+        let preferred = bound.and_then(|bound| self.preferred(pool, request, bound, now));
         candidates.extend(preferred.filter(|key| !candidates.contains(key)));
         let scored = candidates.into_iter().map(|key| {
             let entry = &self.entries[key];
@@ -79,47 +73,77 @@
         })
     }
 
-    /// Draws candidates from a large group without looking at all of it.
+    /// Draws candidates from the subset, or from all upstreams if none of the subset has room.
+    fn draw<'a>(
+        &self,
+        group: &'a UpstreamGroup,
+        request: &RouteRequest,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+    ) -> Result<(&'a UpstreamPool, Vec<UpstreamKey>), SelectError> {
+        if let Some(pool) = &group.subset
+            && let Ok(candidates) = self.draw_pool(pool, request, now, rng)
+            && !candidates.is_empty()
+        {
+            return Ok((pool, candidates));
+        }
+        let candidates = self.draw_pool(&group.all, request, now, rng)?;
+        Ok((&group.all, candidates))
+    }
+
+    fn draw_pool(
+        &self,
+        pool: &UpstreamPool,
+        request: &RouteRequest,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+    ) -> Result<Vec<UpstreamKey>, SelectError> {
+        if pool.len() > SCAN_MAX {
+            let candidates = self.sample(pool, request, now, rng);
+            if !candidates.is_empty() {
+                return Ok(candidates);
+            }
+        }
+        self.scan(pool, request, now, rng)
+    }
+
+    /// Draws candidates from a large pool without looking at all of it.
     fn sample(
         &self,
-        group: &UpstreamGroup,
+        pool: &UpstreamPool,
         request: &RouteRequest,
         now: MonotonicTime,
         rng: &mut impl Rng,
     ) -> Vec<UpstreamKey> {
-        let mut candidates = Vec::with_capacity(self.options().candidates(group.len()));
+        let mut candidates = Vec::with_capacity(self.candidates(pool));
         for _ in 0..DRAWS_MAX {
-            let is_remote = group.local.is_empty()
-                || (!group.remote.is_empty() && rng.random::<f64>() < REMOTE_SHARE);
-            let keys = if is_remote {
-                &group.remote
-            } else {
-                &group.local
-            };
+            let is_remote = pool.local.is_empty()
+                || (!pool.remote.is_empty() && rng.random::<f64>() < REMOTE_SHARE);
+            let keys = if is_remote { &pool.remote } else { &pool.local };
             let key = keys[rng.random_range(0..keys.len())];
             let entry = &self.entries[key];
             if !candidates.contains(&key) && self.accepts(entry, request, now) {
                 candidates.push(key);
             }
-            if candidates.len() >= self.options().candidates(group.len()) {
+            if candidates.len() >= self.candidates(pool) {
                 break;
             }
         }
         candidates
     }
 
-    /// Looks at the whole group and draws candidates by weight.
+    /// Looks at the whole pool and draws candidates by weight.
     fn scan(
         &self,
-        group: &UpstreamGroup,
+        pool: &UpstreamPool,
         request: &RouteRequest,
         now: MonotonicTime,
         rng: &mut impl Rng,
     ) -> Result<Vec<UpstreamKey>, SelectError> {
-        let mut weighted: Vec<(UpstreamKey, f64)> = Vec::with_capacity(group.len());
+        let mut weighted: Vec<(UpstreamKey, f64)> = Vec::with_capacity(pool.len());
         let mut is_full = false;
         let mut retry_after: Option<Duration> = None;
-        for key in group.keys() {
+        for key in pool.keys() {
             let entry = &self.entries[key];
             if !is_permitted(entry, request) {
                 continue;
@@ -142,45 +166,44 @@
                 retry_after: retry_after.unwrap_or(Duration::from_secs(1)),
             });
         }
-        Ok(draw_weighted(
-            weighted,
-            self.options().candidates(group.len()),
-            rng,
-        ))
+        Ok(draw_weighted(weighted, self.candidates(pool), rng))
     }
 
     /// Returns the upstream that all routers prefer for the prefix within the load bound.
     fn preferred(
         &self,
-        group: &UpstreamGroup,
+        pool: &UpstreamPool,
         request: &RouteRequest,
         bound: f64,
         now: MonotonicTime,
     ) -> Option<UpstreamKey> {
         let digest = request.prefix?.digest;
-        group.ring.walk(digest).take(RING_STEPS_MAX).find(|key| {
+        pool.ring.walk(digest).take(RING_STEPS_MAX).find(|key| {
             let entry = &self.entries[*key];
             entry.is_within(bound, self.options(), now) && self.accepts(entry, request, now)
         })
     }
 
-    /// Returns the mean utilisation of the group; of a sample if it is large.
-    fn mean_utilisation(
-        &self,
-        group: &UpstreamGroup,
-        now: MonotonicTime,
-        rng: &mut impl Rng,
-    ) -> f64 {
+    /// Returns the mean utilisation of the pool; of a sample if it is large.
+    fn mean_utilisation(&self, pool: &UpstreamPool, now: MonotonicTime, rng: &mut impl Rng) -> f64 {
         let of = |key: UpstreamKey| self.entries[key].utilisation(self.options(), now);
-        if group.len() <= SCAN_MAX {
-            return group.keys().map(of).sum::<f64>() / group.len().max(1) as f64;
+        if pool.len() <= SCAN_MAX {
+            return pool.keys().map(of).sum::<f64>() / pool.len().max(1) as f64;
         }
         let sum: f64 = (0..MEAN_SAMPLES)
-            .map(|_| of(group.at(rng.random_range(0..group.len()))))
+            .map(|_| of(pool.at(rng.random_range(0..pool.len()))))
             .sum();
         sum / MEAN_SAMPLES as f64
     }
 
+    fn candidates(&self, pool: &UpstreamPool) -> usize {
+        let routers = match pool.routers {
+            0 => self.options().routers,
+            routers => routers,
+        };
+        self.options().candidates(pool.len(), routers)
+    }
+
     fn accepts(&self, entry: &UpstreamEntry, request: &RouteRequest, now: MonotonicTime) -> bool {
         is_permitted(entry, request)
             && matches!(
--- a/crates/core/src/routing/spec.rs
+++ b/crates/core/src/routing/spec.rs
@@ -44,6 +44,12 @@
 }
 
 impl UpstreamSpec {
+    /// Returns the models and the service that the upstream answers.
+    pub fn targets(&self) -> impl Iterator<Item = RouteTarget> + '_ {
+        let models = self.models.iter().cloned().map(RouteTarget::Model);
+        models.chain(self.service.clone().map(RouteTarget::Service))
+    }
+
     /// Creates the description of an engine with the default concurrency.
     #[must_use]
     pub fn engine(name: UpstreamName, domain: DomainName, models: Vec<ModelName>) -> Self {
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -5,12 +5,12 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    base::{MonotonicTime, UpstreamName},
+    base::{InstanceName, MonotonicTime, UpstreamName},
     limit::{ConcurrencyLimit, ConcurrencyOptions},
     retry::AttemptOutcome,
     routing::{
         CacheEvent, InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions,
-        TableSnapshot, UpstreamSnapshot, UpstreamSpec,
+        TableSnapshot, UpstreamSnapshot, UpstreamSpec, UpstreamSubset,
         entry::UpstreamEntry,
         group::UpstreamGroup,
         health::UpstreamHealth,
@@ -21,6 +21,9 @@
     },
 };
 
+/// Poll periods after which a load report is ignored, 5 s at a period of 2 s.
+const REPORT_PERIODS: f64 = 2.5;
+
 new_key_type! {
     /// Identifies an upstream in the table.
     pub struct UpstreamKey;
@@ -47,6 +50,7 @@
     pub(super) entries: SlotMap<UpstreamKey, UpstreamEntry>,
     by_name: HashMap<UpstreamName, UpstreamKey>,
     groups: HashMap<RouteTarget, UpstreamGroup>,
+    subset: UpstreamSubset,
     work: SlotMap<WorkKey, UpstreamWork>,
     is_configured: bool,
 }
@@ -60,6 +64,7 @@
             entries: SlotMap::with_key(),
             by_name: HashMap::new(),
             groups: HashMap::new(),
+            subset: UpstreamSubset::default(),
             work: SlotMap::with_key(),
             is_configured: false,
         }
@@ -76,6 +81,22 @@
         self.options.routers = routers.max(1);
     }
 
+    /// Changes the live routers of the domain, which share its upstreams.
+    pub fn set_members(&mut self, instance: InstanceName, members: Vec<InstanceName>) {
+        if self.options.instance == instance && self.options.members == members {
+            return;
+        }
+        self.options.instance = instance;
+        self.options.members = members;
+        self.rebuild_groups();
+    }
+
+    /// Returns the upstreams that this router works with.
+    #[must_use]
+    pub const fn subset(&self) -> &UpstreamSubset {
+        &self.subset
+    }
+
     /// Replaces the configuration. Known upstreams keep what was learnt about them.
     ///
     /// An upstream that is no longer configured receives no new work, and is forgotten when its
@@ -269,7 +290,10 @@
 
     /// Returns the expected seconds to first token of a prompt of the reference length.
     fn reference_s(&self, entry: &UpstreamEntry, now: MonotonicTime) -> f64 {
-        let group = targets(&entry.spec).find_map(|target| self.groups.get(&target));
+        let group = entry
+            .spec
+            .targets()
+            .find_map(|target| self.groups.get(&target));
         let line = group.map_or_else(LatencyLine::default, |group| group.line);
         line.value_s(REFERENCE_TOKENS) * entry.speed.factor(now)
     }
@@ -301,6 +325,8 @@
         let entry = UpstreamEntry {
             spec: spec.clone(),
             removed: false,
+            sharing: None,
+            report_max_age: self.options.report_max_age,
             penalty,
             listed: InstanceState::Live,
             says_leaving: false,
@@ -318,26 +344,62 @@
         self.by_name.insert(spec.name.clone(), key);
     }
 
+    /// Chooses the subset, and sorts the upstreams into the groups of their models.
     fn rebuild_groups(&mut self) {
+        self.choose_subset();
         let old = std::mem::take(&mut self.groups);
         for (key, entry) in self.entries.iter().filter(|(_, entry)| !entry.removed) {
             let is_local = entry.spec.domain == self.options.domain;
-            for target in targets(&entry.spec) {
+            let is_regular = self.subset.regular.contains_key(&entry.spec.name);
+            for target in entry.spec.targets() {
                 let group = self.groups.entry(target).or_default();
-                let keys = if is_local {
-                    &mut group.local
-                } else {
-                    &mut group.remote
-                };
-                keys.push(key);
+                group.all.push(key, is_local);
+                if is_regular {
+                    let subset = group.subset.get_or_insert_default();
+                    subset.push(key, is_local);
+                    subset.routers = subset.routers.max(entry.sharing.unwrap_or(0));
+                }
             }
         }
         for (target, group) in &mut self.groups {
             if let Some(known) = old.get(target) {
                 group.line = known.line;
             }
-            let named = group.keys().map(|key| (key, &self.entries[key].spec.name));
-            group.ring = PrefixRing::build(named);
+            let size = group.all.len();
+            group.subset.take_if(|subset| subset.len() == size);
+            for pool in std::iter::once(&mut group.all).chain(&mut group.subset) {
+                let named = pool.keys().map(|key| (key, &self.entries[key].spec.name));
+                pool.ring = PrefixRing::build(named);
+            }
+        }
+    }
+
+    fn choose_subset(&mut self) {
+        let entries = self.entries.values().filter(|entry| !entry.removed);
+        let specs: Vec<&UpstreamSpec> = entries.map(|entry| &entry.spec).collect();
+        let options = &self.options;
+        self.subset = if options.members.is_empty() {
+            let names = specs.iter().map(|spec| (spec.name.clone(), None));
+            UpstreamSubset {
+                regular: names.collect(),
+                ..UpstreamSubset::default()
+            }
+        } else {
+            UpstreamSubset::choose(
+                &options.subset,
+                &options.instance,
+                &options.domain,
+                &options.members,
+                &specs,
+            )
+        };
+        // A report must outlive the wait for the next one, as it does at the shortest period.
+        let period = self.subset.poll_period(&options.subset);
+        let max_age = options.report_max_age.max(period.mul_f64(REPORT_PERIODS));
+        for entry in self.entries.values_mut() {
+            let sharing = self.subset.regular.get(&entry.spec.name);
+            entry.sharing = sharing.copied().flatten();
+            entry.report_max_age = max_age;
         }
     }
 
@@ -358,7 +420,7 @@
     /// Returns whether enough upstreams of the domain stay usable without `key`.
     fn may_eject(&self, key: UpstreamKey, now: MonotonicTime) -> bool {
         let spec = &self.entries[key].spec;
-        targets(spec).all(|target| {
+        spec.targets().all(|target| {
             let Some(group) = self.group(&target) else {
                 return false;
             };
@@ -390,12 +452,6 @@
     }
 }
 
-/// Returns the groups to which an upstream belongs.
-fn targets(spec: &UpstreamSpec) -> impl Iterator<Item = RouteTarget> + '_ {
-    let models = spec.models.iter().cloned().map(RouteTarget::Model);
-    models.chain(spec.service.clone().map(RouteTarget::Service))
-}
-
 fn describe(
     entry: &UpstreamEntry,
     first_s: f64,
--- a/crates/measure/src/routing/mod.rs
+++ b/crates/measure/src/routing/mod.rs
@@ -2,11 +2,13 @@
 
 mod cost;
 mod engine;
+mod exchange;
 mod policy;
 mod report;
 mod router;
 mod scenario;
 mod simulation;
+mod size;
 mod stats;
 mod workload;
 
@@ -19,6 +21,7 @@
     let mut options = Options::new();
     options.optopt("", "seed", "seed of all random choices", "N");
     options.optflag("", "quick", "only the steady scenario and the overload");
+    options.optflag("", "sizes", "only one domain at the target size");
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
         Err(error) => {
@@ -31,6 +34,10 @@
     };
     let seed = matches.opt_get_default("seed", 1);
     match seed {
+        Ok(seed) if matches.opt_present("sizes") => {
+            size::print_sizes(seed);
+            ExitCode::SUCCESS
+        }
         Ok(seed) => report::print_all(seed, matches.opt_present("quick")),
         Err(error) => {
             eprintln!("option --seed: {error}");
--- a/crates/measure/src/routing/report.rs
+++ b/crates/measure/src/routing/report.rs
@@ -7,6 +7,7 @@
     policy::PolicyKind,
     scenario::{Deployment, Scenario},
     simulation::Simulation,
+    size::print_sizes,
     stats::RunStats,
 };
 
@@ -51,6 +52,7 @@
         print_goodput(&deployment, seed, &mut targets);
     }
     if !is_quick {
+        print_sizes(seed);
         print_cost(seed);
     }
     println!("\ntargets missed: {}", targets.missed);
--- a/crates/measure/src/routing/router.rs
+++ b/crates/measure/src/routing/router.rs
@@ -7,8 +7,8 @@
     limit::{AdmissionQueue, Priority, QueueOptions, QueueRequest, TicketKey},
     retry::{AttemptOutcome, RetryBudget, RetryBudgetOptions},
     routing::{
-        CacheEvent, LoadReport, PrefixHint, RouteRequest, RouteTarget, RoutingOptions, UpstreamKey,
-        UpstreamSpec, UpstreamTable, WorkKey,
+        CacheEvent, LoadReport, PollSchedule, PrefixHint, RouteRequest, RouteTarget,
+        RoutingOptions, UpstreamKey, UpstreamSpec, UpstreamTable, WorkKey,
     },
 };
 use rand::Rng;
@@ -17,7 +17,7 @@
 use crate::routing::{
     engine::{BATCH_MAX, RequestId},
     policy::PolicyKind,
-    scenario::Deployment,
+    scenario::{Deployment, ViewKind},
     workload::RequestShape,
 };
 
@@ -40,6 +40,7 @@
 pub(super) struct RouterFake {
     pub(super) domain: usize,
     pub(super) table: UpstreamTable,
+    pub(super) schedule: PollSchedule,
     pub(super) queue: AdmissionQueue,
     pub(super) budget: RetryBudget,
     pub(super) tickets: HashMap<TicketKey, RequestId>,
@@ -72,9 +73,15 @@
             ..RoutingOptions::new(domain_name(domain))
         });
         table.apply(&specs, MonotonicTime::START);
+        if deployment.view == ViewKind::Subset {
+            let name = |index: usize| format!("r{index}").into();
+            let members = (0..deployment.routers).map(name).collect();
+            table.set_members(name(index), members);
+        }
         Self {
             domain,
             table,
+            schedule: PollSchedule::default(),
             queue: AdmissionQueue::new(QueueOptions::default()),
             budget: RetryBudget::new(RetryBudgetOptions::default()),
             tickets: HashMap::new(),
@@ -177,6 +184,15 @@
         }
     }
 
+    /// Returns the engines to poll at a tick of the poll schedule.
+    pub(super) fn due_polls(&mut self, tick: Duration, now: MonotonicTime) -> Vec<usize> {
+        let subset = self.table.subset();
+        let names = subset.regular.keys().cloned().collect();
+        let period = subset.poll_period(&self.table.options().subset);
+        let due = self.schedule.tick(names, period, tick, now);
+        due.iter().map(|name| self.engine_index(name)).collect()
+    }
+
     pub(super) fn load_report(&mut self, engine: usize, report: LoadReport, now: MonotonicTime) {
         self.table.load_report(&self.names[engine], report, now);
     }
--- a/crates/measure/src/routing/scenario.rs
+++ b/crates/measure/src/routing/scenario.rs
@@ -5,6 +5,29 @@
 /// Share of the capacity in the steady scenarios.
 const STEADY_LOAD: f64 = 0.8;
 
+/// Tells which upstreams a router works with, and how often it polls them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ViewKind {
+    /// All, polled every 2 s.
+    Whole,
+    /// All, at the poll rate of the subset.
+    WholePaced,
+    /// The subset.
+    Subset,
+}
+
+impl ViewKind {
+    pub(super) const ALL: [Self; 3] = [Self::Whole, Self::WholePaced, Self::Subset];
+
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole-2s",
+            Self::WholePaced => "whole-paced",
+            Self::Subset => "subset",
+        }
+    }
+}
+
 /// Describes the machines of a deployment.
 #[derive(Clone, Debug)]
 pub(super) struct Deployment {
@@ -13,6 +36,7 @@
     pub(super) engines: Vec<(f64, usize)>,
     pub(super) domains: usize,
     pub(super) routers: usize,
+    pub(super) view: ViewKind,
     /// Time from one domain to another.
     pub(super) one_way: Duration,
 }
@@ -28,11 +52,26 @@
                 .collect(),
             domains,
             routers: 9,
+            view: ViewKind::Whole,
             one_way: Duration::from_micros(one_way),
         };
         vec![build("3x9", 3, 500), build("4x9", 4, 1_000)]
     }
 
+    /// Returns one domain with 30 routers.
+    pub(super) fn domain(name: &'static str, engines: usize, view: ViewKind) -> Self {
+        let today = &Self::all()[0].engines;
+        let speeds = today.iter().map(|(speed, _)| (*speed, 0)).cycle();
+        Self {
+            name,
+            engines: speeds.take(engines).collect(),
+            domains: 1,
+            routers: 30,
+            view,
+            one_way: Duration::from_micros(500),
+        }
+    }
+
     /// Returns the sum of the engines' speeds.
     pub(super) fn speed(&self) -> f64 {
         self.engines.iter().map(|(speed, _)| speed).sum()
--- a/crates/measure/src/routing/simulation.rs
+++ b/crates/measure/src/routing/simulation.rs
@@ -19,7 +19,7 @@
     engine::{EngineFake, EngineJob, EngineToken, RequestId},
     policy::PolicyKind,
     router::{RouteChoice, RouterFake, customer_name},
-    scenario::{Deployment, Scenario},
+    scenario::{Deployment, Scenario, ViewKind},
     stats::RunStats,
     workload::{RequestShape, Workload},
 };
@@ -51,6 +51,9 @@
         router: usize,
         engine: usize,
     },
+    PollTick {
+        router: usize,
+    },
     CacheChanged {
         engine: usize,
         digest: u64,
@@ -89,6 +92,7 @@
 pub(super) struct Simulation {
     scenario: Scenario,
     policy: PolicyKind,
+    view: ViewKind,
     workload: Workload,
     one_way: Duration,
     engines: Vec<EngineFake>,
@@ -115,6 +119,7 @@
         Self {
             scenario,
             policy,
+            view: deployment.view,
             workload: Workload::new(scenario, deployment),
             one_way: deployment.one_way,
             engines: engines
@@ -129,7 +134,10 @@
             // Arrivals have their own generator, so that all policies see the same requests.
             arrivals: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
             retry: RetryPolicy::default(),
-            stats: RunStats::new((RUN_US - WARM_US) as f64 / 1e6 - TIMEOUT.as_secs_f64()),
+            stats: RunStats::new(
+                (RUN_US - WARM_US) as f64 / 1e6 - TIMEOUT.as_secs_f64(),
+                (RUN_US - WARM_US) as f64 / 1e6,
+            ),
         }
     }
 
@@ -149,6 +157,11 @@
     fn schedule_start(&mut self) {
         self.schedule(1, SimulationEvent::Arrival);
         for router in 0..self.routers.len() {
+            if self.view != ViewKind::Whole {
+                let phase = self.rng.random_range(0..REPORT_US);
+                self.schedule(phase, SimulationEvent::PollTick { router });
+                continue;
+            }
             for engine in 0..self.engines.len() {
                 let phase = self.rng.random_range(0..REPORT_US);
                 self.schedule(phase, SimulationEvent::Report { router, engine });
@@ -171,7 +184,14 @@
         match event {
             SimulationEvent::Arrival => self.arrive(),
             SimulationEvent::StepEnd { engine, epoch } => self.end_step(engine, epoch),
-            SimulationEvent::Report { router, engine } => self.report(router, engine),
+            SimulationEvent::Report { router, engine } => {
+                self.schedule(
+                    self.now_us + REPORT_US,
+                    SimulationEvent::Report { router, engine },
+                );
+                self.report(router, engine);
+            }
+            SimulationEvent::PollTick { router } => self.poll_tick(router),
             SimulationEvent::CacheChanged {
                 engine,
                 digest,
@@ -533,11 +553,20 @@
         self.pump(router);
     }
 
-    fn report(&mut self, router: usize, engine: usize) {
+    fn poll_tick(&mut self, router: usize) {
         self.schedule(
             self.now_us + REPORT_US,
-            SimulationEvent::Report { router, engine },
+            SimulationEvent::PollTick { router },
         );
+        let now = self.now();
+        let tick = Duration::from_micros(REPORT_US);
+        for engine in self.routers[router].due_polls(tick, now) {
+            self.report(router, engine);
+        }
+    }
+
+    fn report(&mut self, router: usize, engine: usize) {
+        self.stats.polls += u64::from(self.now_us >= WARM_US);
         let lag = self.scenario.report_lag();
         let at = self.now_us.saturating_sub(lag.as_micros() as u64);
         if self.engines[engine].is_down {
--- a/crates/measure/src/routing/stats.rs
+++ b/crates/measure/src/routing/stats.rs
@@ -21,11 +21,15 @@
     pub(super) retries: u64,
     pub(super) wasted: u64,
     pub(super) good_tokens: u64,
+    /// Load reports to all routers after the warm-up.
+    pub(super) polls: u64,
+    /// Seconds in which the load reports were counted.
+    pub(super) polled_s: f64,
     pub(super) seconds: f64,
 }
 
 impl RunStats {
-    pub(super) fn new(seconds: f64) -> Self {
+    pub(super) fn new(seconds: f64, polled_s: f64) -> Self {
         let histogram = || Histogram::new_with_bounds(1, LATENCY_MAX_US, 3).expect("valid bounds");
         Self {
             first_us: histogram(),
@@ -40,6 +44,8 @@
             retries: 0,
             wasted: 0,
             good_tokens: 0,
+            polls: 0,
+            polled_s,
             seconds,
         }
     }
@@ -66,6 +72,11 @@
         self.small_answered as f64 / self.small_requests.max(1) as f64
     }
 
+    /// Returns the load reports per second that each of `routers` received after the warm-up.
+    pub(super) fn polls_per_s(&self, routers: usize) -> f64 {
+        self.polls as f64 / (self.polled_s * routers as f64)
+    }
+
     /// Returns retries per request.
     pub(super) fn retry_rate(&self) -> f64 {
         self.retries as f64 / self.requests.max(1) as f64
--- a/crates/router/src/process/desk/mod.rs
+++ b/crates/router/src/process/desk/mod.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
-    base::{CustomerName, DomainName, MonotonicTime, UpstreamName},
+    base::{CustomerName, DomainName, InstanceName, MonotonicTime, UpstreamName},
     blocklist::{
         CrashEffect, CrashEntry, CrashOptions, CrashReport, CrashTable, CrashVerdict, Fingerprint,
         FlightKey,
@@ -18,7 +18,7 @@
     },
     routing::{
         InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions, SelectError,
-        TableSnapshot, UpstreamSpec, UpstreamTable, WorkKey,
+        SubsetOptions, TableSnapshot, UpstreamSpec, UpstreamTable, WorkKey,
     },
 };
 use parking_lot::Mutex;
@@ -28,7 +28,10 @@
 
 pub(crate) use attempt::UpstreamAttempt;
 
-use crate::{process::RouterState, request::RequestRefusal};
+use crate::{
+    process::{PollClass, PollPlan, RouterState},
+    request::RequestRefusal,
+};
 
 /// Waiting requests that are tried per pump, which bounds the time under the lock.
 const PUMP_TRIES: usize = 64;
@@ -169,6 +172,31 @@
         self.inner.lock().table.set_routers(routers);
     }
 
+    /// Sets the live routers of the domain.
+    pub(crate) fn set_members(&self, instance: InstanceName, members: Vec<InstanceName>) {
+        self.inner.lock().table.set_members(instance, members);
+    }
+
+    /// Returns the upstreams to poll and the time between two polls of each.
+    pub(crate) fn poll_plan(&self, class: PollClass, load_poll: Duration) -> PollPlan {
+        let inner = self.inner.lock();
+        let subset = inner.table.subset();
+        let options = SubsetOptions {
+            load_poll,
+            ..inner.table.options().subset.clone()
+        };
+        match class {
+            PollClass::Regular => PollPlan {
+                upstreams: subset.regular.keys().cloned().collect(),
+                period: subset.poll_period(&options),
+            },
+            PollClass::Rare => PollPlan {
+                upstreams: subset.rare.iter().cloned().collect(),
+                period: options.remote_poll,
+            },
+        }
+    }
+
     /// Returns whether a request may run.
     pub(crate) fn verdict(&self, fingerprint: Fingerprint, now: MonotonicTime) -> CrashVerdict {
         self.inner.lock().crash.verdict(fingerprint, now)
--- a/crates/router/src/process/members.rs
+++ b/crates/router/src/process/members.rs
@@ -148,6 +148,8 @@
             })
             .collect();
         self.state.desk.set_routers(live.len());
+        let instance = self.state.holder.instance.clone();
+        self.state.desk.set_members(instance, domain.clone());
         self.state.share_orders();
         let _ = self.ledger.tell(LedgerEvent::PeersChanged(live)).await;
         let _ = self.config.tell(ConfigEvent::MembersChanged(domain)).await;
--- a/crates/router/src/process/mod.rs
+++ b/crates/router/src/process/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) use ledger::{LedgerActor, LedgerCell};
 pub(crate) use members::{FleetView, MemberActor};
 pub(crate) use order::OrderDesk;
+pub(crate) use poll::{PollClass, PollPlan};
 pub(crate) use state::{RouterPhase, RouterState, RunningGuard};
 
 pub use event::LogEvent;
--- a/crates/router/src/process/poll.rs
+++ b/crates/router/src/process/poll.rs
@@ -5,7 +5,7 @@
 use cornelarch_core::{
     base::UpstreamName,
     membership::{InstanceHint, MemberEvent},
-    routing::{InstanceState, LoadReport},
+    routing::{InstanceState, LoadReport, PollSchedule},
 };
 use cornelarch_platform::{InstanceEntry, InstanceState as ListedState, ObjectStore};
 use futures_util::{StreamExt, stream};
@@ -15,7 +15,7 @@
 
 /// Longest wait for a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
-/// Load polls at a time; with 4,200 upstreams every 2 s and 2 ms each, 5 would do.
+/// Load polls at a time; a subset has about 35 upstreams at the target size.
 const LOAD_POLLS: usize = 32;
 /// Time between two reads of the instance list; 350 instances make 70 reads/s.
 const INSTANCES_PERIOD: Duration = Duration::from_secs(5);
@@ -31,35 +31,74 @@
     leaving: bool,
 }
 
-/// Polls the load of every upstream until the router stops.
+/// Tells how often an upstream is polled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PollClass {
+    /// An upstream of the subset.
+    Regular,
+    /// An upstream of another domain.
+    Rare,
+}
+
+/// Lists the upstreams of a class.
+#[derive(Debug)]
+pub(crate) struct PollPlan {
+    pub(crate) upstreams: Vec<UpstreamName>,
+    /// Time between two polls of each upstream.
+    pub(crate) period: Duration,
+}
+
+/// Polls the load of the upstreams that this router works with until it stops.
 pub(crate) async fn poll_loads(state: Arc<RouterState>) {
-    let mut interval = tokio::time::interval(state.settings.load_poll);
+    tokio::join!(
+        poll_class(&state, PollClass::Regular),
+        poll_class(&state, PollClass::Rare),
+    );
+}
+
+async fn poll_class(state: &RouterState, class: PollClass) {
+    let tick = state.settings.load_poll;
+    let mut interval = tokio::time::interval(tick);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut version = state.ready.subscribe();
+    let mut schedule = PollSchedule::default();
     loop {
-        tokio::select! {
+        let is_tick = tokio::select! {
             () = state.stop.cancelled() => return,
-            _ = interval.tick() => {}
-            // A new upstream may be leaving already.
-            _ = version.changed() => {}
-        }
-        let Some(current) = state.version.load_full() else {
-            continue;
+            _ = interval.tick() => true,
+            // A new upstream may be leaving already. The others wait: at 12,000 versions a day,
+            // polling all at each version would more than double the polls.
+            _ = version.changed() => false,
+        };
+        let PollPlan { upstreams, period } = state.desk.poll_plan(class, tick);
+        let due = if is_tick {
+            schedule.tick(upstreams, period, tick, state.now())
+        } else {
+            schedule.changed(upstreams, period, tick, state.now())
         };
-        let upstreams = current.document.upstreams.iter();
-        let upstreams = upstreams.map(|(name, section)| (name.clone(), section.address));
-        let upstreams: Vec<_> = upstreams.collect();
-        let polls = stream::iter(upstreams).for_each_concurrent(LOAD_POLLS, |(name, address)| {
-            let state = &state;
-            async move { poll_load(state, &name, &format!("http://{address}/load")).await }
-        });
         tokio::select! {
             () = state.stop.cancelled() => return,
-            () = polls => {}
+            () = poll_all(state, due) => {}
         }
     }
 }
 
+async fn poll_all(state: &RouterState, upstreams: Vec<UpstreamName>) {
+    let Some(current) = state.version.load_full() else {
+        return;
+    };
+    let addressed = upstreams.into_iter().filter_map(|name| {
+        let section = current.document.upstreams.get(&name)?;
+        Some((name, section.address))
+    });
+    let addressed: Vec<_> = addressed.collect();
+    stream::iter(addressed)
+        .for_each_concurrent(LOAD_POLLS, |(name, address)| async move {
+            poll_load(state, &name, &format!("http://{address}/load")).await;
+        })
+        .await;
+}
+
 async fn poll_load(state: &RouterState, upstream: &UpstreamName, url: &str) {
     let sent = state.now();
     let read = async {
