--- a/crates/core/tests/subset.rs
+++ b/crates/core/tests/subset.rs
@@ -258,7 +258,7 @@
                     .expect("usable");
                 driver.table.started(selection.key, &driver.request, at(1));
             }
-            driver.table.load_report(&name, full.clone(), at(2));
+            driver.table.load_report(&name, full, at(2));
         } else {
             driver.table.instance_state(&name, InstanceState::Leaving);
         }
