Keep order records longer than the validity of a claim

Cause: an attempt may send for one hour after its claim, but the document allowed records to be removed after 60 s; a repeat after that could have run a second time while the first attempt was still allowed to send.

--- a/crates/core/src/config/section.rs
+++ b/crates/core/src/config/section.rs
@@ -329,7 +329,7 @@
         /// The rate of non-idempotent calls of the whole fleet, per second.
         order_rate: u64 = Some(50), in 1..=100_000;
         /// The time for which order records are kept, in seconds.
-        order_retention_s: u64 = Some(7 * DAY_S), in 60..=365 * DAY_S;
+        order_retention_s: u64 = Some(7 * DAY_S), in 7_200..=365 * DAY_S;
         /// The longest time of one request, in seconds.
         request_timeout_s: u64 = Some(600), in 1..=DAY_S;
         /// The wait of a request that does not fit its budget, in milliseconds.
