Ask an owner that answers 20 times before drawing beside it

Cause: a neighbour whose shard owner answered but had no tokens drew for itself after five questions, 300 ms. The owner was waiting for the platform; the neighbours became further writers of the same shard object and their conflicts delayed everyone. Change: 20 questions instead of 5.

Test: neighbour_keeps_asking_an_owner_that_answers, which fails with 5.

--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -15,8 +15,9 @@
 /// Time for which a budget counts as scarce after a sign of it, in units of the end wait.
 const SCARCE_WAITS: u32 = 40;
 
-/// Requests to an owner that is alive before a borrower draws for itself.
-const MAX_ASKS: u8 = 5;
+/// Requests to an owner that is alive before a borrower draws for itself. An owner that answers
+/// without tokens waits for the platform; more writers of the domain only add conflicts.
+const MAX_ASKS: u8 = 20;
 
 /// Requests that an answer to another domain covers if there are enough idle tokens.
 const GIVEN_REQUESTS: u64 = 8;
--- a/crates/core/tests/budget/ledger.rs
+++ b/crates/core/tests/budget/ledger.rs
@@ -5,8 +5,8 @@
 use cornelarch_core::{
     base::{BudgetName, HolderId, InstanceName, MonotonicTime, TokenCount},
     budget::{
-        BudgetKey, BudgetLedger, BudgetMessage, HolderRow, LedgerEffect, LedgerEvent,
-        LedgerOptions, ReserveError, SettleError, ShardNumber, ShardValue,
+        BudgetKey, BudgetLedger, BudgetMessage, DomainPeer, HolderRow, LedgerEffect, LedgerEvent,
+        LedgerOptions, PeerTable, ReserveError, SettleError, ShardNumber, ShardValue,
     },
     error::ErrorKind,
 };
@@ -342,3 +342,45 @@
         assert_eq!(granted, tokens(stock + 100), "{available} available");
     }
 }
+
+/// Guards against a neighbour that becomes a second writer of its domain while the shard owner
+/// answers but waits for the platform: the conflicts delay both.
+#[test]
+fn neighbour_keeps_asking_an_owner_that_answers() {
+    let (mut ledger, key) = new_ledger();
+    let domain = LedgerOptions::default().domain;
+    // Takes the first name that rendezvous hashing prefers to the instance under test.
+    let peer = (0..)
+        .map(|number| DomainPeer {
+            holder: HolderId::new(InstanceName::from(format!("owner-{number}")), 1),
+            domain: domain.clone(),
+        })
+        .find(|peer| {
+            let table = PeerTable::new(&holder(1), &domain, vec![peer.clone()]);
+            table.owner(&domain, SHARD) == Some(&peer.holder)
+        })
+        .expect("some name has the higher score");
+    let owner = peer.holder.clone();
+    let changed = LedgerEvent::PeersChanged(vec![peer]);
+    assert_eq!(ledger.handle(changed, at(0)), []);
+    let mut asked = 0;
+    // Each millisecond a request waits; the owner answers every question without tokens.
+    for millis in 1..900 {
+        let refused = ledger.reserve(key, tokens(10), at(millis));
+        assert!(refused.is_err(), "the owner has lent nothing");
+        for effect in ledger.handle(LedgerEvent::Tick, at(millis)) {
+            let LedgerEffect::Send { to, .. } = effect else {
+                panic!("after {asked} questions at {millis} ms: {effect:?}");
+            };
+            assert_eq!(to, owner);
+            asked += 1;
+            let answer = LedgerEvent::Received {
+                from: to,
+                to: holder(1),
+                message: BudgetMessage::TransferAck { sequence: 0 },
+            };
+            assert_eq!(ledger.handle(answer, at(millis)), []);
+        }
+    }
+    assert!(asked >= 10, "{asked} questions");
+}
