--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the cornelarch state machines and daemon.
 
 mod budgets;
+mod config;
 mod path;
 mod routing;
 mod slopes;
@@ -8,7 +9,7 @@
 use std::process::ExitCode;
 
 /// Subcommands in the order of the documentation; each prints its options with `--help`.
-const USAGE: &str = "Usage: cornelarch-measure budgets|routing|path|slopes [OPTIONS]";
+const USAGE: &str = "Usage: cornelarch-measure budgets|routing|config|path|slopes [OPTIONS]";
 
 fn main() -> ExitCode {
     let default = env_logger::Env::default().default_filter_or("error");
@@ -21,6 +22,7 @@
     match command.as_str() {
         "budgets" => budgets::run(rest),
         "routing" => routing::run(rest),
+        "config" => config::run(rest),
         "path" => path::run(rest),
         "slopes" => slopes::run(rest),
         "-h" | "--help" => {
