Try the platform again before draining instances hand tokens over

Cause: a draining instance that remembered an outage handed its tokens to a neighbour at once. Change: once the next platform call is due, it comes before a hand-over.

Conclusion: a drain ends whether or not the platform comes back.

--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -423,7 +423,9 @@
 
     /// Hands balance and reports of a draining process to another one while the platform is away.
     fn hand_over(&mut self, key: BudgetKey, now: MonotonicTime) {
-        if !self.platform.is_away() {
+        // Once the next call is due, it comes first: draining instances that all remember an
+        // outage would otherwise pass the same tokens around for ever after its end.
+        if !self.platform.is_waiting(now) {
             return;
         }
         let account = &self.accounts[key];
--- a/crates/core/src/budget/ledger/sync.rs
+++ b/crates/core/src/budget/ledger/sync.rs
@@ -82,6 +82,11 @@
         self.away_until.is_some()
     }
 
+    /// Returns whether the platform is away and its next call is not due yet.
+    pub(super) fn is_waiting(&self, now: MonotonicTime) -> bool {
+        self.away_until.is_some_and(|until| now < until)
+    }
+
     fn observe(&mut self, since: MonotonicTime, now: MonotonicTime) {
         let delay = now.since(since);
         self.delay = self.delay - self.delay / DELAY_WEIGHT + delay / DELAY_WEIGHT;
@@ -136,8 +141,7 @@
         let Some(sync) = self.shards.get(&shard) else {
             return;
         };
-        let is_away = self.platform.away_until.is_some_and(|until| now < until);
-        if sync.call != ShardCall::Idle || is_away {
+        if sync.call != ShardCall::Idle || self.platform.is_waiting(now) {
             return;
         }
         if sync.attempt.is_some() {
--- a/crates/core/tests/budget/ledger.rs
+++ b/crates/core/tests/budget/ledger.rs
@@ -384,3 +384,47 @@
     }
     assert!(asked >= 10, "{asked} questions");
 }
+
+/// Guards against draining instances that pass the same tokens to each other for ever because each
+/// of them remembers an outage of the platform that has ended.
+#[test]
+fn draining_holder_tries_the_platform_again_before_it_hands_over() {
+    let (mut ledger, key) = new_ledger();
+    let neighbour = HolderId::new(InstanceName::new("r2"), 1);
+    let peer = DomainPeer {
+        holder: neighbour.clone(),
+        domain: LedgerOptions::default().domain,
+    };
+    let retry = LedgerOptions::default().platform_retry;
+    let _ = ledger.handle(LedgerEvent::PeersChanged(vec![peer]), at(0));
+    let transfer = |sequence| LedgerEvent::Received {
+        from: neighbour.clone(),
+        to: holder(1),
+        message: BudgetMessage::Transfer {
+            sequence,
+            budget: budget(),
+            amount: tokens(50),
+            spent: TokenCount::ZERO,
+        },
+    };
+    let is_transfer = |effect: &LedgerEffect| {
+        let LedgerEffect::Send { message, .. } = effect else {
+            return false;
+        };
+        matches!(message, BudgetMessage::Transfer { .. })
+    };
+    // The drain makes the ledger read, and the read fails.
+    let _ = ledger.handle(transfer(1), at(1));
+    let _ = ledger.handle(LedgerEvent::DrainStarted, at(2));
+    let _ = ledger.handle(LedgerEvent::PlatformDown { shard: SHARD }, at(3));
+    let effects = ledger.handle(transfer(2), at(4));
+    assert!(effects.iter().any(is_transfer), "{effects:?}");
+    let due = at(4) + retry;
+    let effects = ledger.handle(transfer(3), due);
+    assert!(!effects.iter().any(is_transfer), "{effects:?}");
+    assert!(
+        effects.contains(&LedgerEffect::ReadShard { shard: SHARD }),
+        "{effects:?}"
+    );
+    assert!(ledger.reserve(key, tokens(1), due).is_err());
+}
