Make the platform stand-in's outage exact and the router tests patient

Traces: the stand-in accepted a connection after it had been told to be unreachable, so an order rightly ran; and after the outage its socket was not bound again, so a later order was rightly refused as not run. Ruled out: the router; every answer it gave was right for the platform it saw.

--- a/crates/router/tests/drain.rs
+++ b/crates/router/tests/drain.rs
@@ -93,6 +93,7 @@
     let (left, _, _) = fleet.account(0).await;
     assert_eq!(left, balance + other_balance, "tokens were lost");
     fleet.platform.set_faults(PlatformFaults::default());
+    fleet.platform.wait_reachable().await;
     let totals = fleet.close().await;
     assert_eq!(totals.spent.get(), spent + other_spent);
     assert_eq!(totals.held.get(), 0);
@@ -130,6 +131,7 @@
     let refusal = read_refusal(fleet.chat(0, "x", false).send().await.unwrap()).await;
     assert_eq!(refusal, (503, "not_run".into(), "not_ready".into()));
     fleet.platform.set_faults(PlatformFaults::default());
+    fleet.platform.wait_reachable().await;
     assert!(fleet.routers[0].wait_version(1, WAIT).await);
     assert_eq!(
         fleet.chat(0, "x", false).send().await.unwrap().status(),
--- a/crates/standin/src/connection/gate.rs
+++ b/crates/standin/src/connection/gate.rs
@@ -4,7 +4,11 @@
 
 use axum::{Router, serve::Listener};
 use parking_lot::Mutex;
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::{CutStream, StreamCutter};
@@ -57,6 +61,13 @@
         self.open.send_replace(open);
     }
 
+    /// Waits until the listening socket accepts connections, after it was opened again.
+    pub async fn wait_open(&self) {
+        while TcpStream::connect(self.address).await.is_err() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
     /// Cuts every open connection.
     pub fn cut_all(&self) {
         let mut token = self.connections.lock();
@@ -106,9 +117,14 @@
             };
             match result {
                 Ok((stream, address)) => {
+                    // The token is taken before the gate is checked: whoever closes the gate cuts
+                    // the connections afterwards, so none is accepted that stays open.
+                    let token = self.gate.connections.lock().child_token();
+                    if !*self.open.borrow() {
+                        continue;
+                    }
                     // Streamed chunks are small; without this they wait for an acknowledgement.
                     let _ = stream.set_nodelay(true);
-                    let token = self.gate.connections.lock().child_token();
                     return (CutStream::new(stream, token), address);
                 }
                 Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
--- a/crates/standin/src/platform/handle.rs
+++ b/crates/standin/src/platform/handle.rs
@@ -85,6 +85,11 @@
         self.shared.set_faults(faults);
     }
 
+    /// Waits until the API accepts connections, after `unreachable` was taken back.
+    pub async fn wait_reachable(&self) {
+        self.gate.wait_open().await;
+    }
+
     /// Returns the faults in force, with the remaining numbers of lost and held writes.
     #[must_use]
     pub fn faults(&self) -> PlatformFaults {
