Encode membership messages in one place

Cause: the measurement of the configuration had its own copy of the conversion of membership messages to thrift, so its bytes could differ from those of the router after a change of one of them.

Conclusion: no behaviour changes. Left over: the conversion of configuration messages still stands twice, and the field changes of ConfigEffect::InForce has no reader since budgets are registered at their first request.

--- a/crates/measure/src/config/network.rs
+++ b/crates/measure/src/config/network.rs
@@ -1,17 +1,10 @@
 //! Real sizes of peer messages.
 
 use bytes::BytesMut;
-use cornelarch_core::{
-    base::HolderId,
-    config::ConfigMessage,
-    membership::{MemberMessage, MemberRecord, MemberState},
-};
+use cornelarch_core::{base::HolderId, config::ConfigMessage, membership::MemberMessage};
 use cornelarch_wire::{
     FrameCodec,
-    peer::{
-        WireAck, WireBody, WireConfigChanges, WireConfigRequest, WireEnvelope, WireHolder,
-        WireLeaving, WireMember, WireMemberState, WirePing, WirePingRequest,
-    },
+    peer::{WireBody, WireConfigChanges, WireConfigRequest, WireEnvelope, WireHolder},
 };
 use tokio_util::codec::Encoder;
 
@@ -29,7 +22,7 @@
 /// Panics if the message cannot be encoded.
 pub(super) fn frame_bytes(from: &HolderId, to: Option<&HolderId>, message: &PeerMessage) -> usize {
     let body = match message {
-        PeerMessage::Member(message) => encode_member(message),
+        PeerMessage::Member(message) => WireBody::from(message),
         PeerMessage::Config(message) => encode_config(message),
     };
     let envelope = WireEnvelope::new(WireHolder::from(from), to.map(WireHolder::from), body);
@@ -39,46 +32,6 @@
     buffer.len()
 }
 
-fn encode_record(record: &MemberRecord) -> WireMember {
-    WireMember::new(
-        WireHolder::from(&record.holder),
-        record.domain.to_string(),
-        record.address.clone(),
-        record.incarnation.cast_signed(),
-        match record.state {
-            MemberState::Alive => WireMemberState::ALIVE,
-            MemberState::Suspect => WireMemberState::SUSPECT,
-            MemberState::Leaving => WireMemberState::LEAVING,
-            MemberState::Dead => WireMemberState::DEAD,
-        },
-    )
-}
-
-fn encode_member(message: &MemberMessage) -> WireBody {
-    match message {
-        MemberMessage::Ping(body) => WireBody::Ping(WirePing::new(
-            body.nonce.cast_signed(),
-            encode_record(&body.sender),
-            body.config_version.cast_signed(),
-            body.load_permille.cast_signed(),
-            body.updates.iter().map(encode_record).collect(),
-        )),
-        MemberMessage::Ack(body) => WireBody::Ack(WireAck::new(
-            body.nonce.cast_signed(),
-            encode_record(&body.sender),
-            body.config_version.cast_signed(),
-            body.load_permille.cast_signed(),
-            body.updates.iter().map(encode_record).collect(),
-        )),
-        MemberMessage::PingRequest { nonce, target } => WireBody::PingRequest(
-            WirePingRequest::new(nonce.cast_signed(), WireHolder::from(target)),
-        ),
-        MemberMessage::Leaving { incarnation } => {
-            WireBody::Leaving(WireLeaving::new(incarnation.cast_signed()))
-        }
-    }
-}
-
 fn encode_config(message: &ConfigMessage) -> WireBody {
     match message {
         ConfigMessage::Request { from_version } => {
--- a/crates/router/src/process/members.rs
+++ b/crates/router/src/process/members.rs
@@ -11,10 +11,7 @@
         MemberTable, MemberView, PingBody,
     },
 };
-use cornelarch_wire::peer::{
-    WireAck, WireBody, WireHolder, WireLeaving, WireMember, WireMemberState, WirePing,
-    WirePingRequest,
-};
+use cornelarch_wire::peer::{WireBody, WireMember, WireMemberState};
 use kameo::{
     Actor,
     actor::ActorRef,
@@ -118,7 +115,7 @@
                 message,
             } => {
                 if let Ok(address) = address.parse() {
-                    let body = encode_message(message);
+                    let body = WireBody::from(&message);
                     self.state.links.send(address, to.as_ref(), body);
                 }
             }
@@ -176,21 +173,6 @@
     }
 }
 
-fn encode_record(record: &MemberRecord) -> WireMember {
-    WireMember::new(
-        WireHolder::from(&record.holder),
-        record.domain.to_string(),
-        record.address.clone(),
-        record.incarnation.cast_signed(),
-        match record.state {
-            MemberState::Alive => WireMemberState::ALIVE,
-            MemberState::Suspect => WireMemberState::SUSPECT,
-            MemberState::Leaving => WireMemberState::LEAVING,
-            MemberState::Dead => WireMemberState::DEAD,
-        },
-    )
-}
-
 fn decode_record(member: &WireMember) -> Option<MemberRecord> {
     Some(MemberRecord {
         holder: HolderId::from(&member.holder),
@@ -207,31 +189,6 @@
     })
 }
 
-fn encode_message(message: MemberMessage) -> WireBody {
-    match message {
-        MemberMessage::Ping(body) => WireBody::Ping(WirePing::new(
-            body.nonce.cast_signed(),
-            encode_record(&body.sender),
-            body.config_version.cast_signed(),
-            body.load_permille.cast_signed(),
-            body.updates.iter().map(encode_record).collect(),
-        )),
-        MemberMessage::Ack(body) => WireBody::Ack(WireAck::new(
-            body.nonce.cast_signed(),
-            encode_record(&body.sender),
-            body.config_version.cast_signed(),
-            body.load_permille.cast_signed(),
-            body.updates.iter().map(encode_record).collect(),
-        )),
-        MemberMessage::PingRequest { nonce, target } => WireBody::PingRequest(
-            WirePingRequest::new(nonce.cast_signed(), WireHolder::from(&target)),
-        ),
-        MemberMessage::Leaving { incarnation } => {
-            WireBody::Leaving(WireLeaving::new(incarnation.cast_signed()))
-        }
-    }
-}
-
 /// Returns the member event for a frame, if it carries a valid membership message.
 pub(crate) fn decode_message(from: &HolderId, body: &WireBody) -> Option<MemberEvent> {
     let message = match body {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages between router instances: thrift compact protocol in length-prefixed frames.
 
 pub mod connection;
+mod message;
 #[allow(
     missing_docs,
     unreachable_pub,
