Serve the users' platform through a gateway and an adapter

Cause: the router served nothing on the platform, because it reads neither config/main nor the directory of runners. Change: a gateway crate (host and prefix routes, placement by predicted time to the first token, budgets from the existing ledger, repeats within a sliding window) and the adapter in platform/. The ledger takes the paid amount from a configuration version.

--- a/crates/core/src/budget/ledger/account.rs
+++ b/crates/core/src/budget/ledger/account.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
-    budget::{AccountSnapshot, BurnForecast, HolderRow, ShardNumber},
+    budget::{AccountSnapshot, BurnForecast, HolderRow, PaidAmount, ShardNumber},
 };
 
 /// Part of a new reservation in the mean reservation: one in this many.
@@ -55,6 +55,8 @@
 /// Rarely used state of a budget, kept apart so that an unused budget takes little memory.
 #[derive(Clone, Debug, Default, Hash)]
 pub(super) struct AccountWork {
+    /// The paid amount of the newest known configuration version.
+    pub(super) paid: Option<PaidAmount>,
     pub(super) row: OwnRow,
     pub(super) pending: Option<PendingRow>,
     pub(super) borrowers: Vec<BorrowDemand>,
--- a/crates/core/src/budget/ledger/mod.rs
+++ b/crates/core/src/budget/ledger/mod.rs
@@ -14,8 +14,8 @@
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
     budget::{
-        LedgerEffect, LedgerEvent, LedgerOptions, LedgerSnapshot, PeerTable, ShardNumber,
-        TransferTable,
+        LedgerEffect, LedgerEvent, LedgerOptions, LedgerSnapshot, PaidAmount, PeerTable,
+        ShardNumber, TransferTable,
     },
     error::ErrorKind,
 };
@@ -164,6 +164,17 @@
         key
     }
 
+    /// Sets the paid amount of a budget as a configuration version states it. An amount of an older
+    /// version is ignored. It reaches the platform with the next draw.
+    pub fn set_paid(&mut self, key: BudgetKey, paid: PaidAmount) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            let known = &mut account.work().paid;
+            if known.is_none_or(|known| known.version < paid.version) {
+                *known = Some(paid);
+            }
+        }
+    }
+
     /// Moves `amount` tokens from the balance to a reservation, before anything is sent upstream.
     ///
     /// # Errors
@@ -211,13 +222,13 @@
     ) -> ReserveError {
         let account = &self.accounts[key];
         let sync = self.shards.get(&account.shard);
-        let Some(cached) = sync.and_then(|sync| sync.cached.as_ref()) else {
+        let cached = sync.and_then(|sync| sync.cached.as_ref());
+        let (Some(cached), Some(totals)) = (cached, self.totals(account)) else {
             return ReserveError::Insufficient {
                 retry: true,
                 kind: ErrorKind::BudgetUnavailable,
             };
         };
-        let totals = cached.value.totals(&account.budget);
         let used = totals.spent.saturating_add(account.unsent());
         let is_exhausted = totals.paid.saturating_sub(used) < amount;
         let is_fresh = now.since(cached.read_at) < self.options.reread_period;
--- a/crates/core/src/budget/ledger/plan.rs
+++ b/crates/core/src/budget/ledger/plan.rs
@@ -47,7 +47,17 @@
     /// Returns the totals of a budget at the last read.
     pub(super) fn totals(&self, account: &Account) -> Option<BudgetTotals> {
         let cached = self.shards.get(&account.shard)?.cached.as_ref()?;
-        Some(cached.value.totals(&account.budget))
+        let mut totals = cached.value.totals(&account.budget);
+        let stored = cached.value.budgets.get(&account.budget);
+        let paid = account.work.as_ref().and_then(|work| work.paid);
+        if let Some(paid) = paid
+            && stored.is_none_or(|entry| entry.paid_version < paid.version)
+        {
+            totals.paid = paid.amount;
+            let unavailable = totals.spent.saturating_add(totals.held);
+            totals.available = paid.amount.saturating_sub(unavailable);
+        }
+        Some(totals)
     }
 
     /// Returns the balance that this instance should have if it draws for itself.
@@ -89,6 +99,20 @@
                 ..RowPlan::NONE
             };
         };
+        // After the paid amount was lowered, more may be granted than was paid.
+        let granted = totals.spent.saturating_add(totals.held);
+        let excess = granted.saturating_sub(totals.paid).min(account.balance);
+        if !excess.is_zero() {
+            let change = RowChange {
+                give_back: excess,
+                ..RowChange::default()
+            };
+            return RowPlan {
+                change,
+                urgency: Urgency::Soon,
+                read_after: None,
+            };
+        }
         let goal = self.draw_goal(account, totals, now);
         let mut read_after = None;
         if self.is_drawing(account, now) && account.balance < goal.refill_below {
--- a/crates/core/src/budget/ledger/sync.rs
+++ b/crates/core/src/budget/ledger/sync.rs
@@ -426,6 +426,9 @@
             continue;
         };
         let entry = value.budgets.entry(account.budget.clone()).or_default();
+        if let Some(paid) = account.work.as_ref().and_then(|work| work.paid) {
+            entry.set_paid(paid);
+        }
         match pending.is_closing {
             true => entry.close_row(&pending.row),
             false => entry.put_row(pending.row.clone()),
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -22,7 +22,8 @@
 pub use policy::{DrawGoal, DrawInput, DrawPolicy};
 pub use row::{FoldedRows, HolderRow};
 pub use shard::{
-    BudgetEntry, BudgetTotals, OperationKind, OperationRecord, ShardError, ShardNumber, ShardValue,
+    BudgetEntry, BudgetTotals, OperationKind, OperationRecord, PaidAmount, ShardError, ShardNumber,
+    ShardValue,
 };
 pub use snapshot::{AccountSnapshot, LedgerSnapshot, TransferSnapshot};
 pub use transfer::TransferTable;
--- a/crates/core/src/budget/shard.rs
+++ b/crates/core/src/budget/shard.rs
@@ -117,11 +117,27 @@
     pub written_off: TokenCount,
 }
 
+/// Represents the paid amount of a budget as a configuration version states it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct PaidAmount {
+    /// The amount, in tokens.
+    pub amount: TokenCount,
+    /// The configuration version, which rises.
+    pub version: u64,
+}
+
+const fn is_unversioned(version: &u64) -> bool {
+    *version == 0
+}
+
 /// Stores the payments and rows of one budget.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct BudgetEntry {
     /// The sum of payments, in tokens.
     pub paid: TokenCount,
+    /// The configuration version that set `paid`; 0 if payments did.
+    #[serde(default, skip_serializing_if = "is_unversioned")]
+    pub paid_version: u64,
     /// The recent operations, oldest first.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub operations: Vec<OperationRecord>,
@@ -137,6 +153,14 @@
 }
 
 impl BudgetEntry {
+    /// Sets the paid amount of a configuration version, unless a newer version has set it.
+    pub fn set_paid(&mut self, paid: PaidAmount) {
+        if paid.version > self.paid_version {
+            self.paid = paid.amount;
+            self.paid_version = paid.version;
+        }
+    }
+
     /// Returns the totals over all rows.
     #[must_use]
     pub fn totals(&self) -> BudgetTotals {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod limit;
 pub mod membership;
 pub mod order;
+pub mod placement;
 pub mod retry;
+pub mod route;
 pub mod routing;
 pub mod stream;
--- /dev/null
+++ b/crates/core/src/placement/table.rs
@@ -0,0 +1,303 @@
+//! Table of upstreams and the choice among them.
+
+use std::{collections::HashMap, time::Duration};
+
+use slotmap::{SlotMap, new_key_type};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    base::{MonotonicTime, ServiceName, UpstreamName},
+    placement::{
+        FlightEnd, Placement, PlacementOptions, PlacementRefusal, PlacementRequest, UpstreamRecord,
+        WorkSize,
+        entry::{Entry, shared_parts},
+    },
+};
+
+new_key_type! {
+    /// Identifies an upstream in a [`PlacementTable`].
+    pub struct PlacementKey;
+    /// Identifies a request at an upstream.
+    pub struct FlightKey;
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    upstream: PlacementKey,
+    size: WorkSize,
+    /// Tokens that count as waiting until the first token.
+    pending_tokens: f64,
+    /// Predicted time to the first token at speed 1, in seconds; `None` for plain services.
+    predicted_s: Option<f64>,
+    started: MonotonicTime,
+    has_begun: bool,
+}
+
+/// Holds the upstreams of all services and the requests in flight.
+#[derive(Clone, Debug)]
+pub struct PlacementTable {
+    options: PlacementOptions,
+    entries: SlotMap<PlacementKey, Entry>,
+    names: HashMap<UpstreamName, PlacementKey>,
+    groups: HashMap<ServiceName, Vec<PlacementKey>>,
+    flights: SlotMap<FlightKey, Flight>,
+}
+
+impl PlacementTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(options: PlacementOptions) -> Self {
+        Self {
+            options,
+            entries: SlotMap::with_key(),
+            names: HashMap::new(),
+            groups: HashMap::new(),
+            flights: SlotMap::with_key(),
+        }
+    }
+
+    /// Adds an upstream or takes over its new record.
+    pub fn apply(&mut self, record: UpstreamRecord) {
+        if let Some(key) = self.names.get(&record.name).copied() {
+            if self.entries[key].record.service != record.service {
+                self.leave_group(key);
+                self.join_group(key, record.service.clone());
+            }
+            self.entries[key].update(record);
+            return;
+        }
+        let (name, service) = (record.name.clone(), record.service.clone());
+        let key = self.entries.insert(Entry::new(record));
+        self.names.insert(name, key);
+        self.join_group(key, service);
+    }
+
+    /// Removes an upstream; its requests in flight go on.
+    pub fn remove(&mut self, name: &UpstreamName) {
+        if let Some(key) = self.names.remove(name) {
+            self.leave_group(key);
+            self.entries[key].is_removed = true;
+            self.forget_if_idle(key);
+        }
+    }
+
+    /// Returns the names of all listed upstreams.
+    pub fn names(&self) -> impl Iterator<Item = &UpstreamName> {
+        self.names.keys()
+    }
+
+    /// Returns the record of an upstream.
+    #[must_use]
+    pub fn record(&self, key: PlacementKey) -> Option<&UpstreamRecord> {
+        self.entries.get(key).map(|entry| &entry.record)
+    }
+
+    /// Returns whether an upstream may get new requests.
+    #[must_use]
+    pub fn is_listed(&self, key: PlacementKey) -> bool {
+        self.entries.get(key).is_some_and(Entry::is_listed)
+    }
+
+    /// Returns the number of upstreams that may get new requests.
+    #[must_use]
+    pub fn listed_count(&self) -> usize {
+        self.entries.values().filter(|e| e.is_listed()).count()
+    }
+
+    /// Chooses the upstream at which the request is predicted to begin first.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if no upstream can begin the request in time.
+    pub fn choose(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: MonotonicTime,
+    ) -> Result<Placement, PlacementRefusal> {
+        if request.memory_tokens > 0 && request.size.total() > request.memory_tokens {
+            return Err(PlacementRefusal::TooLarge);
+        }
+        let group = self.groups.get(request.service);
+        let listed = group
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(|key| self.entries[*key].is_listed() && !request.excluded.contains(key));
+        let listed: Vec<PlacementKey> = listed.collect();
+        if listed.is_empty() {
+            return Err(PlacementRefusal::NoUpstream);
+        }
+        let is_sound = |key: &&PlacementKey| !self.entries[**key].is_ejected(now);
+        let sound: Vec<PlacementKey> = listed.iter().filter(is_sound).copied().collect();
+        // With every upstream ejected, trying one is better than refusing everything.
+        let usable = if sound.is_empty() { &listed } else { &sound };
+        let preferred = self.preferred(&listed, request.size);
+        let candidates = usable.iter().map(|key| {
+            let is_preferred = preferred == Some(*key);
+            self.evaluate(*key, is_preferred, request, now)
+        });
+        let fitting = candidates.filter(|candidate| candidate.has_memory);
+        let best = fitting.min_by(|left, right| left.cost_s.total_cmp(&right.cost_s));
+        let Some(best) = best else {
+            return Err(PlacementRefusal::Overloaded {
+                retry_after: request.patience,
+            });
+        };
+        let expected = Duration::from_secs_f64(best.expected_s.clamp(0.0, 3_600.0));
+        if expected > request.patience {
+            return Err(PlacementRefusal::Overloaded {
+                retry_after: expected.saturating_sub(request.patience),
+            });
+        }
+        let record = &self.entries[best.key].record;
+        Ok(Placement {
+            key: best.key,
+            upstream: record.name.clone(),
+            address: record.address,
+            expected,
+            uncached_tokens: best.uncached as u64,
+        })
+    }
+
+    fn evaluate(
+        &self,
+        key: PlacementKey,
+        is_preferred: bool,
+        request: &PlacementRequest<'_>,
+        now: MonotonicTime,
+    ) -> Candidate {
+        let (entry, options) = (&self.entries[key], &self.options);
+        let is_engine = request.memory_tokens > 0;
+        let shared_part = if is_preferred {
+            options.preferred_part
+        } else {
+            0.0
+        };
+        let uncached = entry.uncached_tokens(request.size, shared_part, options, now);
+        let expected_s = match is_engine {
+            true => entry.first_token_s(uncached, options, now),
+            false => entry.call_s(options, now),
+        };
+        let memory_max = request.memory_tokens as f64 * options.memory_part;
+        let memory = entry.memory_used.saturating_add(request.size.total());
+        Candidate {
+            key,
+            expected_s,
+            cost_s: expected_s + entry.failure_s(options, now) + entry.remote_s(options),
+            uncached,
+            has_memory: !is_engine || entry.memory_used == 0 || memory as f64 <= memory_max,
+        }
+    }
+
+    /// Returns the engine that every instance prefers for the shared parts of the prompt.
+    fn preferred(&self, keys: &[PlacementKey], size: &WorkSize) -> Option<PlacementKey> {
+        let digest = shared_parts(size).last()?.digest;
+        let rank = |key: &PlacementKey| {
+            xxh3_64_with_seed(self.entries[*key].record.name.as_bytes(), digest)
+        };
+        keys.iter().copied().max_by_key(rank)
+    }
+
+    /// Records that a request is sent to an upstream.
+    pub fn start(
+        &mut self,
+        placement: &Placement,
+        size: &WorkSize,
+        is_engine: bool,
+        now: MonotonicTime,
+    ) -> FlightKey {
+        let mut flight = Flight {
+            upstream: placement.key,
+            size: size.clone(),
+            pending_tokens: 0.0,
+            predicted_s: None,
+            started: now,
+            has_begun: false,
+        };
+        if let Some(entry) = self.entries.get_mut(placement.key) {
+            if is_engine {
+                flight.predicted_s = Some(placement.expected.as_secs_f64() * entry.speed());
+                flight.pending_tokens = placement.uncached_tokens as f64;
+                entry.pending_tokens += flight.pending_tokens;
+                entry.memory_used = entry.memory_used.saturating_add(size.total());
+                entry.remember_parts(size, now);
+            }
+            entry.own += 1;
+        }
+        self.flights.insert(flight)
+    }
+
+    /// Records the first token of a request.
+    pub fn begin(&mut self, key: FlightKey, now: MonotonicTime) {
+        let Some(flight) = self.flights.get_mut(key).filter(|flight| !flight.has_begun) else {
+            return;
+        };
+        flight.has_begun = true;
+        let Some(entry) = self.entries.get_mut(flight.upstream) else {
+            return;
+        };
+        entry.pending_tokens = (entry.pending_tokens - flight.pending_tokens).max(0.0);
+        if let Some(predicted_s) = flight.predicted_s {
+            entry.learn_speed(predicted_s, now.since(flight.started));
+        }
+    }
+
+    /// Records the load that an upstream reported with an answer.
+    pub fn report(&mut self, key: FlightKey, running: u32, waiting: u32, now: MonotonicTime) {
+        let upstream = self.flights.get(key).map(|flight| flight.upstream);
+        if let Some(entry) = upstream.and_then(|upstream| self.entries.get_mut(upstream)) {
+            entry.report(running, waiting, now);
+        }
+    }
+
+    /// Records the end of a request.
+    pub fn finish(&mut self, key: FlightKey, end: FlightEnd, now: MonotonicTime) {
+        let Some(flight) = self.flights.remove(key) else {
+            return;
+        };
+        let Some(entry) = self.entries.get_mut(flight.upstream) else {
+            return;
+        };
+        entry.own = entry.own.saturating_sub(1);
+        if flight.predicted_s.is_some() {
+            entry.memory_used = entry.memory_used.saturating_sub(flight.size.total());
+            if !flight.has_begun {
+                entry.pending_tokens = (entry.pending_tokens - flight.pending_tokens).max(0.0);
+            }
+        } else if end == FlightEnd::Answered {
+            entry.learn_duration(now.since(flight.started));
+        }
+        entry.record_end(end, &self.options, now);
+        self.forget_if_idle(flight.upstream);
+    }
+
+    fn join_group(&mut self, key: PlacementKey, service: ServiceName) {
+        self.groups.entry(service).or_default().push(key);
+    }
+
+    fn leave_group(&mut self, key: PlacementKey) {
+        let service = &self.entries[key].record.service;
+        if let Some(group) = self.groups.get_mut(service) {
+            group.retain(|other| *other != key);
+        }
+    }
+
+    fn forget_if_idle(&mut self, key: PlacementKey) {
+        if self
+            .entries
+            .get(key)
+            .is_some_and(|entry| entry.is_removed && entry.own == 0)
+        {
+            self.entries.remove(key);
+        }
+    }
+}
+
+/// Describes what the choice of one upstream would mean.
+struct Candidate {
+    key: PlacementKey,
+    expected_s: f64,
+    cost_s: f64,
+    uncached: f64,
+    has_memory: bool,
+}
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -3,7 +3,9 @@
 mod budget;
 mod outcome;
 mod policy;
+mod window;
 
 pub use budget::{RetryBudget, RetryBudgetOptions};
 pub use outcome::AttemptOutcome;
 pub use policy::{AttemptState, RetryDecision, RetryOptions, RetryPolicy};
+pub use window::{WindowBudget, WindowOptions};
--- /dev/null
+++ b/crates/core/src/route/document.rs
@@ -0,0 +1,143 @@
+//! The routes, customers and limits of one configuration version.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    base::{CustomerName, ServiceName, TokenCount},
+    route::{RouteRule, ServiceRecord},
+};
+
+/// Describes a customer and its prepaid amount.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CustomerRecord {
+    /// The customer.
+    pub name: CustomerName,
+    /// Rank that replaces that of the route.
+    pub priority: Option<u8>,
+    /// Tokens that the customer may use in total; `None` stands for no limit.
+    pub prepaid: Option<TokenCount>,
+}
+
+/// Limits what a caller may send and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for the head of a request.
+    pub header_timeout: Duration,
+    /// Time after which an idle connection is closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Tells which route a host and a path select.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteLookup<'a> {
+    /// The route with the longest matching prefix.
+    Found(&'a RouteRule),
+    /// No route of the host matches.
+    Missing,
+}
+
+/// Holds one configuration version in the form in which requests look it up.
+#[derive(Clone, Debug, Default)]
+pub struct RouteDocument {
+    /// Number of the version, which rises.
+    pub version: u64,
+    /// Limits for callers.
+    pub limits: Option<RequestLimits>,
+    /// Whether requests need the key of a customer.
+    pub has_customers: bool,
+    routes: HashMap<String, Vec<RouteRule>>,
+    customers: Vec<CustomerRecord>,
+    keys: HashMap<String, usize>,
+    services: HashMap<ServiceName, ServiceRecord>,
+}
+
+impl RouteDocument {
+    /// Creates a document without routes.
+    #[must_use]
+    pub fn new(version: u64) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a route.
+    pub fn add_route(&mut self, rule: RouteRule) {
+        let rules = self.routes.entry(rule.host.clone()).or_default();
+        rules.push(rule);
+        // Longest first, so that the first match is the result.
+        rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
+    }
+
+    /// Adds a customer with its keys.
+    pub fn add_customer(&mut self, record: CustomerRecord, keys: impl IntoIterator<Item = String>) {
+        let index = self.customers.len();
+        self.customers.push(record);
+        self.has_customers = true;
+        self.keys.extend(keys.into_iter().map(|key| (key, index)));
+    }
+
+    /// Adds a service.
+    pub fn add_service(&mut self, record: ServiceRecord) {
+        self.services.insert(record.name.clone(), record);
+    }
+
+    /// Returns the route for a host, with or without a port, and a path.
+    #[must_use]
+    pub fn find_route(&self, host: &str, path: &str) -> RouteLookup<'_> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let rules = match self.routes.get(name) {
+            Some(rules) => Some(rules),
+            None => self.routes.get(&name.to_ascii_lowercase()),
+        };
+        let mut rules = rules.into_iter().flatten();
+        match rules.find(|rule| path.starts_with(&rule.prefix)) {
+            Some(rule) => RouteLookup::Found(rule),
+            None => RouteLookup::Missing,
+        }
+    }
+
+    /// Returns the customer that holds a key.
+    #[must_use]
+    pub fn find_customer(&self, key: &str) -> Option<&CustomerRecord> {
+        self.keys.get(key).map(|index| &self.customers[*index])
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceRecord> {
+        self.services.get(name)
+    }
+
+    /// Returns all customers.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerRecord> {
+        self.customers.iter()
+    }
+
+    /// Returns the number of routes.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+
+    /// Returns the limits for callers.
+    #[must_use]
+    pub fn limits(&self) -> RequestLimits {
+        self.limits.unwrap_or_default()
+    }
+}
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -2,6 +2,8 @@
 
 mod assembler;
 mod event;
+mod splitter;
 
 pub use assembler::{StreamAssembler, StreamOptions};
 pub use event::{AttemptNumber, StreamChunk, StreamCounters, StreamEffect, StreamEvent, StreamId};
+pub use splitter::{EventSplitter, MAX_EVENT_BYTES, find_event_id};
--- /dev/null
+++ b/crates/core/src/stream/splitter.rs
@@ -0,0 +1,74 @@
+//! Split of a stream of server-sent events into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event, in bytes; a longer one ends the stream.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Splits a byte stream at blank lines without copying events that arrive in one piece.
+///
+/// A stream that breaks inside an event may be continued elsewhere after the last whole one, so
+/// that parts of events are never passed on.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    partial: BytesMut,
+    current: Bytes,
+}
+
+impl EventSplitter {
+    /// Adds received bytes; every event must be taken before the next call.
+    pub fn push(&mut self, chunk: Bytes) {
+        if self.partial.is_empty() {
+            self.current = chunk;
+        } else {
+            self.partial.extend_from_slice(&chunk);
+            self.current = self.partial.split().freeze();
+        }
+    }
+
+    /// Returns the next complete event with its blank line.
+    pub fn next_event(&mut self) -> Option<Bytes> {
+        if let Some(end) = find_event_end(&self.current) {
+            return Some(self.current.split_to(end));
+        }
+        if !self.current.is_empty() {
+            self.partial.extend_from_slice(&self.current);
+            self.current = Bytes::new();
+        }
+        None
+    }
+
+    /// Returns whether the unfinished event exceeds [`MAX_EVENT_BYTES`].
+    #[must_use]
+    pub fn is_oversized(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
+    /// Returns whether the bytes so far end inside an event.
+    #[must_use]
+    pub fn is_torn(&self) -> bool {
+        !self.partial.is_empty() || !self.current.is_empty()
+    }
+}
+
+/// Returns the id of an event, if it has one.
+#[must_use]
+pub fn find_event_id(event: &[u8]) -> Option<&str> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok().map(str::trim)
+}
+
+/// Returns the position after the first blank line.
+fn find_event_end(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(offset) = bytes[start..].iter().position(|byte| *byte == b'\n') {
+        let next = start + offset + 1;
+        match bytes.get(next..) {
+            Some([b'\n', ..]) => return Some(next + 1),
+            Some([b'\r', b'\n', ..]) => return Some(next + 2),
+            _ => start = next,
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/gateway/src/connection/mod.rs
@@ -0,0 +1,9 @@
+//! Connections of callers and to upstreams.
+
+mod pool;
+mod server;
+mod socket;
+
+pub(crate) use pool::{PooledConnection, SendFailure, UpstreamPool};
+pub(crate) use server::{ConnectionOptions, ServerConnections};
+pub(crate) use socket::{bind_listener, open_stream, tune_stream};
--- /dev/null
+++ b/crates/gateway/src/connection/socket.rs
@@ -0,0 +1,59 @@
+//! Socket options.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that wait to be accepted; a burst of callers opens many at once, and one that finds
+/// the queue full is delayed by seconds.
+const LISTEN_BACKLOG: i32 = 1_024;
+/// Time without any sign of the other end after which a connection counts as dead. Connections
+/// through a partition go silent without a reset.
+const DEAD_AFTER: Duration = Duration::from_millis(2_500);
+/// Idle time before the first keep-alive probe, and the time between probes.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub(crate) fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Opens a connection within `timeout`.
+///
+/// # Errors
+///
+/// Returns the error of the operating system, or [`io::ErrorKind::TimedOut`].
+pub(crate) async fn open_stream(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let connect = tokio::time::timeout(timeout, TcpStream::connect(address));
+    let stream = connect
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    tune_stream(&stream);
+    Ok(stream)
+}
+
+/// Sets the options of a connection. A connection without them still works, so that an error is
+/// only logged.
+pub(crate) fn tune_stream(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD);
+    let result = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(DEAD_AFTER)));
+    if let Err(error) = result {
+        log::debug!("socket options cannot be set: {error}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/event.rs
@@ -0,0 +1,92 @@
+//! Numbered log events of the gateway, catalogued in `docs/events.md`.
+
+use log::Level;
+
+macro_rules! define_events {
+    ($($(#[$meta:meta])* $name:ident => $number:literal, $level:ident, $text:literal;)*) => {
+        /// Lists every event that a gateway writes to its log.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum LogEvent {
+            $($(#[$meta])* $name,)*
+        }
+
+        impl LogEvent {
+            /// Every event, in ascending order of numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number in the log line, without the letter `E`.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Returns the level at which the event is logged.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)* }
+            }
+
+            /// Returns the fixed part of the log line.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+define_events! {
+    /// All ports are bound.
+    GatewayStarted => 2000, Info, "gateway started";
+    /// A stop was requested.
+    DrainStarted => 2001, Info, "drain started";
+    /// The process ends normally.
+    GatewayStopped => 2002, Info, "gateway stopped";
+    /// Requests were still running at the end of the grace time.
+    DrainTimedOut => 2003, Warn, "requests still run at the end of the grace time";
+    /// A configuration version is in force.
+    DocumentApplied => 2100, Info, "configuration in force";
+    /// A dependency stopped answering.
+    DependencyLost => 2101, Warn, "dependency lost";
+    /// A dependency answers again.
+    DependencyBack => 2102, Info, "dependency back";
+    /// An object of the platform cannot be used.
+    ObjectRejected => 2103, Warn, "object rejected";
+    /// The result of a ledger write is unknown.
+    LedgerWriteUnknown => 2200, Warn, "result of a ledger write is unknown";
+    /// An upstream was added, changed or removed.
+    UpstreamChanged => 2300, Info, "upstream changed";
+    /// A request was refused without being sent.
+    RequestRefused => 2400, Info, "request refused";
+    /// An attempt at an upstream did not lead to an answer.
+    AttemptFailed => 2401, Info, "attempt failed";
+    /// A request failed after it was sent.
+    RequestFailed => 2402, Info, "request failed";
+    /// A stream continues at another upstream.
+    StreamResumed => 2403, Info, "stream resumed";
+    /// A stream was broken off before its end.
+    StreamBroken => 2404, Info, "stream broken off";
+    /// A request was answered.
+    RequestAnswered => 2405, Debug, "request answered";
+}
+
+/// Writes one numbered event with details to the log.
+macro_rules! log_event {
+    ($event:ident) => {{
+        let event = $crate::process::LogEvent::$event;
+        log::log!(target: "cornelarch", event.level(), "E{} {}", event.number(), event.text())
+    }};
+    ($event:ident, $($details:tt)+) => {{
+        let event = $crate::process::LogEvent::$event;
+        log::log!(
+            target: "cornelarch",
+            event.level(),
+            "E{} {}: {}",
+            event.number(),
+            event.text(),
+            format_args!($($details)+)
+        )
+    }};
+}
+
+pub(crate) use log_event;
--- /dev/null
+++ b/crates/gateway/src/process/ledger.rs
@@ -0,0 +1,204 @@
+//! Ledger task: carries out what the budget ledger wants done.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cornelarch_core::{
+    base::HolderId,
+    budget::{
+        BudgetKey, BudgetLedger, LedgerEffect, LedgerEvent, LedgerOptions, ShardNumber, ShardValue,
+    },
+};
+use parking_lot::{Mutex, MutexGuard};
+use tokio::sync::{Notify, mpsc};
+
+use crate::{
+    edge::{EdgeError, PlatformEdge},
+    process::{GatewaySettings, GatewayState, log_event},
+};
+
+/// Time between two ticks of the ledger.
+const LEDGER_TICK: Duration = Duration::from_millis(200);
+/// Time for which a balance should last beside the outage reserve.
+const HORIZON: Duration = Duration::from_secs(2);
+/// Least time between two regular writes of an instance. Calls to the platform are limited.
+const FLUSH_PERIOD: Duration = Duration::from_millis(1_000);
+/// How long a request that does not fit waits for tokens: two calls to a healthy platform.
+pub(crate) const TOKEN_WAIT: Duration = Duration::from_millis(250);
+/// Longest time after which the platform is tried again.
+const PLATFORM_RETRY_MAX: Duration = Duration::from_secs(1);
+/// Time after which spent tokens are reported without a draw. A report lets the others tell a used
+/// budget from a held one.
+const IDLE_FLUSH: Duration = Duration::from_secs(2);
+
+/// Holds the ledger and the requests that wait for tokens.
+#[derive(Debug)]
+pub(crate) struct LedgerCell {
+    ledger: Mutex<BudgetLedger>,
+    waiters: Mutex<HashMap<BudgetKey, Arc<Notify>>>,
+}
+
+impl LedgerCell {
+    /// Opens the ledger of one incarnation.
+    pub(crate) fn open(settings: &GatewaySettings, holder: HolderId) -> Self {
+        let options = LedgerOptions {
+            environment: settings.environment.clone(),
+            domain: settings.domain.clone(),
+            shards: settings.ledger_shards,
+            domains: settings.domains,
+            horizon: HORIZON,
+            outage_reserve: settings.outage_reserve,
+            end_wait: TOKEN_WAIT,
+            flush_period: FLUSH_PERIOD,
+            idle_flush: IDLE_FLUSH,
+            idle_return: settings.outage_reserve,
+            platform_retry_max: PLATFORM_RETRY_MAX,
+            ..LedgerOptions::default()
+        };
+        Self {
+            ledger: Mutex::new(BudgetLedger::new(holder, options)),
+            waiters: Mutex::default(),
+        }
+    }
+
+    /// Locks the ledger; the guard must not be held across an await.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, BudgetLedger> {
+        self.ledger.lock()
+    }
+
+    /// Returns the signal that tokens of a budget have arrived.
+    pub(crate) fn arrival(&self, key: BudgetKey) -> Arc<Notify> {
+        Arc::clone(self.waiters.lock().entry(key).or_default())
+    }
+
+    fn wake(&self, key: BudgetKey) {
+        if let Some(notify) = self.waiters.lock().get(&key) {
+            notify.notify_waiters();
+        }
+    }
+}
+
+/// Carries out the effects of the ledger until the task is dropped.
+pub(crate) async fn run_ledger<P: PlatformEdge>(
+    state: Arc<GatewayState>,
+    edge: Arc<P>,
+    mut events: mpsc::UnboundedReceiver<LedgerEvent>,
+) {
+    let mut interval = tokio::time::interval(LEDGER_TICK);
+    loop {
+        let event = tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => event,
+                None => return,
+            },
+            _ = interval.tick() => LedgerEvent::Tick,
+        };
+        count_instances(&state, &event);
+        let effects = state.ledger.lock().handle(event, state.now());
+        for effect in effects {
+            run_effect(&state, &edge, effect);
+        }
+    }
+}
+
+/// Learns from the open rows how many instances share the fleet-wide limits. Rows of dead instances
+/// count as well, which only makes the own part smaller.
+fn count_instances(state: &GatewayState, event: &LedgerEvent) {
+    if let LedgerEvent::ShardRead { value, .. } = event {
+        let rows = value.budgets.values().flat_map(|entry| &entry.rows);
+        let names: std::collections::HashSet<_> = rows.map(|row| &row.holder.instance).collect();
+        state.instances.fetch_max(names.len(), Ordering::Relaxed);
+    }
+}
+
+fn run_effect<P: PlatformEdge>(state: &Arc<GatewayState>, edge: &Arc<P>, effect: LedgerEffect) {
+    let (state, edge) = (Arc::clone(state), Arc::clone(edge));
+    match effect {
+        LedgerEffect::ReadShard { shard } => {
+            tokio::spawn(async move {
+                let event = read_shard(&state, &*edge, shard).await;
+                state.tell_ledger(event);
+            });
+        }
+        LedgerEffect::WriteShard {
+            shard,
+            expected_version,
+            value,
+        } => {
+            tokio::spawn(async move {
+                let event = write_shard(&state, &*edge, shard, expected_version, &value).await;
+                state.tell_ledger(event);
+            });
+        }
+        // Instances do not lend to each other here, because no peers are told to the ledger.
+        LedgerEffect::Send { to, .. } => log::debug!("message to {to} has no way"),
+        LedgerEffect::Wake { budget } => state.ledger.wake(budget),
+    }
+}
+
+fn object_name(state: &GatewayState, shard: ShardNumber) -> String {
+    format!("{}-{shard}", state.settings.environment)
+}
+
+async fn read_shard<P: PlatformEdge>(
+    state: &GatewayState,
+    edge: &P,
+    shard: ShardNumber,
+) -> LedgerEvent {
+    let name = object_name(state, shard);
+    match edge.read_object(&name).await {
+        Ok(object) if object.revision == 0 => LedgerEvent::ShardRead {
+            shard,
+            version: 0,
+            value: ShardValue::default(),
+        },
+        Ok(object) => match serde_json::from_slice(&object.value) {
+            Ok(value) => LedgerEvent::ShardRead {
+                shard,
+                version: object.revision,
+                value,
+            },
+            Err(error) => {
+                log_event!(ObjectRejected, "object=ledger/{name} error={error}");
+                LedgerEvent::PlatformDown { shard }
+            }
+        },
+        Err(error) => {
+            log::debug!("ledger object {name} cannot be read: {error}");
+            LedgerEvent::PlatformDown { shard }
+        }
+    }
+}
+
+async fn write_shard<P: PlatformEdge>(
+    state: &GatewayState,
+    edge: &P,
+    shard: ShardNumber,
+    expected_version: u64,
+    value: &ShardValue,
+) -> LedgerEvent {
+    let name = object_name(state, shard);
+    let bytes = match serde_json::to_vec(value) {
+        Ok(bytes) => Bytes::from(bytes),
+        Err(error) => {
+            log_event!(ObjectRejected, "object=ledger/{name} error={error}");
+            return LedgerEvent::PlatformDown { shard };
+        }
+    };
+    match edge.write_object(&name, expected_version, bytes).await {
+        Ok(version) => LedgerEvent::WriteAccepted { shard, version },
+        Err(EdgeError::Conflict) => LedgerEvent::WriteConflict { shard },
+        Err(EdgeError::Unknown { reason }) => {
+            log_event!(LedgerWriteUnknown, "object=ledger/{name} reason={reason}");
+            LedgerEvent::WriteUnknown { shard }
+        }
+        Err(error) => {
+            log::debug!("ledger object {name} cannot be written: {error}");
+            LedgerEvent::PlatformDown { shard }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/mod.rs
@@ -0,0 +1,16 @@
+//! State and tasks that live as long as the process.
+
+mod event;
+mod gateway;
+mod ledger;
+mod settings;
+mod state;
+mod sync;
+
+pub use event::LogEvent;
+pub(crate) use event::log_event;
+pub use gateway::{Gateway, GatewayError};
+pub(crate) use ledger::{LedgerCell, TOKEN_WAIT, run_ledger};
+pub use settings::GatewaySettings;
+pub(crate) use state::{GatewayPhase, GatewayState, RunningGuard};
+pub(crate) use sync::{sync_directory, sync_document};
--- /dev/null
+++ b/crates/gateway/src/process/sync.rs
@@ -0,0 +1,189 @@
+//! Following the configuration and the upstreams of the platform.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use cornelarch_core::{base::UpstreamName, placement::UpstreamRecord};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::{
+    edge::{DirectoryEvent, EdgeError, PlatformEdge},
+    process::{GatewayState, log_event},
+};
+
+/// Longest wait of one watch. A connection that went silent is noticed after this time, which must
+/// stay well below the time within which a change has to be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+/// First wait after a failed call; doubles up to [`RETRY_MAX`], with jitter.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Longest wait after a failed call.
+const RETRY_MAX: Duration = Duration::from_millis(500);
+/// Time after the return of the platform in which missing upstreams are still used: live ones whose
+/// entries lapsed during an outage register again within two seconds.
+const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+/// Failures in a row after which a dependency counts as lost.
+const LOST_FAILURES: u32 = 2;
+
+/// Paces calls to a dependency that fails, and logs its loss and return.
+struct DependencyTrack {
+    name: &'static str,
+    failures: u32,
+    wait: Duration,
+    lost_since: Option<Instant>,
+    returned_at: Option<Instant>,
+}
+
+impl DependencyTrack {
+    const fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            failures: 0,
+            wait: RETRY_MIN,
+            lost_since: None,
+            returned_at: None,
+        }
+    }
+
+    fn record_success(&mut self) {
+        self.failures = 0;
+        self.wait = RETRY_MIN;
+        if let Some(since) = self.lost_since.take() {
+            self.returned_at = Some(Instant::now());
+            let ms = since.elapsed().as_millis();
+            log_event!(DependencyBack, "name={} lost_ms={ms}", self.name);
+        }
+    }
+
+    async fn record_failure(&mut self, error: &EdgeError) {
+        self.failures += 1;
+        if self.failures >= LOST_FAILURES && self.lost_since.is_none() {
+            self.lost_since = Some(Instant::now());
+            log_event!(DependencyLost, "name={} error={error}", self.name);
+        }
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.wait.mul_f64(jitter)).await;
+        self.wait = (self.wait * 2).min(RETRY_MAX);
+    }
+
+    /// Returns when lapsed entries count as gone, if the platform returned a short time ago.
+    fn grace_end(&self) -> Option<Instant> {
+        let end = self.returned_at? + RETURN_GRACE;
+        (Instant::now() < end).then_some(end)
+    }
+}
+
+/// Follows the configuration until the task is dropped.
+pub(crate) async fn sync_document<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
+    let mut track = DependencyTrack::new("configuration");
+    let mut revision = None;
+    loop {
+        let result = match revision {
+            None => edge.read_document().await,
+            Some(revision) => edge.watch_document(revision, WATCH_WAIT).await,
+        };
+        match result {
+            Ok(change) => {
+                track.record_success();
+                revision = Some(change.revision);
+                if let Some(document) = change.value {
+                    state.put_in_force(document);
+                }
+                state.confirm_document();
+                // Without any configuration there is nothing to watch for long.
+                if state.document.load().is_none() {
+                    revision = None;
+                    tokio::time::sleep(RETRY_MIN).await;
+                }
+            }
+            Err(EdgeError::HistoryGone) => revision = None,
+            Err(error) => track.record_failure(&error).await,
+        }
+    }
+}
+
+/// Follows the upstreams until the task is dropped.
+pub(crate) async fn sync_directory<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
+    let mut track = DependencyTrack::new("directory");
+    let mut revision = None;
+    let mut lapsed: HashSet<UpstreamName> = HashSet::new();
+    loop {
+        let grace_end = track.grace_end().filter(|_| !lapsed.is_empty());
+        let wait = grace_end.map_or(WATCH_WAIT, |end| end - Instant::now());
+        let result = match revision {
+            None => edge.read_directory().await.map(|list| {
+                apply_list(&state, list.value, &mut lapsed);
+                list.revision
+            }),
+            Some(revision) => edge.watch_directory(revision, wait).await.map(|change| {
+                apply_events(&state, change.value, &mut lapsed);
+                change.revision
+            }),
+        };
+        match result {
+            Ok(new) => {
+                track.record_success();
+                state.confirm_directory();
+                revision = Some(new);
+                if track.grace_end().is_none() {
+                    lapsed.drain().for_each(|name| remove(&state, &name));
+                }
+            }
+            Err(EdgeError::HistoryGone) => revision = None,
+            Err(error) => track.record_failure(&error).await,
+        }
+    }
+}
+
+fn apply_list(
+    state: &GatewayState,
+    records: Vec<UpstreamRecord>,
+    lapsed: &mut HashSet<UpstreamName>,
+) {
+    let listed: HashSet<UpstreamName> = records.iter().map(|r| r.name.clone()).collect();
+    for record in records {
+        lapsed.remove(&record.name);
+        add(state, record);
+    }
+    let placement = state.placement.lock();
+    let missing = placement.names().filter(|name| !listed.contains(*name));
+    lapsed.extend(missing.cloned());
+}
+
+fn apply_events(
+    state: &GatewayState,
+    events: Vec<DirectoryEvent>,
+    lapsed: &mut HashSet<UpstreamName>,
+) {
+    for event in events {
+        match event {
+            DirectoryEvent::Listed(record) => {
+                lapsed.remove(&record.name);
+                add(state, record);
+            }
+            DirectoryEvent::Unlisted(name) => {
+                lapsed.insert(name);
+            }
+        }
+    }
+}
+
+fn add(state: &GatewayState, record: UpstreamRecord) {
+    log_event!(
+        UpstreamChanged,
+        "upstream={} service={} address={} leaving={}",
+        record.name,
+        record.service,
+        record.address,
+        record.is_leaving
+    );
+    if record.is_leaving {
+        state.pool.forget(&record.name);
+    }
+    state.placement.lock().apply(record);
+}
+
+fn remove(state: &GatewayState, name: &UpstreamName) {
+    log_event!(UpstreamChanged, "upstream={name} removed");
+    state.pool.forget(name);
+    state.placement.lock().remove(name);
+}
--- /dev/null
+++ b/crates/gateway/src/request/answer.rs
@@ -0,0 +1,77 @@
+//! Answers of the gateway itself.
+
+use std::{io, time::Duration};
+
+use bytes::Bytes;
+use cornelarch_core::error::ErrorKind;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+
+/// Body of an answer; an error breaks the connection off, so that the answer looks incomplete.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Wait that is suggested where nothing better is known.
+const RETRY_DEFAULT: Duration = Duration::from_millis(250);
+/// Shortest suggested wait.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Longest suggested wait.
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
+/// Represents a request that ends without the answer of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RequestRefusal {
+    /// The reason.
+    pub(crate) kind: ErrorKind,
+    /// Time after which the same request may succeed.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl From<ErrorKind> for RequestRefusal {
+    fn from(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            retry_after: None,
+        }
+    }
+}
+
+impl RequestRefusal {
+    /// Returns the answer to the caller. `spread` differs between requests, so that callers that
+    /// are refused together do not come back together.
+    pub(crate) fn answer(self, spread: f64) -> Response<AnswerBody> {
+        let table = self.kind.answer();
+        let status =
+            StatusCode::from_u16(table.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let body = format!("{{\"error\":\"{}\"}}", table.code);
+        let mut response = Response::new(whole_body(Bytes::from(body)));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if table.retry {
+            let wait = self.retry_after.unwrap_or(RETRY_DEFAULT);
+            let wait = wait.mul_f64(1.0 + spread).clamp(RETRY_MIN, RETRY_MAX);
+            let text = format!("{:.3}", wait.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+/// Returns a body that is known completely.
+pub(crate) fn whole_body(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Returns an answer without a body.
+pub(crate) fn empty_answer(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(whole_body(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/request/flight.rs
@@ -0,0 +1,81 @@
+//! Record of one request at one upstream.
+
+use std::sync::Arc;
+
+use cornelarch_core::{
+    base::UpstreamName,
+    placement::{FlightEnd, FlightKey, Placement, PlacementKey, WorkSize},
+};
+use http::HeaderMap;
+
+use crate::{process::GatewayState, request::head::read_load};
+
+/// Counts a request as in flight at an upstream; the drop records that the caller left.
+pub(crate) struct RequestFlight {
+    state: Arc<GatewayState>,
+    flight: Option<FlightKey>,
+    pub(crate) key: PlacementKey,
+    pub(crate) upstream: UpstreamName,
+}
+
+impl RequestFlight {
+    /// Starts a flight at the chosen upstream.
+    pub(crate) fn start(
+        state: &Arc<GatewayState>,
+        placement: &Placement,
+        size: &WorkSize,
+        is_engine: bool,
+    ) -> Self {
+        let now = state.now();
+        let flight = state
+            .placement
+            .lock()
+            .start(placement, size, is_engine, now);
+        Self {
+            state: Arc::clone(state),
+            flight: Some(flight),
+            key: placement.key,
+            upstream: placement.upstream.clone(),
+        }
+    }
+
+    /// Records the first token.
+    pub(crate) fn begin(&self) {
+        if let Some(flight) = self.flight {
+            self.state.placement.lock().begin(flight, self.state.now());
+        }
+    }
+
+    /// Takes over the load that an answer reports.
+    pub(crate) fn report(&self, headers: &HeaderMap) {
+        if let (Some(flight), Some((running, waiting))) =
+            (self.flight, read_load(headers, &self.state.headers))
+        {
+            let now = self.state.now();
+            // The report still counts the request itself.
+            let running = running.max(1);
+            self.state
+                .placement
+                .lock()
+                .report(flight, running, waiting, now);
+        }
+    }
+
+    /// Ends the flight.
+    pub(crate) fn finish(mut self, end: FlightEnd) {
+        self.end(end);
+    }
+
+    fn end(&mut self, end: FlightEnd) {
+        if let Some(flight) = self.flight.take() {
+            let now = self.state.now();
+            self.state.placement.lock().finish(flight, end, now);
+        }
+    }
+}
+
+impl Drop for RequestFlight {
+    fn drop(&mut self) {
+        self.end(FlightEnd::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,13 @@
+//! Requests of callers, from the head to the end of the answer.
+
+mod answer;
+mod attempt;
+mod bill;
+mod call;
+mod exchange;
+mod flight;
+mod head;
+mod relay;
+
+pub(crate) use answer::{AnswerBody, RequestRefusal, empty_answer};
+pub(crate) use exchange::handle_request;
--- a/crates/router/src/request/sse.rs
+++ b/crates/router/src/request/sse.rs
@@ -1,62 +1,8 @@
 //! Server-sent events: splitting a byte stream and reading single fields.
 
-use bytes::{Bytes, BytesMut};
-
-/// Largest event, in bytes; a longer one ends the stream.
-pub(crate) const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Payload of the event that ends a stream.
 const DONE_PAYLOAD: &[u8] = b"[DONE]";
 
-/// Splits a byte stream at blank lines without copying events that arrive in one piece.
-#[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
-    partial: BytesMut,
-    current: Bytes,
-}
-
-impl EventSplitter {
-    /// Adds received bytes; every event must be taken before the next call.
-    pub(crate) fn push(&mut self, chunk: Bytes) {
-        if self.partial.is_empty() {
-            self.current = chunk;
-        } else {
-            self.partial.extend_from_slice(&chunk);
-            self.current = self.partial.split().freeze();
-        }
-    }
-
-    /// Returns the next complete event with its blank line.
-    pub(crate) fn next_event(&mut self) -> Option<Bytes> {
-        if let Some(end) = find_event_end(&self.current) {
-            return Some(self.current.split_to(end));
-        }
-        if !self.current.is_empty() {
-            self.partial.extend_from_slice(&self.current);
-            self.current = Bytes::new();
-        }
-        None
-    }
-
-    /// Returns whether the unfinished event exceeds [`MAX_EVENT_BYTES`].
-    pub(crate) fn is_oversized(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
-    }
-}
-
-/// Returns the position after the first blank line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(offset) = bytes[start..].iter().position(|byte| *byte == b'\n') {
-        let next = start + offset + 1;
-        match bytes.get(next..) {
-            Some([b'\n', ..]) => return Some(next + 1),
-            Some([b'\r', b'\n', ..]) => return Some(next + 2),
-            _ => start = next,
-        }
-    }
-    None
-}
-
 /// Returns the payload of an event whose data is on one line, as engines send it.
 pub(crate) fn event_payload(event: &[u8]) -> Option<&[u8]> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/crates/router/src/request/stream.rs
+++ b/crates/router/src/request/stream.rs
@@ -21,8 +21,8 @@
     error::{ErrorKind, RunState},
     retry::AttemptOutcome,
     stream::{
-        AttemptNumber, StreamAssembler, StreamChunk, StreamEffect, StreamEvent, StreamId,
-        StreamOptions,
+        AttemptNumber, EventSplitter, StreamAssembler, StreamChunk, StreamEffect, StreamEvent,
+        StreamId, StreamOptions,
     },
 };
 use futures_util::Stream;
@@ -43,7 +43,7 @@
         bill::{PartialCost, RequestBill},
         chat::{ChatRequest, finish_json, read_answer, read_usage},
         refusal::{RUN_HEADER, run_value},
-        sse::{ChunkFields, EventSplitter, event_payload, find_text, is_done, read_chunk_fields},
+        sse::{ChunkFields, event_payload, find_text, is_done, read_chunk_fields},
     },
 };
 
