Lend budgets between gateways and read again after a cut watch

Change: gateways find each other through seeds and exchange the ledger's messages over UDP (the existing member table and ledger); the reserve follows the recent rate; after any failed watch the list is read again.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -17,7 +17,7 @@
 pub use forecast::BurnForecast;
 pub use ledger::{BudgetKey, BudgetLedger, ReservationKey, ReserveError, SettleError, Settlement};
 pub use message::{BudgetMessage, DomainPeer, LedgerEffect, LedgerEvent};
-pub use options::{BudgetWeight, LedgerOptions};
+pub use options::{BudgetWeight, LedgerOptions, ReserveRate};
 pub use peer::PeerTable;
 pub use policy::{DrawGoal, DrawInput, DrawPolicy};
 pub use row::{FoldedRows, HolderRow};
--- a/crates/core/src/budget/options.rs
+++ b/crates/core/src/budget/options.rs
@@ -17,6 +17,16 @@
     HeldMoney,
 }
 
+/// Tells at which rate the outage reserve is predicted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum ReserveRate {
+    /// The mean rate over minutes, for a reserve that lasts an hour.
+    #[default]
+    Mean,
+    /// The rate of the last seconds, for a reserve that lasts seconds.
+    Recent,
+}
+
 /// Configures a [`BudgetLedger`](crate::budget::BudgetLedger).
 #[derive(Clone, Debug, PartialEq)]
 pub struct LedgerOptions {
@@ -38,6 +48,8 @@
     pub borrow_horizon: Duration,
     /// The additional time that held tokens should last when the platform is away.
     pub outage_reserve: Duration,
+    /// The rate at which that reserve is predicted.
+    pub reserve_rate: ReserveRate,
     /// The largest part of the reachable tokens that one holder targets, before division by the
     /// number of domains. The result is limited to three
     /// quarters.
@@ -87,6 +99,7 @@
             horizon: Duration::from_secs(60),
             borrow_horizon: Duration::from_secs(10),
             outage_reserve: Duration::from_secs(3_900),
+            reserve_rate: ReserveRate::Mean,
             hold_cap: 3.0,
             end_wait: Duration::from_millis(250),
             read_rate: 5.0,
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     base::TokenCount,
-    budget::{BudgetTotals, BudgetWeight, BurnForecast, LedgerOptions},
+    budget::{BudgetTotals, BudgetWeight, BurnForecast, LedgerOptions, ReserveRate},
 };
 
 /// Requests that one draw should cover, so that draws stay far below one per request.
@@ -202,7 +202,11 @@
         BudgetWeight::HeldMoney => HELD_MONEY_SCALE,
     };
     let soon = forecast.predict(options.horizon.mul_f64(scale));
-    let outage = forecast.predict_mean(options.outage_reserve.mul_f64(scale));
+    let reserve = options.outage_reserve.mul_f64(scale);
+    let outage = match options.reserve_rate {
+        ReserveRate::Mean => forecast.predict_mean(reserve),
+        ReserveRate::Recent => forecast.predict(reserve),
+    };
     let wish = soon.saturating_add(outage);
     let low = input.totals.available < input.totals.paid.scaled(SCARCE_PART);
     let stock = match input.is_scarce || low {
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -54,6 +54,8 @@
     ObjectRejected => 2103, Warn, "object rejected";
     /// The result of a ledger write is unknown.
     LedgerWriteUnknown => 2200, Warn, "result of a ledger write is unknown";
+    /// A peer is new or changed its state.
+    PeerChanged => 2201, Info, "peer changed";
     /// An upstream was added, changed or removed.
     UpstreamChanged => 2300, Info, "upstream changed";
     /// A request was refused without being sent.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use snafu::{ResultExt, Snafu};
 use tokio::{
+    net::UdpSocket,
     sync::mpsc,
     task::JoinSet,
     time::{Instant, sleep_until, timeout_at},
@@ -18,8 +19,8 @@
     connection::{ConnectionOptions, ServerConnections, bind_listener},
     edge::{HeaderNames, PlatformEdge},
     process::{
-        GatewayPhase, GatewaySettings, GatewayState, LedgerCell, log_event, run_ledger,
-        sync_directory, sync_document,
+        GatewayPhase, GatewaySettings, GatewayState, LedgerCell, PeerOrder, log_event, run_ledger,
+        run_peers, sync_directory, sync_document,
     },
     request::{AnswerBody, empty_answer, handle_request},
 };
@@ -76,9 +77,14 @@
         let (callers_listener, ready_listener) =
             (listen(settings.listen)?, listen(settings.ready_listen)?);
         let holder = HolderId::new(settings.instance.clone(), rand::rng().random());
-        let ledger = LedgerCell::open(&settings, holder);
+        let ledger = LedgerCell::open(&settings, holder.clone());
         let (sender, events) = mpsc::unbounded_channel();
-        let state = Arc::new(GatewayState::new(settings, headers, ledger, sender));
+        let (peer_orders, orders) = mpsc::unbounded_channel();
+        let address = settings.peer_listen;
+        let socket = UdpSocket::bind(address).await;
+        let socket = socket.context(BindSnafu { address })?;
+        let state = GatewayState::new(settings, headers, ledger, sender, peer_orders);
+        let state = Arc::new(state);
         let mut gateway = Self {
             callers: ServerConnections::default(),
             stop: CancellationToken::new(),
@@ -89,6 +95,7 @@
         tasks.spawn(sync_document(Arc::clone(&state), Arc::clone(&edge)));
         tasks.spawn(sync_directory(Arc::clone(&state), Arc::clone(&edge)));
         tasks.spawn(run_ledger(Arc::clone(&state), edge, events));
+        tasks.spawn(run_peers(Arc::clone(&state), holder, socket, orders));
         tasks.spawn(sweep_connections(Arc::clone(&state)));
         tasks.spawn(serve_ready(Arc::clone(&state), ready_listener));
         let (callers, stop) = (gateway.callers.clone(), gateway.stop.clone());
@@ -130,6 +137,7 @@
         if timeout_at(end - LEDGER_TIME, closed).await.is_err() {
             log_event!(DrainTimedOut, "running={}", self.state.running());
         }
+        self.state.tell_peers(PeerOrder::Leave);
         self.drain_ledger(end).await;
         self.tasks.shutdown().await;
         log_event!(GatewayStopped);
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -1,16 +1,13 @@
 //! Ledger task: carries out what the budget ledger wants done.
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cornelarch_core::{
     base::HolderId,
     budget::{
-        BudgetKey, BudgetLedger, LedgerEffect, LedgerEvent, LedgerOptions, ShardNumber, ShardValue,
+        BudgetKey, BudgetLedger, LedgerEffect, LedgerEvent, LedgerOptions, ReserveRate,
+        ShardNumber, ShardValue,
     },
 };
 use parking_lot::{Mutex, MutexGuard};
@@ -18,7 +15,7 @@
 
 use crate::{
     edge::{EdgeError, PlatformEdge},
-    process::{GatewaySettings, GatewayState, log_event},
+    process::{GatewaySettings, GatewayState, PeerOrder, log_event},
 };
 
 /// Time between two ticks of the ledger.
@@ -52,6 +49,7 @@
             domains: settings.domains,
             horizon: HORIZON,
             outage_reserve: settings.outage_reserve,
+            reserve_rate: ReserveRate::Recent,
             end_wait: TOKEN_WAIT,
             flush_period: FLUSH_PERIOD,
             idle_flush: IDLE_FLUSH,
@@ -97,7 +95,6 @@
             },
             _ = interval.tick() => LedgerEvent::Tick,
         };
-        count_instances(&state, &event);
         let effects = state.ledger.lock().handle(event, state.now());
         for effect in effects {
             run_effect(&state, &edge, effect);
@@ -105,16 +102,6 @@
     }
 }
 
-/// Learns from the open rows how many instances share the fleet-wide limits. Rows of dead instances
-/// count as well, which only makes the own part smaller.
-fn count_instances(state: &GatewayState, event: &LedgerEvent) {
-    if let LedgerEvent::ShardRead { value, .. } = event {
-        let rows = value.budgets.values().flat_map(|entry| &entry.rows);
-        let names: std::collections::HashSet<_> = rows.map(|row| &row.holder.instance).collect();
-        state.instances.fetch_max(names.len(), Ordering::Relaxed);
-    }
-}
-
 fn run_effect<P: PlatformEdge>(state: &Arc<GatewayState>, edge: &Arc<P>, effect: LedgerEffect) {
     let (state, edge) = (Arc::clone(state), Arc::clone(edge));
     match effect {
@@ -134,8 +121,7 @@
                 state.tell_ledger(event);
             });
         }
-        // Instances do not lend to each other here, because no peers are told to the ledger.
-        LedgerEffect::Send { to, .. } => log::debug!("message to {to} has no way"),
+        LedgerEffect::Send { to, message } => state.tell_peers(PeerOrder::Send { to, message }),
         LedgerEffect::Wake { budget } => state.ledger.wake(budget),
     }
 }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod event;
 mod gateway;
 mod ledger;
+mod peers;
 mod settings;
 mod state;
 mod sync;
@@ -11,6 +12,7 @@
 pub(crate) use event::log_event;
 pub use gateway::{Gateway, GatewayError};
 pub(crate) use ledger::{LedgerCell, TOKEN_WAIT, run_ledger};
+pub(crate) use peers::{PeerOrder, run_peers};
 pub use settings::GatewaySettings;
 pub(crate) use state::{GatewayPhase, GatewayState, RunningGuard};
 pub(crate) use sync::{sync_directory, sync_document};
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -22,6 +22,10 @@
     pub ready_listen: SocketAddr,
     /// Path of that question.
     pub ready_path: String,
+    /// Address for messages of other instances, as UDP.
+    pub peer_listen: SocketAddr,
+    /// Addresses of some instances, from which the others are learnt.
+    pub seeds: Vec<SocketAddr>,
     /// Time from the request to stop until the process must have ended.
     pub grace: Duration,
     /// Limit of repeats per service over the whole fleet.
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -26,7 +26,7 @@
 use crate::{
     connection::UpstreamPool,
     edge::HeaderNames,
-    process::{GatewaySettings, LedgerCell, log_event},
+    process::{GatewaySettings, LedgerCell, PeerOrder, log_event},
 };
 
 /// Time without confirmation after which a configuration may be outdated. A host or key that it
@@ -55,6 +55,7 @@
     pub(crate) pool: UpstreamPool,
     pub(crate) instances: AtomicUsize,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
+    peer_orders: mpsc::UnboundedSender<PeerOrder>,
     repeats: Mutex<HashMap<ServiceName, WindowBudget>>,
     has_directory: std::sync::atomic::AtomicBool,
     confirmed_us: AtomicU64,
@@ -71,6 +72,7 @@
         headers: HeaderNames,
         ledger: LedgerCell,
         ledger_events: mpsc::UnboundedSender<LedgerEvent>,
+        peer_orders: mpsc::UnboundedSender<PeerOrder>,
     ) -> Self {
         let options = PlacementOptions::new(settings.domain.clone());
         Self {
@@ -81,6 +83,7 @@
             pool: UpstreamPool::default(),
             instances: AtomicUsize::new(INSTANCES_PRIOR),
             ledger_events,
+            peer_orders,
             repeats: Mutex::default(),
             has_directory: std::sync::atomic::AtomicBool::new(false),
             confirmed_us: AtomicU64::new(0),
@@ -195,6 +198,12 @@
         let _ = self.ledger_events.send(event);
     }
 
+    /// Sends an order to the peer task.
+    pub(crate) fn tell_peers(&self, order: PeerOrder) {
+        // The task ends only with the process.
+        let _ = self.peer_orders.send(order);
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub(crate) fn start_request(self: &Arc<Self>) -> RunningGuard {
         self.running.fetch_add(1, Ordering::AcqRel);
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -96,7 +96,12 @@
                 }
             }
             Err(EdgeError::HistoryGone) => revision = None,
-            Err(error) => track.record_failure(&error).await,
+            Err(error) => {
+                track.record_failure(&error).await;
+                // A watch from a revision whose history was dropped meanwhile may hang until its
+                // wait ends, so that changes of the last seconds would be noticed late.
+                revision = None;
+            }
         }
     }
 }
@@ -129,7 +134,12 @@
                 }
             }
             Err(EdgeError::HistoryGone) => revision = None,
-            Err(error) => track.record_failure(&error).await,
+            Err(error) => {
+                track.record_failure(&error).await;
+                // A watch from a revision whose history was dropped meanwhile may hang until its
+                // wait ends, so that changes of the last seconds would be noticed late.
+                revision = None;
+            }
         }
     }
 }
--- a/crates/router/src/process/ledger.rs
+++ b/crates/router/src/process/ledger.rs
@@ -6,16 +6,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cornelarch_core::{
-    base::TokenCount,
-    budget::{
-        BudgetKey, BudgetLedger, BudgetMessage, LedgerEffect, LedgerEvent, ShardNumber, ShardValue,
-    },
+use cornelarch_core::budget::{
+    BudgetKey, BudgetLedger, LedgerEffect, LedgerEvent, ShardNumber, ShardValue,
 };
 use cornelarch_platform::{ObjectStore, StoreError};
-use cornelarch_wire::peer::{
-    WireBody, WireBorrowRequest, WireReturnIdle, WireTransfer, WireTransferAck,
-};
+use cornelarch_wire::encode_budget_message;
 use kameo::{
     Actor,
     actor::ActorRef,
@@ -126,7 +121,9 @@
                     let _ = actor.tell(event).await;
                 });
             }
-            LedgerEffect::Send { to, message } => state.send_to(&to, encode_message(message)),
+            LedgerEffect::Send { to, message } => {
+                state.send_to(&to, encode_budget_message(message))
+            }
             LedgerEffect::Wake { budget } => state.ledger.wake(budget),
         }
     }
@@ -209,56 +206,3 @@
         }
     }
 }
-
-fn encode_message(message: BudgetMessage) -> WireBody {
-    match message {
-        BudgetMessage::BorrowRequest { budget, amount } => WireBody::BorrowRequest(
-            WireBorrowRequest::new(budget.to_string(), amount.get().cast_signed()),
-        ),
-        BudgetMessage::Transfer {
-            sequence,
-            budget,
-            amount,
-            spent,
-        } => WireBody::Transfer(WireTransfer::new(
-            sequence.cast_signed(),
-            budget.to_string(),
-            amount.get().cast_signed(),
-            spent.get().cast_signed(),
-        )),
-        BudgetMessage::TransferAck { sequence } => {
-            WireBody::TransferAck(WireTransferAck::new(sequence.cast_signed()))
-        }
-        BudgetMessage::ReturnIdle { budget } => {
-            WireBody::ReturnIdle(WireReturnIdle::new(budget.to_string()))
-        }
-    }
-}
-
-/// Returns a token amount from a frame; a negative one would become a huge balance.
-fn read_amount(amount: i64) -> Option<TokenCount> {
-    u64::try_from(amount).ok().map(TokenCount::new)
-}
-
-/// Returns the budget message in a frame, if it is a valid one.
-pub(crate) fn decode_message(body: &WireBody) -> Option<BudgetMessage> {
-    Some(match body {
-        WireBody::BorrowRequest(request) => BudgetMessage::BorrowRequest {
-            budget: request.budget.as_str().into(),
-            amount: read_amount(request.amount)?,
-        },
-        WireBody::Transfer(transfer) => BudgetMessage::Transfer {
-            sequence: transfer.sequence.cast_unsigned(),
-            budget: transfer.budget.as_str().into(),
-            amount: read_amount(transfer.amount)?,
-            spent: read_amount(transfer.spent)?,
-        },
-        WireBody::TransferAck(ack) => BudgetMessage::TransferAck {
-            sequence: ack.sequence.cast_unsigned(),
-        },
-        WireBody::ReturnIdle(request) => BudgetMessage::ReturnIdle {
-            budget: request.budget.as_str().into(),
-        },
-        _ => return None,
-    })
-}
--- a/crates/router/src/process/members.rs
+++ b/crates/router/src/process/members.rs
@@ -6,12 +6,9 @@
     base::{HolderId, InstanceName},
     budget::{DomainPeer, LedgerEvent},
     config::ConfigEvent,
-    membership::{
-        MemberEffect, MemberEvent, MemberMessage, MemberOptions, MemberRecord, MemberState,
-        MemberTable, MemberView, PingBody,
-    },
+    membership::{MemberEffect, MemberEvent, MemberOptions, MemberRecord, MemberTable, MemberView},
 };
-use cornelarch_wire::peer::{WireBody, WireMember, WireMemberState};
+use cornelarch_wire::peer::WireBody;
 use kameo::{
     Actor,
     actor::ActorRef,
@@ -172,51 +169,3 @@
         self.tell_members(domain).await;
     }
 }
-
-fn decode_record(member: &WireMember) -> Option<MemberRecord> {
-    Some(MemberRecord {
-        holder: HolderId::from(&member.holder),
-        domain: member.domain.as_str().into(),
-        address: member.address.clone(),
-        incarnation: member.incarnation.cast_unsigned(),
-        state: match member.state {
-            WireMemberState::ALIVE => MemberState::Alive,
-            WireMemberState::SUSPECT => MemberState::Suspect,
-            WireMemberState::LEAVING => MemberState::Leaving,
-            WireMemberState::DEAD => MemberState::Dead,
-            _ => return None,
-        },
-    })
-}
-
-/// Returns the member event for a frame, if it carries a valid membership message.
-pub(crate) fn decode_message(from: &HolderId, body: &WireBody) -> Option<MemberEvent> {
-    let message = match body {
-        WireBody::Ping(ping) => MemberMessage::Ping(PingBody {
-            nonce: ping.nonce.cast_unsigned(),
-            sender: decode_record(&ping.sender)?,
-            config_version: u64::try_from(ping.config_version).ok()?,
-            load_permille: ping.load_permille.cast_unsigned(),
-            updates: ping.updates.iter().filter_map(decode_record).collect(),
-        }),
-        WireBody::Ack(ack) => MemberMessage::Ack(PingBody {
-            nonce: ack.nonce.cast_unsigned(),
-            sender: decode_record(&ack.sender)?,
-            config_version: u64::try_from(ack.config_version).ok()?,
-            load_permille: ack.load_permille.cast_unsigned(),
-            updates: ack.updates.iter().filter_map(decode_record).collect(),
-        }),
-        WireBody::PingRequest(request) => MemberMessage::PingRequest {
-            nonce: request.nonce.cast_unsigned(),
-            target: HolderId::from(&request.target),
-        },
-        WireBody::Leaving(leaving) => MemberMessage::Leaving {
-            incarnation: leaving.incarnation.cast_unsigned(),
-        },
-        _ => return None,
-    };
-    Some(MemberEvent::Received {
-        from: from.clone(),
-        message,
-    })
-}
--- a/crates/router/src/process/router.rs
+++ b/crates/router/src/process/router.rs
@@ -425,11 +425,11 @@
     };
     let from = HolderId::from(&envelope.sender);
     let body = &envelope.body;
-    if let Some(event) = members::decode_message(&from, body) {
+    if let Some(event) = cornelarch_wire::decode_member_event(&from, body) {
         let _ = actors.members.tell(event).await;
     } else if let Some(event) = config::decode_message(&from, body) {
         let _ = actors.config.tell(event).await;
-    } else if let Some(message) = ledger::decode_message(body) {
+    } else if let Some(message) = cornelarch_wire::decode_budget_message(body) {
         // A message without a recipient could be meant for an earlier incarnation.
         if let Some(to) = envelope.recipient.as_ref().map(HolderId::from) {
             let event = LedgerEvent::Received { from, to, message };
--- a/crates/wire/src/connection/mod.rs
+++ b/crates/wire/src/connection/mod.rs
@@ -39,6 +39,30 @@
     }
 }
 
+/// Encodes an envelope without a length prefix, for a frame or a datagram.
+///
+/// # Errors
+///
+/// Returns [`FrameError::Malformed`] if the envelope cannot be encoded.
+pub fn encode_envelope(envelope: &WireEnvelope) -> Result<Vec<u8>, FrameError> {
+    let mut bytes = Vec::with_capacity(256);
+    let mut protocol = TCompactOutputProtocol::new(&mut bytes);
+    envelope
+        .write_to_out_protocol(&mut protocol)
+        .context(MalformedSnafu)?;
+    Ok(bytes)
+}
+
+/// Decodes the envelope of a frame or a datagram.
+///
+/// # Errors
+///
+/// Returns [`FrameError::Malformed`] if the bytes are no envelope.
+pub fn decode_envelope(bytes: &[u8]) -> Result<WireEnvelope, FrameError> {
+    let mut protocol = BoundedInput::new(TCompactInputProtocol::new(bytes), bytes.len());
+    WireEnvelope::read_from_in_protocol(&mut protocol).context(MalformedSnafu)
+}
+
 /// Encodes and decodes envelopes in frames with a length prefix of four bytes.
 #[derive(Debug)]
 pub struct FrameCodec {
@@ -70,10 +94,7 @@
         let Some(frame) = self.inner.decode(buffer)? else {
             return Ok(None);
         };
-        let mut protocol = BoundedInput::new(TCompactInputProtocol::new(&frame[..]), frame.len());
-        let envelope =
-            WireEnvelope::read_from_in_protocol(&mut protocol).context(MalformedSnafu)?;
-        Ok(Some(envelope))
+        decode_envelope(&frame).map(Some)
     }
 }
 
@@ -81,11 +102,7 @@
     type Error = FrameError;
 
     fn encode(&mut self, envelope: &WireEnvelope, buffer: &mut BytesMut) -> Result<(), FrameError> {
-        let mut frame = Vec::with_capacity(256);
-        let mut protocol = TCompactOutputProtocol::new(&mut frame);
-        envelope
-            .write_to_out_protocol(&mut protocol)
-            .context(MalformedSnafu)?;
+        let frame = encode_envelope(envelope)?;
         self.inner.encode(Bytes::from(frame), buffer)?;
         Ok(())
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,4 +12,5 @@
 #[path = "generated/peer.rs"]
 pub mod peer;
 
-pub use connection::{FrameCodec, FrameError, MAX_FRAME_BYTES};
+pub use connection::{FrameCodec, FrameError, MAX_FRAME_BYTES, decode_envelope, encode_envelope};
+pub use message::{decode_budget_message, decode_member_event, encode_budget_message};
--- a/crates/wire/src/message/member.rs
+++ b/crates/wire/src/message/member.rs
@@ -1,6 +1,9 @@
 //! Membership messages on the wire.
 
-use cornelarch_core::membership::{MemberMessage, MemberRecord, MemberState};
+use cornelarch_core::{
+    base::HolderId,
+    membership::{MemberEvent, MemberMessage, MemberRecord, MemberState, PingBody},
+};
 
 use crate::peer::{
     WireAck, WireBody, WireHolder, WireLeaving, WireMember, WireMemberState, WirePing,
@@ -50,3 +53,52 @@
         }
     }
 }
+
+fn decode_record(member: &WireMember) -> Option<MemberRecord> {
+    Some(MemberRecord {
+        holder: HolderId::from(&member.holder),
+        domain: member.domain.as_str().into(),
+        address: member.address.clone(),
+        incarnation: member.incarnation.cast_unsigned(),
+        state: match member.state {
+            WireMemberState::ALIVE => MemberState::Alive,
+            WireMemberState::SUSPECT => MemberState::Suspect,
+            WireMemberState::LEAVING => MemberState::Leaving,
+            WireMemberState::DEAD => MemberState::Dead,
+            _ => return None,
+        },
+    })
+}
+
+/// Returns the member event for a message, if it carries a valid membership message.
+#[must_use]
+pub fn decode_member_event(from: &HolderId, body: &WireBody) -> Option<MemberEvent> {
+    let message = match body {
+        WireBody::Ping(ping) => MemberMessage::Ping(PingBody {
+            nonce: ping.nonce.cast_unsigned(),
+            sender: decode_record(&ping.sender)?,
+            config_version: u64::try_from(ping.config_version).ok()?,
+            load_permille: ping.load_permille.cast_unsigned(),
+            updates: ping.updates.iter().filter_map(decode_record).collect(),
+        }),
+        WireBody::Ack(ack) => MemberMessage::Ack(PingBody {
+            nonce: ack.nonce.cast_unsigned(),
+            sender: decode_record(&ack.sender)?,
+            config_version: u64::try_from(ack.config_version).ok()?,
+            load_permille: ack.load_permille.cast_unsigned(),
+            updates: ack.updates.iter().filter_map(decode_record).collect(),
+        }),
+        WireBody::PingRequest(request) => MemberMessage::PingRequest {
+            nonce: request.nonce.cast_unsigned(),
+            target: HolderId::from(&request.target),
+        },
+        WireBody::Leaving(leaving) => MemberMessage::Leaving {
+            incarnation: leaving.incarnation.cast_unsigned(),
+        },
+        _ => return None,
+    };
+    Some(MemberEvent::Received {
+        from: from.clone(),
+        message,
+    })
+}
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -1,3 +1,7 @@
-//! Conversions of the messages of the core into those of the wire.
+//! Conversions between the messages of the core and those of the wire.
 
+mod budget;
 mod member;
+
+pub use budget::{decode_budget_message, encode_budget_message};
+pub use member::decode_member_event;
