Size the balances of gateways by the spend of seconds

Ruled out: loss of messages between gateways; borrowers were answered. Change: the minima of draws and loans are options, a reserve for seconds gets a margin of the root of the spend, and a budget with enough for every domain at the last read is not scarce.

--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -6,10 +6,7 @@
 };
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
-    budget::{
-        BudgetMessage, BudgetTotals, DrawGoal, LedgerEffect,
-        policy::{DRAW_REQUESTS, IDLE_PERIOD},
-    },
+    budget::{BudgetMessage, BudgetTotals, DrawGoal, LedgerEffect, policy::IDLE_PERIOD},
 };
 
 /// Time for which a budget counts as scarce after a sign of it, in units of the end wait.
@@ -409,7 +406,11 @@
         now: MonotonicTime,
     ) -> bool {
         let surplus = account.balance.saturating_sub(goal.surplus_target).get();
-        let is_large = surplus > account.request_size.get().saturating_mul(DRAW_REQUESTS);
+        let is_large = surplus
+            > account
+                .request_size
+                .get()
+                .saturating_mul(self.options.draw_requests);
         let delay = match goal.is_scarce {
             true => self.options.flush_period,
             false if is_large => IDLE_PERIOD.min(self.options.idle_return),
--- a/crates/core/src/budget/ledger/mod.rs
+++ b/crates/core/src/budget/ledger/mod.rs
@@ -14,8 +14,8 @@
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
     budget::{
-        LedgerEffect, LedgerEvent, LedgerOptions, LedgerSnapshot, PaidAmount, PeerTable,
-        ShardNumber, TransferTable,
+        AccountSnapshot, LedgerEffect, LedgerEvent, LedgerOptions, LedgerSnapshot, PaidAmount,
+        PeerTable, ShardNumber, TransferTable,
     },
     error::ErrorKind,
 };
@@ -381,6 +381,14 @@
             && self.accounts.values().all(has_left)
     }
 
+    /// Describes one budget, for logs.
+    #[must_use]
+    pub fn account(&self, key: BudgetKey) -> Option<AccountSnapshot> {
+        let account = self.accounts.get(key)?;
+        let available = self.totals(account).map(|totals| totals.available);
+        Some(account.snapshot(available))
+    }
+
     /// Describes the state of the ledger for the dump.
     #[must_use]
     pub fn snapshot(&self) -> LedgerSnapshot {
--- a/crates/core/src/budget/options.rs
+++ b/crates/core/src/budget/options.rs
@@ -46,6 +46,10 @@
     pub horizon: Duration,
     /// The time for which the balance of an instance that borrows should last.
     pub borrow_horizon: Duration,
+    /// Requests that one draw should cover, so that draws stay far below one per request.
+    pub draw_requests: u64,
+    /// Requests that a loan to a neighbour should cover.
+    pub loan_requests: u64,
     /// The additional time that held tokens should last when the platform is away.
     pub outage_reserve: Duration,
     /// The rate at which that reserve is predicted.
@@ -98,6 +102,8 @@
             weight: BudgetWeight::FalseRefusals,
             horizon: Duration::from_secs(60),
             borrow_horizon: Duration::from_secs(10),
+            draw_requests: 20,
+            loan_requests: 4,
             outage_reserve: Duration::from_secs(3_900),
             reserve_rate: ReserveRate::Mean,
             hold_cap: 3.0,
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -7,18 +7,15 @@
     budget::{BudgetTotals, BudgetWeight, BurnForecast, LedgerOptions, ReserveRate},
 };
 
-/// Requests that one draw should cover, so that draws stay far below one per request.
-pub(crate) const DRAW_REQUESTS: u64 = 20;
-
-/// Requests that a loan to a neighbour should cover.
-const LOAN_REQUESTS: u64 = 4;
-
 /// Requests that a balance should cover before a refill starts.
 const FEW_REQUESTS: u64 = 4;
 
 /// Part of the stock below which a refill starts.
 const REFILL_PART: f64 = 0.95;
 
+/// Part of the stock below which a refill of a reserve for seconds starts. A refill at 0.95 would
+/// write for every request.
+const RECENT_REFILL_PART: f64 = 0.8;
 /// Part of the stock below which a refill from a nearly exhausted budget starts.
 const SCARCE_REFILL_PART: f64 = 0.5;
 
@@ -171,7 +168,10 @@
             Self::StaticSplit { .. } | Self::PerRequest => (TokenCount::ZERO, TokenCount::ZERO),
             Self::Predictive => {
                 let few = match is_busy(input, forecast) {
-                    true => input.request_size.get().saturating_mul(LOAN_REQUESTS),
+                    true => input
+                        .request_size
+                        .get()
+                        .saturating_mul(options.loan_requests),
                     false => 0,
                 };
                 let few = TokenCount::new(few);
@@ -208,17 +208,32 @@
         ReserveRate::Recent => forecast.predict(reserve),
     };
     let wish = soon.saturating_add(outage);
+    let wish = match options.reserve_rate {
+        ReserveRate::Mean => wish,
+        // The spend of few requests varies by about the root of their number.
+        ReserveRate::Recent => wish.saturating_add(TokenCount::new(
+            (wish.get() as f64 * input.request_size.get() as f64).sqrt() as u64,
+        )),
+    };
     let low = input.totals.available < input.totals.paid.scaled(SCARCE_PART);
-    let stock = match input.is_scarce || low {
+    // Others also ask for idle tokens while the platform is away. If it then has enough for every
+    // domain, the budget is not scarce, and the reserve for the next outage has to be built up.
+    let domains = f64::from(options.domains.max(1));
+    let is_plentiful = input.totals.available >= wish.scaled(domains);
+    let is_scarce = low || (input.is_scarce && !is_plentiful);
+    let stock = match is_scarce {
         true => find_scarce_stock(input, forecast, options),
         false => find_stock(input, forecast, options, wish, scale),
     };
     // A stock that is to cover an outage is kept nearly full, not refilled at the last moment.
-    let (part, surplus_target) = match input.is_scarce || low {
+    let (part, surplus_target) = match is_scarce {
         // Others ask for what they need. If every holder returned its reserve at the same moment,
         // the budget would count as plentiful again and the next draws would be large.
         true => (SCARCE_REFILL_PART, stock.max(wish)),
-        false => (REFILL_PART, stock),
+        false => match options.reserve_rate {
+            ReserveRate::Mean => (REFILL_PART, stock),
+            ReserveRate::Recent => (RECENT_REFILL_PART, stock),
+        },
     };
     let requests = |count: u64| TokenCount::new(input.request_size.get().saturating_mul(count));
     let few = match is_busy(input, forecast) {
@@ -227,11 +242,11 @@
     };
     let lead = forecast.predict((input.delay + options.flush_period) * DELAY_MARGIN);
     // A rarely used budget would otherwise be refilled after every request.
-    let part = match input.is_scarce || low {
+    let part = match is_scarce {
         true => stock.scaled(part),
         false => stock
             .scaled(part)
-            .min(stock.saturating_sub(requests(DRAW_REQUESTS))),
+            .min(stock.saturating_sub(requests(options.draw_requests))),
     };
     let refill_below = lead.max(part).max(few).min(stock);
     DrawGoal {
@@ -241,7 +256,7 @@
         keep: surplus_target
             .scaled(KEEP_FACTOR)
             .saturating_add(input.need),
-        is_scarce: input.is_scarce || low,
+        is_scarce,
     }
 }
 
@@ -257,7 +272,10 @@
     // Refunds and loans that come back can lower the forecast to zero while requests arrive. Without
     // a least amount each request would then need a write of its own.
     let batch = match is_busy(input, forecast) {
-        true => input.request_size.get().saturating_mul(DRAW_REQUESTS),
+        true => input
+            .request_size
+            .get()
+            .saturating_mul(options.draw_requests),
         false => 0,
     };
     forecast
@@ -275,7 +293,10 @@
     scale: f64,
 ) -> TokenCount {
     let batch = match is_busy(input, forecast) {
-        true => input.request_size.get().saturating_mul(DRAW_REQUESTS),
+        true => input
+            .request_size
+            .get()
+            .saturating_mul(options.draw_requests),
         false => 0,
     };
     // Requests that wait show that the forecast is too low, as after a start.
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -56,6 +56,8 @@
     LedgerWriteUnknown => 2200, Warn, "result of a ledger write is unknown";
     /// A peer is new or changed its state.
     PeerChanged => 2201, Info, "peer changed";
+    /// A request does not fit into the balance of its budget.
+    BudgetShort => 2202, Info, "balance is too small";
     /// An upstream was added, changed or removed.
     UpstreamChanged => 2300, Info, "upstream changed";
     /// A request was refused without being sent.
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -22,6 +22,12 @@
 const LEDGER_TICK: Duration = Duration::from_millis(200);
 /// Time for which a balance should last beside the outage reserve.
 const HORIZON: Duration = Duration::from_secs(2);
+/// Time for which a balance that a neighbour lent should last; the lender is a millisecond away.
+const BORROW_HORIZON: Duration = Duration::from_secs(1);
+/// Requests that a draw covers at least. A budget may hold only a few dozen requests in all.
+const DRAW_REQUESTS: u64 = 2;
+/// Requests that a loan covers at least.
+const LOAN_REQUESTS: u64 = 1;
 /// Least time between two regular writes of an instance. Calls to the platform are limited.
 const FLUSH_PERIOD: Duration = Duration::from_millis(1_000);
 /// How long a request that does not fit waits for tokens: two calls to a healthy platform.
@@ -48,6 +54,9 @@
             shards: settings.ledger_shards,
             domains: settings.domains,
             horizon: HORIZON,
+            borrow_horizon: BORROW_HORIZON,
+            draw_requests: DRAW_REQUESTS,
+            loan_requests: LOAN_REQUESTS,
             outage_reserve: settings.outage_reserve,
             reserve_rate: ReserveRate::Recent,
             end_wait: TOKEN_WAIT,
@@ -143,11 +152,14 @@
             value: ShardValue::default(),
         },
         Ok(object) => match serde_json::from_slice(&object.value) {
-            Ok(value) => LedgerEvent::ShardRead {
-                shard,
-                version: object.revision,
-                value,
-            },
+            Ok(value) => {
+                log_totals(&value);
+                LedgerEvent::ShardRead {
+                    shard,
+                    version: object.revision,
+                    value,
+                }
+            }
             Err(error) => {
                 log_event!(ObjectRejected, "object=ledger/{name} error={error}");
                 LedgerEvent::PlatformDown { shard }
@@ -160,6 +172,24 @@
     }
 }
 
+/// Writes the state of the budgets to the log, for the analysis of refusals.
+fn log_totals(value: &ShardValue) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    for (budget, entry) in &value.budgets {
+        let totals = entry.totals();
+        log::debug!(
+            "budget {budget}: paid={} spent={} held={} available={} rows={}",
+            totals.paid,
+            totals.spent,
+            totals.held,
+            totals.available,
+            entry.rows.len()
+        );
+    }
+}
+
 async fn write_shard<P: PlatformEdge>(
     state: &GatewayState,
     edge: &P,
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -136,6 +136,7 @@
         let mut ledger = self.ledger.lock();
         for customer in document.customers() {
             if let Some(amount) = customer.prepaid {
+                log::debug!("paid amount of {} is {amount}", customer.name);
                 let key = ledger.register(BudgetName::new(&customer.name));
                 let version = document.version;
                 ledger.set_paid(key, PaidAmount { amount, version });
--- a/crates/gateway/src/request/bill.rs
+++ b/crates/gateway/src/request/bill.rs
@@ -113,11 +113,27 @@
         let is_waiting = matches!(error, ReserveError::Insufficient { retry: true, .. });
         state.tell_ledger(LedgerEvent::Tick);
         if !is_waiting || timeout_at(until, notified).await.is_err() {
+            log_balance(state, key, amount);
             return Err(refuse(error));
         }
     }
 }
 
+/// Writes the inputs of a refusal to the log.
+fn log_balance(state: &GatewayState, key: BudgetKey, amount: TokenCount) {
+    if let Some(account) = state.ledger.lock().account(key) {
+        log_event!(
+            BudgetShort,
+            "budget={} needed={amount} balance={} reserved={} available={:?} drawing={}",
+            account.budget,
+            account.balance,
+            account.reserved,
+            account.available.map(TokenCount::get),
+            account.drawing
+        );
+    }
+}
+
 fn refuse(error: ReserveError) -> RequestRefusal {
     let kind = match error {
         ReserveError::Insufficient { kind, .. } => kind,
