Let owners of other domains draw for an instance that lost the store

Ruled out: lost messages; no member changed its state during the cut. Change: it asks one other owner in turn for a loan, which that owner draws; a neighbour of a silent owner turns to the store after two requests.

--- a/crates/core/src/budget/ledger/account.rs
+++ b/crates/core/src/budget/ledger/account.rs
@@ -71,6 +71,8 @@
     pub(super) silent_until: MonotonicTime,
     /// When every neighbour and the owners of other domains were asked.
     pub(super) searched_at: Option<MonotonicTime>,
+    /// The number of such searches, which picks the lender among the owners of other domains.
+    pub(super) searches: u32,
     pub(super) surplus_since: Option<MonotonicTime>,
     pub(super) dirty_since: Option<MonotonicTime>,
     pub(super) scarce_until: MonotonicTime,
--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -12,10 +12,6 @@
 /// Time for which a budget counts as scarce after a sign of it, in units of the end wait.
 const SCARCE_WAITS: u32 = 40;
 
-/// Requests to an owner that is alive before a borrower draws for itself. An owner that answers
-/// without tokens waits for the platform; more writers of the domain only add conflicts.
-const MAX_ASKS: u8 = 20;
-
 /// Requests that an answer to another domain covers if there are enough idle tokens.
 const GIVEN_REQUESTS: u64 = 8;
 
@@ -295,7 +291,7 @@
         let is_heard = asked_at.is_some() && self.heard.get(&owner).copied() >= asked_at;
         // An owner that answers may be waiting for the platform itself.
         let asks = match is_heard {
-            true => MAX_ASKS,
+            true => self.options.owner_asks,
             false => 1,
         };
         let (timeout, silence) = (self.options.borrow_timeout, self.options.owner_silence);
@@ -333,10 +329,13 @@
             return;
         }
         let (budget, shard) = (account.budget.clone(), account.shard);
+        let soon = account.forecast.predict(self.options.borrow_horizon);
         let scarce_until = now + self.options.end_wait * SCARCE_WAITS;
         let work = self.accounts[key].work();
         work.searched_at = Some(now);
         work.scarce_until = scarce_until;
+        work.searches = work.searches.wrapping_add(1);
+        let turn = work.searches;
         let domain = &self.options.domain;
         for to in self
             .peers
@@ -353,9 +352,22 @@
                 message,
             });
         }
-        for to in self.peers.other_owners(domain, shard) {
-            let message = BudgetMessage::ReturnIdle {
-                budget: budget.clone(),
+        let others: Vec<&HolderId> = self.peers.other_owners(domain, shard).collect();
+        // Only this instance may have lost the platform. Another owner then draws for it, even if
+        // it does not use the budget itself.
+        let lender = match self.platform.is_away() {
+            true => others.get(turn as usize % others.len().max(1)).copied(),
+            false => None,
+        };
+        for to in others {
+            let message = match lender == Some(to) {
+                true => BudgetMessage::BorrowRequest {
+                    budget: budget.clone(),
+                    amount: shortfall.saturating_add(soon),
+                },
+                false => BudgetMessage::ReturnIdle {
+                    budget: budget.clone(),
+                },
             };
             self.effects.push(LedgerEffect::Send {
                 to: to.clone(),
--- a/crates/core/src/budget/options.rs
+++ b/crates/core/src/budget/options.rs
@@ -79,6 +79,10 @@
     /// The time after which an instance stops waiting for the shard owner, and the least time
     /// between two rounds of asking every neighbour.
     pub borrow_timeout: Duration,
+    /// Requests to an owner that is alive before a borrower draws for itself. An owner that answers
+    /// without tokens waits for the platform; more writers of the domain only add conflicts, unless
+    /// the owner alone has lost the platform.
+    pub owner_asks: u8,
     /// How long an instance draws for itself after the shard owner did not answer.
     pub owner_silence: Duration,
     /// The time after which a transfer is sent again; doubles up to `resend_max`.
@@ -116,6 +120,7 @@
             cache_age: Duration::from_millis(10),
             reread_period: Duration::from_secs(1),
             borrow_timeout: Duration::from_millis(60),
+            owner_asks: 20,
             owner_silence: Duration::from_secs(5),
             resend_first: Duration::from_millis(200),
             resend_max: Duration::from_secs(30),
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -21,13 +21,18 @@
 /// Time between two ticks of the ledger.
 const LEDGER_TICK: Duration = Duration::from_millis(200);
 /// Time for which a balance should last beside the outage reserve.
-const HORIZON: Duration = Duration::from_secs(2);
+const HORIZON: Duration = Duration::from_secs(1);
 /// Time for which a balance that a neighbour lent should last; the lender is a millisecond away.
 const BORROW_HORIZON: Duration = Duration::from_secs(1);
 /// Requests that a draw covers at least. A budget may hold only a few dozen requests in all.
 const DRAW_REQUESTS: u64 = 2;
 /// Requests that a loan covers at least.
 const LOAN_REQUESTS: u64 = 1;
+/// Requests to the shard owner before an instance draws for itself: the owner alone may have lost
+/// the platform.
+const OWNER_ASKS: u8 = 2;
+/// How long an instance then draws for itself.
+const OWNER_SILENCE: Duration = Duration::from_secs(2);
 /// Least time between two regular writes of an instance. Calls to the platform are limited.
 const FLUSH_PERIOD: Duration = Duration::from_millis(1_000);
 /// How long a request that does not fit waits for tokens: two calls to a healthy platform.
@@ -57,6 +62,8 @@
             borrow_horizon: BORROW_HORIZON,
             draw_requests: DRAW_REQUESTS,
             loan_requests: LOAN_REQUESTS,
+            owner_asks: OWNER_ASKS,
+            owner_silence: OWNER_SILENCE,
             outage_reserve: settings.outage_reserve,
             reserve_rate: ReserveRate::Recent,
             end_wait: TOKEN_WAIT,
