--- a/crates/gateway/src/request/bill.rs
+++ b/crates/gateway/src/request/bill.rs
@@ -113,6 +113,7 @@
         let is_waiting = matches!(error, ReserveError::Insufficient { retry: true, .. });
         state.tell_ledger(LedgerEvent::Tick);
         if !is_waiting || timeout_at(until, notified).await.is_err() {
+            state.ledger.lock().withdraw(key, amount);
             log_balance(state, key, amount);
             return Err(refuse(error));
         }
