Bound what one gateway draws after an outage

Change: the factor is an option (gateway: 2) and an instance holds at most 3/8 of the reachable tokens with four domains.

--- a/crates/core/src/budget/options.rs
+++ b/crates/core/src/budget/options.rs
@@ -50,6 +50,8 @@
     pub draw_requests: u64,
     /// Requests that a loan to a neighbour should cover.
     pub loan_requests: u64,
+    /// Factor on the tokens that requests wait for, so that the next requests need not wait as well.
+    pub need_factor: u64,
     /// The additional time that held tokens should last when the platform is away.
     pub outage_reserve: Duration,
     /// The rate at which that reserve is predicted.
@@ -108,6 +110,7 @@
             borrow_horizon: Duration::from_secs(10),
             draw_requests: 20,
             loan_requests: 4,
+            need_factor: 8,
             outage_reserve: Duration::from_secs(3_900),
             reserve_rate: ReserveRate::Mean,
             hold_cap: 3.0,
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -22,9 +22,6 @@
 /// Factor on the stock above which a balance counts as surplus.
 const KEEP_FACTOR: f64 = 1.5;
 
-/// Factor on the tokens that requests wait for, so that the next requests need not wait as well.
-const NEED_FACTOR: u64 = 8;
-
 /// Part of the paid amount below which the available tokens count as nearly exhausted.
 const SCARCE_PART: f64 = 0.1;
 
@@ -300,7 +297,7 @@
         false => 0,
     };
     // Requests that wait show that the forecast is too low, as after a start.
-    let batch = batch.max(input.need.get().saturating_mul(NEED_FACTOR));
+    let batch = batch.max(input.need.get().saturating_mul(options.need_factor));
     let part = options.hold_cap * scale / f64::from(options.domains.max(1));
     let reachable = input.totals.available.saturating_add(input.balance);
     let cap = reachable.scaled(part.min(MAX_HOLD_PART));
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -28,6 +28,10 @@
 const DRAW_REQUESTS: u64 = 2;
 /// Requests that a loan covers at least.
 const LOAN_REQUESTS: u64 = 1;
+/// Factor on the tokens that requests wait for. After an outage every instance asks at once.
+const NEED_FACTOR: u64 = 2;
+/// Largest part of the reachable tokens that an instance holds, times the number of domains.
+const HOLD_CAP: f64 = 1.5;
 /// Requests to the shard owner before an instance draws for itself: the owner alone may have lost
 /// the platform.
 const OWNER_ASKS: u8 = 2;
@@ -62,6 +66,8 @@
             borrow_horizon: BORROW_HORIZON,
             draw_requests: DRAW_REQUESTS,
             loan_requests: LOAN_REQUESTS,
+            need_factor: NEED_FACTOR,
+            hold_cap: HOLD_CAP,
             owner_asks: OWNER_ASKS,
             owner_silence: OWNER_SILENCE,
             outage_reserve: settings.outage_reserve,
