Refuse after 80 ms without tokens

Cause: a request that found no tokens waited 250 ms, half of its objective, before it was refused; a loan takes 2 ms and a draw 15 ms.

--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -32,6 +32,8 @@
 const NEED_FACTOR: u64 = 2;
 /// Largest part of the reachable tokens that an instance holds, times the number of domains.
 const HOLD_CAP: f64 = 1.5;
+/// Time after which a request for a loan is repeated; messages take a millisecond or two.
+const BORROW_TIMEOUT: Duration = Duration::from_millis(20);
 /// Requests to the shard owner before an instance draws for itself: the owner alone may have lost
 /// the platform.
 const OWNER_ASKS: u8 = 2;
@@ -39,8 +41,9 @@
 const OWNER_SILENCE: Duration = Duration::from_secs(2);
 /// Least time between two regular writes of an instance. Calls to the platform are limited.
 const FLUSH_PERIOD: Duration = Duration::from_millis(1_000);
-/// How long a request that does not fit waits for tokens: two calls to a healthy platform.
-pub(crate) const TOKEN_WAIT: Duration = Duration::from_millis(250);
+/// How long a request that does not fit waits for tokens: a loan, or two calls to a healthy
+/// platform, several times over.
+pub(crate) const TOKEN_WAIT: Duration = Duration::from_millis(80);
 /// Longest time after which the platform is tried again.
 const PLATFORM_RETRY_MAX: Duration = Duration::from_secs(1);
 /// Time after which spent tokens are reported without a draw. A report lets the others tell a used
@@ -68,6 +71,7 @@
             loan_requests: LOAN_REQUESTS,
             need_factor: NEED_FACTOR,
             hold_cap: HOLD_CAP,
+            borrow_timeout: BORROW_TIMEOUT,
             owner_asks: OWNER_ASKS,
             owner_silence: OWNER_SILENCE,
             outage_reserve: settings.outage_reserve,
