Test the gateway against fakes at its edges

Found by them: a truncated answer of an order was reported as a timeout (504) instead of a lost upstream (502); a broken answer now records how it ended.

--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cornelarch_core::{error::ErrorKind, placement::FlightEnd};
+use cornelarch_core::placement::FlightEnd;
 use http::{Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout_at;
@@ -55,17 +55,11 @@
             Err(refusal) => return fallback.map(WholeAnswer::into_response).ok_or(refusal),
         };
         match read_whole(exchange, begun).await {
-            Some(answer) if !is_repeated(exchange, &answer) => return Ok(answer.into_response()),
-            Some(answer) => fallback = Some(answer),
-            None => {}
+            Ok(answer) if !is_repeated(exchange, &answer) => return Ok(answer.into_response()),
+            Ok(answer) => fallback = Some(answer),
+            Err(end) => log.record_broken(end),
         }
-        if let Err(refusal) = exchange.check_repeat(&log).await {
-            let failed = ErrorKind::UpstreamLost.into();
-            let refusal = if refusal.kind == ErrorKind::UpstreamTimeout {
-                refusal
-            } else {
-                failed
-            };
+        if let Err(refusal) = exchange.check_repeat(&log) {
             return fallback.map(WholeAnswer::into_response).ok_or(refusal);
         }
     }
@@ -79,8 +73,11 @@
         && status != StatusCode::GATEWAY_TIMEOUT
 }
 
-/// Reads an answer to its end; `None` if it broke off.
-async fn read_whole(exchange: &RequestExchange, begun: BegunAnswer) -> Option<WholeAnswer> {
+/// Reads an answer to its end, or returns how it broke off.
+async fn read_whole(
+    exchange: &RequestExchange,
+    begun: BegunAnswer,
+) -> Result<WholeAnswer, FlightEnd> {
     let BegunAnswer { answer, flight } = begun;
     let (parts, body) = answer.response.into_parts();
     let collected = timeout_at(exchange.end, Limited::new(body, ANSWER_MAX).collect()).await;
@@ -93,7 +90,7 @@
                 false => FlightEnd::Answered,
             });
             let body = body.to_bytes();
-            return Some(WholeAnswer { parts, body });
+            return Ok(WholeAnswer { parts, body });
         }
         Ok(Err(error)) => (FlightEnd::Lost, error.to_string()),
         Err(_) => (
@@ -108,5 +105,5 @@
         flight.upstream
     );
     flight.finish(end);
-    None
+    Err(end)
 }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -85,6 +85,22 @@
             last: None,
         }
     }
+
+    /// Records that an answer broke off after its head.
+    pub(crate) fn record_broken(&mut self, end: FlightEnd) {
+        self.last = Some(read_outcome(end));
+    }
+}
+
+fn read_outcome(end: FlightEnd) -> AttemptOutcome {
+    match end {
+        FlightEnd::NotReached => AttemptOutcome::NotReached,
+        FlightEnd::Refused => AttemptOutcome::Refused,
+        FlightEnd::TimedOut => AttemptOutcome::TimedOut,
+        FlightEnd::Answered | FlightEnd::Failed | FlightEnd::Lost | FlightEnd::Cancelled => {
+            AttemptOutcome::LostBeforeFirst
+        }
+    }
 }
 
 /// Holds an attempt whose answer has begun.
@@ -325,7 +341,7 @@
             if !log.may_have_run && !may_have_run {
                 bill.record_not_run();
             }
-            self.check_repeat(log).await?;
+            self.check_repeat(log)?;
         }
     }
 
@@ -414,14 +430,7 @@
             failure.end,
             failure.reason
         );
-        log.last = Some(match failure.end {
-            FlightEnd::NotReached => AttemptOutcome::NotReached,
-            FlightEnd::Refused => AttemptOutcome::Refused,
-            FlightEnd::TimedOut => AttemptOutcome::TimedOut,
-            FlightEnd::Answered | FlightEnd::Failed | FlightEnd::Lost | FlightEnd::Cancelled => {
-                AttemptOutcome::LostBeforeFirst
-            }
-        });
+        log.last = Some(read_outcome(failure.end));
         match failure.end {
             FlightEnd::NotReached => log.unreached += 1,
             FlightEnd::Refused => log.sent += 1,
@@ -437,7 +446,7 @@
     /// # Errors
     ///
     /// Returns the failure for the caller if it is not.
-    pub(crate) async fn check_repeat(&self, log: &AttemptLog) -> Result<(), RequestRefusal> {
+    pub(crate) fn check_repeat(&self, log: &AttemptLog) -> Result<(), RequestRefusal> {
         let is_allowed = !log.may_have_run || self.rule.kind.is_repeatable();
         let is_unreached = log.last == Some(AttemptOutcome::NotReached);
         let has_attempts = match is_unreached {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -219,6 +219,7 @@
     /// Continues a broken stream at another upstream if the route allows it.
     async fn resume(&mut self, end: FlightEnd, reason: &str) -> io::Result<()> {
         self.finish_upstream(end, false);
+        self.log.record_broken(end);
         self.splitter = EventSplitter::default();
         let id = self.exchange.id().to_owned();
         let is_late = Instant::now() >= self.exchange.end;
@@ -230,7 +231,7 @@
             self.is_over = true;
             return Err(broken("no"));
         }
-        if self.exchange.check_repeat(&self.log).await.is_err() {
+        if self.exchange.check_repeat(&self.log).is_err() {
             self.is_over = true;
             return Err(broken("no attempt left"));
         }
--- /dev/null
+++ b/crates/gateway/tests/calls.rs
@@ -0,0 +1,237 @@
+//! Plain calls: what is passed on, what may be repeated, and what a refusal promises.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{FakeRunner, Plan, Reply, World};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// Guards against a request that reaches the upstream changed, with the caller's key, or with
+/// headers that only the gateway may set.
+#[tokio::test]
+async fn request_is_passed_on_without_reserved_headers() {
+    let runner = FakeRunner::start(vec![]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let response = world
+        .post("/once/a?b=%20c", "r1")
+        .header("t-customer", "forged")
+        .header("t-pin", "9000")
+        .header("x-other", "kept")
+        .header("connection", "x-hop")
+        .header("x-hop", "dropped")
+        .body("body")
+        .send()
+        .await
+        .expect("answer");
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["t-seal"], "seal-r1");
+    assert_eq!(response.text().await.expect("body"), "ok");
+    let seen = &runner.seen()[0];
+    assert!(
+        seen.head.starts_with("POST /once/a?b=%20c HTTP/1.1"),
+        "{}",
+        seen.head
+    );
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.header("t-customer"), Some("acme"));
+    assert_eq!(seen.header("t-expect"), Some("u0"));
+    assert_eq!(seen.header("x-other"), Some("kept"));
+    assert_eq!(seen.header("host"), Some("shop.example"));
+    for name in ["t-key", "t-pin", "x-hop"] {
+        assert_eq!(seen.header(name), None, "{name}");
+    }
+    let left: u64 = seen
+        .header("t-deadline-ms")
+        .expect("deadline")
+        .parse()
+        .expect("ms");
+    assert!((2_000..=3_000).contains(&left), "{left}");
+}
+
+/// Guards against answers for a caller that the configuration does not know.
+#[tokio::test]
+async fn unknown_hosts_paths_and_keys_are_refused() {
+    let runner = FakeRunner::start(vec![]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let url = |path: &str| format!("http://{}{path}", world.front);
+    let send = |path: &str, key: &'static str| {
+        world
+            .client
+            .get(url(path))
+            .header("host", "shop.example")
+            .header("t-key", key)
+            .header("t-attempt", "r1")
+            .send()
+    };
+    assert_eq!(
+        send("/again/x", "wrong").await.expect("answer").status(),
+        401
+    );
+    assert_eq!(
+        send("/none/x", common::KEY).await.expect("answer").status(),
+        404
+    );
+    assert_eq!(
+        send("/public/x", "wrong").await.expect("answer").status(),
+        200
+    );
+    let seen = runner.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].header("t-customer"), None);
+    assert_eq!(seen[0].header("t-key"), None);
+}
+
+/// Guards against an order that runs twice: after a lost answer it must not be sent again, and the
+/// caller must not be told that it did not run.
+#[tokio::test]
+async fn order_is_not_repeated_after_a_lost_answer() {
+    for reply in [Reply::Reset, Reply::Foreign, Reply::Short] {
+        let runner = FakeRunner::start(vec![reply.clone()]).await;
+        let other = FakeRunner::start(vec![reply.clone()]).await;
+        let world = World::start(&Plan::default(), &[("plain", &runner), ("plain", &other)]).await;
+        let response = world.post("/once/a", "r1").send().await.expect("answer");
+        assert_eq!(response.status(), 502, "{reply:?}");
+        assert_eq!(runner.seen().len() + other.seen().len(), 1, "{reply:?}");
+    }
+}
+
+/// Guards against a refusal of an upstream that is passed on as if the request might have run.
+#[tokio::test]
+async fn refused_order_is_answered_as_not_run() {
+    let runner = FakeRunner::start(vec![Reply::Refuse]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let response = world.post("/once/a", "r1").send().await.expect("answer");
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    assert!(!response.headers().contains_key("t-seal"));
+}
+
+/// Guards against a repeatable call that fails although another upstream is sound.
+#[tokio::test]
+async fn repeatable_call_goes_to_another_upstream() {
+    for reply in [
+        Reply::Reset,
+        Reply::Refuse,
+        Reply::Foreign,
+        Reply::Short,
+        Reply::Answer(500, "x"),
+    ] {
+        let bad = FakeRunner::start(vec![reply.clone(); 4]).await;
+        let good = FakeRunner::start(vec![]).await;
+        let world = World::start(&Plan::default(), &[("plain", &bad), ("plain", &good)]).await;
+        for attempt in 0..4 {
+            let id = format!("r{attempt}");
+            let response = world.post("/again/a", &id).send().await.expect("answer");
+            assert_eq!(response.status(), 200, "{reply:?}");
+            assert_eq!(response.headers()["t-seal"], format!("seal-{id}").as_str());
+        }
+    }
+}
+
+/// Guards against a storm of repeats: without allowance the failure of the upstream is final.
+#[tokio::test]
+async fn repeats_stay_within_their_budget() {
+    let plan = Plan {
+        slack: 0.0,
+        ..Plan::default()
+    };
+    let runners = [
+        FakeRunner::start(vec![Reply::Reset; 50]).await,
+        FakeRunner::start(vec![Reply::Reset; 50]).await,
+    ];
+    let world = World::start(&plan, &[("plain", &runners[0]), ("plain", &runners[1])]).await;
+    for attempt in 0..20 {
+        let id = format!("r{attempt}");
+        let response = world.post("/again/a", &id).send().await.expect("answer");
+        assert!(response.status().is_server_error());
+    }
+    let arrivals: usize = runners.iter().map(|runner| runner.seen().len()).sum();
+    // A fifth of 20 requests may be repeated.
+    assert!(arrivals <= 24, "{arrivals}");
+}
+
+/// Guards against bytes of a surplus answer that reach the next caller on the connection.
+#[tokio::test]
+async fn surplus_answer_reaches_nobody() {
+    let runner = FakeRunner::start(vec![Reply::Surplus("first")]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let first = world.post("/again/a", "r1").send().await.expect("answer");
+    assert_eq!(first.text().await.expect("body"), "first");
+    for attempt in 2..6 {
+        let id = format!("r{attempt}");
+        let response = world.post("/again/a", &id).send().await.expect("answer");
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.headers()["t-seal"], format!("seal-{id}").as_str());
+    }
+}
+
+/// Guards against a request that is held beyond the time limit of its route or of its caller.
+#[tokio::test]
+async fn silent_upstream_ends_at_the_time_limit() {
+    let plan = Plan {
+        timeout: Duration::from_millis(400),
+        ..Plan::default()
+    };
+    let runner = FakeRunner::start(vec![Reply::Silent]).await;
+    let world = World::start(&plan, &[("plain", &runner)]).await;
+    let started = std::time::Instant::now();
+    let response = world.post("/once/a", "r1").send().await.expect("answer");
+    assert_eq!(response.status(), 504);
+    let taken = started.elapsed();
+    assert!(
+        taken >= Duration::from_millis(350) && taken < Duration::from_millis(900),
+        "{taken:?}"
+    );
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(runner.abandoned(), 1);
+}
+
+/// Guards against work for a caller that has left.
+#[tokio::test]
+async fn caller_that_leaves_cancels_the_request() {
+    let runner = FakeRunner::start(vec![Reply::Silent]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let request = world.post("/once/a", "r1").send();
+    let left = tokio::time::timeout(Duration::from_millis(200), request).await;
+    assert!(left.is_err());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(runner.abandoned(), 1);
+}
+
+/// Guards against a request that is smuggled in the body of another by two lengths.
+#[tokio::test]
+async fn second_length_smuggles_nothing() {
+    let runner = FakeRunner::start(vec![]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let hidden = "POST /once/hidden HTTP/1.1\r\nhost: shop.example\r\nt-key: key-1\r\nt-attempt: h\r\ncontent-length: 0\r\n\r\n";
+    let text = format!(
+        "POST /once/a HTTP/1.1\r\nhost: shop.example\r\nt-key: key-1\r\nt-attempt: r1\r\ncontent-length: {}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+        5 + hidden.len()
+    );
+    let mut stream = TcpStream::connect(world.front).await.expect("connect");
+    stream.write_all(text.as_bytes()).await.expect("write");
+    let mut answer = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(2), stream.read_to_end(&mut answer)).await;
+    assert!(
+        runner
+            .seen()
+            .iter()
+            .all(|seen| !seen.head.contains("hidden"))
+    );
+}
+
+/// Guards against a body beyond the limit that reaches an upstream.
+#[tokio::test]
+async fn large_body_is_refused() {
+    let runner = FakeRunner::start(vec![]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let request = world.post("/once/a", "r1").body(vec![b'x'; 1_000_001]);
+    if let Ok(response) = request.send().await {
+        assert_eq!(response.status(), 413);
+    }
+    assert!(runner.seen().is_empty());
+}
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,217 @@
+//! Fakes at the edges of a gateway: a platform in memory and upstreams on loopback.
+
+#![allow(dead_code)]
+
+mod platform;
+mod runner;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use cornelarch_core::{
+    base::{CustomerName, DomainName, EnvironmentName, InstanceName, ServiceName, TokenCount},
+    placement::UpstreamRecord,
+    retry::WindowOptions,
+    route::{
+        CustomerRecord, RequestLimits, RouteDocument, RouteKind, RouteRule, ServiceRecord,
+        SplitTarget,
+    },
+};
+use cornelarch_gateway::{Gateway, GatewaySettings, HeaderNames};
+use http::HeaderName;
+use reqwest::{Client, RequestBuilder};
+
+pub use platform::FakePlatform;
+pub use runner::{FakeRunner, Reply};
+
+pub const KEY: &str = "key-1";
+pub const READY_PATH: &str = "/ready";
+
+/// A gateway with its platform and upstreams.
+pub struct World {
+    pub platform: Arc<FakePlatform>,
+    pub gateway: Option<Gateway>,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub client: Client,
+}
+
+/// Describes the routes of a test.
+pub struct Plan {
+    pub attempts: u32,
+    pub timeout: Duration,
+    pub prepaid: Option<u64>,
+    pub is_resumable: bool,
+    pub slack: f64,
+    pub grace: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            attempts: 2,
+            timeout: Duration::from_secs(3),
+            prepaid: None,
+            is_resumable: true,
+            slack: 100.0,
+            grace: Duration::from_secs(8),
+        }
+    }
+}
+
+pub fn header_names() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        attempt_id: name("t-attempt"),
+        deadline_ms: name("t-deadline-ms"),
+        customer_key: name("t-key"),
+        customer: name("t-customer"),
+        token_count: name("t-tokens"),
+        prompt_parts: name("t-parts"),
+        engine_priority: name("t-priority"),
+        expected_upstream: name("t-expect"),
+        upstream_load: name("t-load"),
+        not_run: name("t-not-run"),
+        answer_seal: name("t-seal"),
+        reserved: ["t-customer", "t-expect", "t-priority", "t-pin"]
+            .map(name)
+            .to_vec(),
+    }
+}
+
+/// Builds a document with the routes `/once/`, `/again/`, `/stream/` and `/engine/`.
+pub fn document(version: u64, plan: &Plan) -> RouteDocument {
+    let mut document = RouteDocument::new(version);
+    document.limits = Some(RequestLimits {
+        body_bytes: 1_000_000,
+        ..RequestLimits::default()
+    });
+    let stream = RouteKind::Streaming {
+        is_resumable: plan.is_resumable,
+    };
+    let routes = [
+        ("/once/", RouteKind::AtMostOnce, "plain", 1),
+        ("/again/", RouteKind::Idempotent, "plain", plan.attempts),
+        ("/stream/", stream, "engine", plan.attempts),
+        ("/public/", RouteKind::Idempotent, "plain", plan.attempts),
+    ];
+    for (prefix, kind, service, attempts) in routes {
+        document.add_route(RouteRule {
+            name: prefix.to_owned(),
+            host: "shop.example".to_owned(),
+            prefix: prefix.to_owned(),
+            kind,
+            timeout: plan.timeout,
+            objective: Duration::from_millis(300),
+            attempts,
+            priority: 1,
+            targets: vec![SplitTarget {
+                service: ServiceName::new(service),
+                weight: 1,
+            }],
+            is_public: prefix == "/public/",
+        });
+    }
+    for (name, is_engine) in [("plain", false), ("engine", true)] {
+        document.add_service(ServiceRecord {
+            name: ServiceName::new(name),
+            is_engine,
+            memory_tokens: if is_engine { 100_000 } else { 0 },
+            event_tokens: 5,
+        });
+    }
+    let record = CustomerRecord {
+        name: CustomerName::new("acme"),
+        priority: None,
+        prepaid: plan.prepaid.map(TokenCount::new),
+    };
+    document.add_customer(record, [KEY.to_owned()]);
+    document
+}
+
+pub fn record(name: &str, service: &str, address: SocketAddr) -> UpstreamRecord {
+    UpstreamRecord {
+        name: name.into(),
+        service: ServiceName::new(service),
+        address,
+        domain: DomainName::new("a"),
+        slots: 8,
+        is_leaving: false,
+        born_ms: None,
+    }
+}
+
+/// Returns an address that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    listener.local_addr().expect("address")
+}
+
+impl World {
+    /// Starts a gateway in front of the runners and waits until it is ready.
+    pub async fn start(plan: &Plan, runners: &[(&str, &FakeRunner)]) -> Self {
+        let platform = Arc::new(FakePlatform::default());
+        platform.publish(document(1, plan));
+        for (index, (service, runner)) in runners.iter().enumerate() {
+            platform.list(record(&format!("u{index}"), service, runner.address));
+        }
+        Self::start_with(plan, platform).await
+    }
+
+    pub async fn start_with(plan: &Plan, platform: Arc<FakePlatform>) -> Self {
+        let (front, ready, peers) = (free_address(), free_address(), free_address());
+        let settings = GatewaySettings {
+            instance: InstanceName::new("g1"),
+            domain: DomainName::new("a"),
+            environment: EnvironmentName::new("test"),
+            listen: front,
+            ready_listen: ready,
+            ready_path: READY_PATH.to_owned(),
+            peer_listen: peers,
+            seeds: Vec::new(),
+            grace: plan.grace,
+            repeats: WindowOptions {
+                ratio: 0.2,
+                slack: plan.slack,
+                window: Duration::from_secs(10),
+            },
+            outage_reserve: Duration::from_secs(9),
+            ledger_shards: 1,
+            domains: 1,
+        };
+        let gateway = Gateway::bind(settings, header_names(), Arc::clone(&platform))
+            .await
+            .expect("gateway starts");
+        let world = Self {
+            platform,
+            gateway: Some(gateway),
+            front,
+            ready,
+            client: Client::builder().no_proxy().build().expect("client"),
+        };
+        world.wait_ready().await;
+        world
+    }
+
+    pub async fn wait_ready(&self) {
+        let url = format!("http://{}{READY_PATH}", self.ready);
+        for _ in 0..200 {
+            if let Ok(response) = self.client.get(&url).send().await
+                && response.status() == 200
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("gateway does not become ready");
+    }
+
+    /// Returns a request of the customer with an attempt id.
+    pub fn post(&self, path: &str, id: &str) -> RequestBuilder {
+        self.client
+            .post(format!("http://{}{path}", self.front))
+            .header("host", "shop.example")
+            .header("t-key", KEY)
+            .header("t-attempt", id)
+            .header("t-deadline-ms", "3000")
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/common/platform.rs
@@ -0,0 +1,244 @@
+//! Platform in memory, with faults.
+
+use std::{
+    collections::HashMap,
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cornelarch_core::{placement::UpstreamRecord, route::RouteDocument};
+use cornelarch_gateway::{
+    DirectoryChange, DirectoryEvent, DirectoryList, EdgeError, PlatformEdge, StoredObject,
+    Versioned,
+};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+#[derive(Default)]
+struct Content {
+    revision: u64,
+    document: Option<(u64, RouteDocument)>,
+    upstreams: HashMap<String, UpstreamRecord>,
+    changes: Vec<(u64, DirectoryEvent)>,
+    objects: HashMap<String, StoredObject>,
+}
+
+/// Keeps objects in memory. While it is down, every call fails and waiting watches are cut.
+pub struct FakePlatform {
+    content: Mutex<Content>,
+    is_down: AtomicBool,
+    /// Revisions up to which the history was dropped; a watch from there hangs for its whole wait.
+    dropped: AtomicU64,
+    changed: watch::Sender<u64>,
+    pub reads: AtomicU64,
+    pub writes: AtomicU64,
+}
+
+impl Default for FakePlatform {
+    fn default() -> Self {
+        Self {
+            content: Mutex::default(),
+            is_down: AtomicBool::new(false),
+            dropped: AtomicU64::new(0),
+            changed: watch::Sender::new(0),
+            reads: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
+        }
+    }
+}
+
+impl FakePlatform {
+    pub fn publish(&self, document: RouteDocument) {
+        let mut content = self.content.lock();
+        content.revision += 1;
+        content.document = Some((content.revision, document));
+        drop(content);
+        self.notify();
+    }
+
+    pub fn list(&self, record: UpstreamRecord) {
+        let mut content = self.content.lock();
+        content.revision += 1;
+        let revision = content.revision;
+        let name = record.name.to_string();
+        content.upstreams.insert(name, record.clone());
+        content
+            .changes
+            .push((revision, DirectoryEvent::Listed(record)));
+        drop(content);
+        self.notify();
+    }
+
+    pub fn unlist(&self, name: &str) {
+        let mut content = self.content.lock();
+        content.revision += 1;
+        let revision = content.revision;
+        content.upstreams.remove(name);
+        content
+            .changes
+            .push((revision, DirectoryEvent::Unlisted(name.into())));
+        drop(content);
+        self.notify();
+    }
+
+    /// Changes the content without telling the watches.
+    pub fn publish_silently(&self, document: RouteDocument) {
+        let mut content = self.content.lock();
+        content.revision += 1;
+        content.document = Some((content.revision, document));
+    }
+
+    /// Drops the history and cuts all watches.
+    pub fn compact(&self) {
+        let revision = self.content.lock().revision;
+        self.dropped.store(revision, Ordering::SeqCst);
+        self.set_down(true);
+        self.set_down(false);
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.notify();
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    fn check(&self) -> Result<(), EdgeError> {
+        match self.is_down.load(Ordering::SeqCst) {
+            true => Err(down()),
+            false => Ok(()),
+        }
+    }
+
+    /// Waits for a change that `find` returns.
+    async fn wait<T>(
+        &self,
+        revision: u64,
+        wait: Duration,
+        find: impl Fn(&Content) -> Option<T>,
+    ) -> Result<Option<T>, EdgeError> {
+        let mut changed = self.changed.subscribe();
+        let end = tokio::time::Instant::now() + wait;
+        self.check()?;
+        loop {
+            if revision < self.dropped.load(Ordering::SeqCst) {
+                tokio::time::sleep_until(end).await;
+                return Err(EdgeError::HistoryGone);
+            }
+            changed.borrow_and_update();
+            if let Some(found) = find(&self.content.lock()) {
+                return Ok(Some(found));
+            }
+            match tokio::time::timeout_at(end, changed.changed()).await {
+                Err(_) => return Ok(None),
+                // A compaction toggles the outage, which cuts every watch.
+                Ok(_) if revision < self.dropped.load(Ordering::SeqCst) => return Err(down()),
+                Ok(_) => self.check()?,
+            }
+        }
+    }
+}
+
+fn down() -> EdgeError {
+    EdgeError::Unavailable {
+        reason: "outage".to_owned(),
+    }
+}
+
+impl PlatformEdge for FakePlatform {
+    async fn read_document(&self) -> Result<Versioned<Option<RouteDocument>>, EdgeError> {
+        self.check()?;
+        let content = self.content.lock();
+        Ok(Versioned {
+            revision: content.revision,
+            value: content
+                .document
+                .as_ref()
+                .map(|(_, document)| document.clone()),
+        })
+    }
+
+    async fn watch_document(
+        &self,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Versioned<Option<RouteDocument>>, EdgeError> {
+        let found = self
+            .wait(revision, wait, |content| {
+                let (changed, document) = content.document.as_ref()?;
+                (*changed > revision).then(|| (*changed, document.clone()))
+            })
+            .await?;
+        Ok(match found {
+            Some((revision, document)) => Versioned {
+                revision,
+                value: Some(document),
+            },
+            None => Versioned {
+                revision,
+                value: None,
+            },
+        })
+    }
+
+    async fn read_directory(&self) -> Result<DirectoryList, EdgeError> {
+        self.check()?;
+        let content = self.content.lock();
+        Ok(Versioned {
+            revision: content.revision,
+            value: content.upstreams.values().cloned().collect(),
+        })
+    }
+
+    async fn watch_directory(
+        &self,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<DirectoryChange, EdgeError> {
+        let found = self
+            .wait(revision, wait, |content| {
+                let changes = content.changes.iter().filter(|(at, _)| *at > revision);
+                let events: Vec<DirectoryEvent> = changes.map(|(_, e)| e.clone()).collect();
+                (!events.is_empty()).then_some((content.revision, events))
+            })
+            .await?;
+        let (revision, value) = found.unwrap_or((revision, Vec::new()));
+        Ok(Versioned { revision, value })
+    }
+
+    async fn read_object(&self, name: &str) -> Result<StoredObject, EdgeError> {
+        self.check()?;
+        self.reads.fetch_add(1, Ordering::SeqCst);
+        let stored = self.content.lock().objects.get(name).cloned();
+        Ok(stored.unwrap_or(StoredObject {
+            revision: 0,
+            value: Bytes::new(),
+        }))
+    }
+
+    async fn write_object(
+        &self,
+        name: &str,
+        expected_revision: u64,
+        value: Bytes,
+    ) -> Result<u64, EdgeError> {
+        self.check()?;
+        self.writes.fetch_add(1, Ordering::SeqCst);
+        let mut content = self.content.lock();
+        let current = content
+            .objects
+            .get(name)
+            .map_or(0, |object| object.revision);
+        if current != expected_revision {
+            return Err(EdgeError::Conflict);
+        }
+        content.revision += 1;
+        let revision = content.revision;
+        let object = StoredObject { revision, value };
+        content.objects.insert(name.to_owned(), object);
+        Ok(revision)
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/platform.rs
@@ -0,0 +1,167 @@
+//! Following the platform: configuration, upstreams, outages and the stop of an instance.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{FakePlatform, FakeRunner, Plan, Reply, World, document, record};
+
+async fn status(world: &World, path: &str) -> u16 {
+    let response = world.post(path, "r1").send().await.expect("answer");
+    response.status().as_u16()
+}
+
+async fn wait_status(world: &World, path: &str, expected: u16, limit: Duration) {
+    let end = std::time::Instant::now() + limit;
+    loop {
+        let seen = status(world, path).await;
+        if seen == expected {
+            return;
+        }
+        assert!(
+            std::time::Instant::now() < end,
+            "{path} still answers {seen}"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a change that comes into force late because a watch was resumed from a revision
+/// whose history was dropped, where it hangs for its whole wait.
+#[tokio::test]
+async fn change_is_in_force_soon_after_the_history_was_dropped() {
+    let plan = Plan::default();
+    let runner = FakeRunner::start(vec![]).await;
+    let world = World::start(&plan, &[("plain", &runner)]).await;
+    let mut changed = document(2, &plan);
+    changed.add_route(cornelarch_core::route::RouteRule {
+        prefix: "/new/".to_owned(),
+        ..match changed.find_route("shop.example", "/again/x") {
+            cornelarch_core::route::RouteLookup::Found(rule) => rule.clone(),
+            cornelarch_core::route::RouteLookup::Missing => panic!("route exists"),
+        }
+    });
+    world.platform.publish_silently(changed);
+    world.platform.compact();
+    wait_status(&world, "/new/x", 200, Duration::from_millis(1_500)).await;
+}
+
+/// Guards against a configuration that goes back to an older version.
+#[tokio::test]
+async fn older_version_is_ignored() {
+    let plan = Plan::default();
+    let runner = FakeRunner::start(vec![]).await;
+    let platform = Arc::new(FakePlatform::default());
+    platform.publish(document(5, &plan));
+    platform.list(record("u0", "plain", runner.address));
+    let world = World::start_with(&plan, platform).await;
+    world
+        .platform
+        .publish(cornelarch_core::route::RouteDocument::new(4));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(status(&world, "/again/x").await, 200);
+}
+
+/// Guards against new requests at an upstream that leaves or is gone.
+#[tokio::test]
+async fn leaving_upstream_gets_no_new_request() {
+    let runners = [
+        FakeRunner::start(vec![]).await,
+        FakeRunner::start(vec![]).await,
+    ];
+    let services = [("plain", &runners[0]), ("plain", &runners[1])];
+    let world = World::start(&Plan::default(), &services).await;
+    for _ in 0..10 {
+        assert_eq!(status(&world, "/again/x").await, 200);
+    }
+    let mut leaving = record("u0", "plain", runners[0].address);
+    leaving.is_leaving = true;
+    world.platform.list(leaving);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let before = runners[0].seen().len();
+    for _ in 0..20 {
+        assert_eq!(status(&world, "/again/x").await, 200);
+    }
+    assert_eq!(runners[0].seen().len(), before);
+    world.platform.unlist("u1");
+    wait_status(&world, "/again/x", 503, Duration::from_millis(500)).await;
+}
+
+/// Guards against upstreams that are dropped because their entries lapsed during an outage: live
+/// ones register again within two seconds.
+#[tokio::test]
+async fn lapsed_upstreams_serve_for_a_while_after_an_outage() {
+    let runner = FakeRunner::start(vec![]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    world.platform.set_down(true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    world.platform.unlist("u0");
+    world.platform.set_down(false);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(status(&world, "/again/x").await, 200);
+    wait_status(&world, "/again/x", 503, Duration::from_millis(3_000)).await;
+}
+
+/// Guards against false refusals of paid requests while the platform is away.
+#[tokio::test]
+async fn paid_requests_are_served_during_an_outage() {
+    let plan = Plan {
+        prepaid: Some(1_000_000),
+        ..Plan::default()
+    };
+    let events = vec!["id: 1\ndata: x\n\n".to_owned()];
+    let runner = FakeRunner::start(vec![Reply::Events(events); 500]).await;
+    let world = World::start(&plan, &[("engine", &runner)]).await;
+    let send = async |id: u32| {
+        let request = world.post("/stream/a", &format!("r{id}"));
+        let request = request.header("t-tokens", "900,100");
+        request.send().await.expect("answer").status().as_u16()
+    };
+    for id in 0..60 {
+        assert_eq!(send(id).await, 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    world.platform.set_down(true);
+    for id in 100..160 {
+        assert_eq!(send(id).await, 200, "request {id}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a stop that cuts a running request or refuses requests on kept connections, and
+/// against tokens that stay held after it.
+#[tokio::test]
+async fn stop_completes_running_requests_and_returns_tokens() {
+    let plan = Plan {
+        prepaid: Some(100_000),
+        ..Plan::default()
+    };
+    let events: Vec<String> = (1..30).map(|id| format!("id: {id}\ndata: x\n\n")).collect();
+    let pause = Duration::from_millis(100);
+    let runner = FakeRunner::start(vec![Reply::Paced(events.clone(), pause)]).await;
+    let plain = FakeRunner::start(vec![]).await;
+    let services = [("engine", &runner), ("plain", &plain)];
+    let mut world = World::start(&plan, &services).await;
+    let request = world.post("/stream/a", "r1").header("t-tokens", "900,200");
+    let response = request.send().await.expect("answer");
+    let gateway = world.gateway.take().expect("gateway");
+    let closing = tokio::spawn(gateway.close());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let ready = world.client.get(format!("http://{}/ready", world.ready));
+    assert_eq!(ready.send().await.expect("answer").status(), 503);
+    let late = world.post("/once/x", "r2").send().await.expect("answer");
+    assert_eq!(late.status(), 200);
+    assert_eq!(late.headers()["connection"], "close");
+    assert_eq!(
+        response.text().await.expect("whole stream"),
+        events.concat()
+    );
+    closing.await.expect("gateway ends");
+    let object = cornelarch_gateway::PlatformEdge::read_object(&*world.platform, "test-0").await;
+    let value: cornelarch_core::budget::ShardValue =
+        serde_json::from_slice(&object.expect("object").value).expect("shard");
+    let totals = value.totals(&"acme".into());
+    // 900 tokens of the prompt and 29 events of 5 tokens.
+    assert_eq!(totals.spent.get(), 900 + 145);
+    assert_eq!(totals.held.get(), 0);
+}
--- /dev/null
+++ b/crates/gateway/tests/streams.rs
@@ -0,0 +1,111 @@
+//! Event streams: whole events, resumption, billing and cancellation.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{FakeRunner, Plan, Reply, World};
+
+fn events(range: std::ops::Range<u32>) -> Vec<String> {
+    range
+        .map(|id| format!("id: {id}\ndata: t{id}\n\n"))
+        .collect()
+}
+
+/// Guards against a stream that loses, repeats or joins events when its upstream breaks off inside
+/// an event.
+#[tokio::test]
+async fn broken_stream_continues_after_the_last_whole_event() {
+    let mut first = events(1..4);
+    first.push("id: 4\nda".to_owned());
+    let runner = FakeRunner::start(vec![Reply::Broken(first), Reply::Events(events(4..7))]).await;
+    let other = FakeRunner::start(vec![Reply::Events(events(4..7))]).await;
+    let world = World::start(&Plan::default(), &[("engine", &runner)]).await;
+    let request = world.post("/stream/a", "r1").header("t-tokens", "100,50");
+    let sent = request.send();
+    let response = sent.await.expect("answer");
+    assert_eq!(response.headers()["t-seal"], "seal-r1");
+    // The second upstream appears while the stream runs.
+    world
+        .platform
+        .list(common::record("u9", "engine", other.address));
+    let text = response.text().await.expect("whole stream");
+    assert_eq!(text, events(1..7).concat());
+    let seen: Vec<_> = runner.seen().into_iter().chain(other.seen()).collect();
+    assert_eq!(seen.len(), 2);
+    assert_eq!(seen[1].header("last-event-id"), Some("3"));
+}
+
+/// Guards against a broken stream that looks complete where no other run may continue it.
+#[tokio::test]
+async fn broken_stream_does_not_look_complete() {
+    let plan = Plan {
+        is_resumable: false,
+        ..Plan::default()
+    };
+    let runner = FakeRunner::start(vec![Reply::Broken(events(1..4))]).await;
+    let other = FakeRunner::start(vec![]).await;
+    let world = World::start(&plan, &[("engine", &runner)]).await;
+    let request = world.post("/stream/a", "r1").header("t-tokens", "100,50");
+    let response = request.send().await.expect("answer");
+    world
+        .platform
+        .list(common::record("u9", "engine", other.address));
+    assert!(response.text().await.is_err());
+    assert_eq!(runner.seen().len() + other.seen().len(), 1);
+}
+
+/// Guards against an upstream that goes on working for a caller that has left.
+#[tokio::test]
+async fn caller_that_leaves_closes_the_stream() {
+    let pause = Duration::from_millis(50);
+    let runner = FakeRunner::start(vec![Reply::Paced(events(1..100), pause)]).await;
+    let world = World::start(&Plan::default(), &[("engine", &runner)]).await;
+    let request = world.post("/stream/a", "r1").header("t-tokens", "100,50");
+    let mut response = request.send().await.expect("answer");
+    assert!(response.chunk().await.expect("chunk").is_some());
+    drop(response);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(runner.abandoned(), 1);
+}
+
+/// Guards against events that are held back until later ones arrive.
+#[tokio::test]
+async fn events_are_passed_on_as_they_arrive() {
+    let pause = Duration::from_millis(300);
+    let runner = FakeRunner::start(vec![Reply::Paced(events(1..4), pause)]).await;
+    let world = World::start(&Plan::default(), &[("engine", &runner)]).await;
+    let request = world.post("/stream/a", "r1").header("t-tokens", "100,50");
+    let started = std::time::Instant::now();
+    let mut response = request.send().await.expect("answer");
+    let first = response.chunk().await.expect("chunk").expect("event");
+    assert_eq!(first, events(1..2)[0]);
+    assert!(started.elapsed() < Duration::from_millis(250));
+}
+
+/// Guards against a customer that gets more than it has paid, and against a bill for more than the
+/// prompt and the delivered events.
+#[tokio::test]
+async fn prepaid_amount_is_used_and_not_exceeded() {
+    let plan = Plan {
+        prepaid: Some(1_000),
+        ..Plan::default()
+    };
+    // Each run costs 100 + 2 x 5 tokens of at most 200.
+    let runner = FakeRunner::start(vec![Reply::Events(events(1..3)); 50]).await;
+    let world = World::start(&plan, &[("engine", &runner)]).await;
+    let mut served = 0;
+    for attempt in 0..20 {
+        let id = format!("r{attempt}");
+        let request = world.post("/stream/a", &id).header("t-tokens", "100,100");
+        let response = request.send().await.expect("answer");
+        match response.status().as_u16() {
+            200 => served += 1,
+            status => assert!([402, 503].contains(&status), "{status}"),
+        }
+        let _ = response.text().await;
+    }
+    // 8 runs leave 120 tokens, less than the 200 of another run.
+    assert_eq!(served, 8);
+    assert_eq!(runner.seen().len(), 8);
+}
