--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -20,29 +20,29 @@
 use http::HeaderName;
 use reqwest::{Client, RequestBuilder};
 
-pub use platform::FakePlatform;
-pub use runner::{FakeRunner, Reply};
+pub(crate) use platform::FakePlatform;
+pub(crate) use runner::{FakeRunner, Reply};
 
-pub const KEY: &str = "key-1";
-pub const READY_PATH: &str = "/ready";
+pub(crate) const KEY: &str = "key-1";
+pub(crate) const READY_PATH: &str = "/ready";
 
 /// A gateway with its platform and upstreams.
-pub struct World {
-    pub platform: Arc<FakePlatform>,
-    pub gateway: Option<Gateway>,
-    pub front: SocketAddr,
-    pub ready: SocketAddr,
-    pub client: Client,
+pub(crate) struct World {
+    pub(crate) platform: Arc<FakePlatform>,
+    pub(crate) gateway: Option<Gateway>,
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) client: Client,
 }
 
 /// Describes the routes of a test.
-pub struct Plan {
-    pub attempts: u32,
-    pub timeout: Duration,
-    pub prepaid: Option<u64>,
-    pub is_resumable: bool,
-    pub slack: f64,
-    pub grace: Duration,
+pub(crate) struct Plan {
+    pub(crate) attempts: u32,
+    pub(crate) timeout: Duration,
+    pub(crate) prepaid: Option<u64>,
+    pub(crate) is_resumable: bool,
+    pub(crate) slack: f64,
+    pub(crate) grace: Duration,
 }
 
 impl Default for Plan {
@@ -58,7 +58,7 @@
     }
 }
 
-pub fn header_names() -> HeaderNames {
+pub(crate) fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
     HeaderNames {
         attempt_id: name("t-attempt"),
@@ -79,7 +79,7 @@
 }
 
 /// Builds a document with the routes `/once/`, `/again/`, `/stream/` and `/engine/`.
-pub fn document(version: u64, plan: &Plan) -> RouteDocument {
+pub(crate) fn document(version: u64, plan: &Plan) -> RouteDocument {
     let mut document = RouteDocument::new(version);
     document.limits = Some(RequestLimits {
         body_bytes: 1_000_000,
@@ -128,7 +128,7 @@
     document
 }
 
-pub fn record(name: &str, service: &str, address: SocketAddr) -> UpstreamRecord {
+pub(crate) fn record(name: &str, service: &str, address: SocketAddr) -> UpstreamRecord {
     UpstreamRecord {
         name: name.into(),
         service: ServiceName::new(service),
@@ -141,14 +141,14 @@
 }
 
 /// Returns an address that was free a moment ago.
-pub fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
     listener.local_addr().expect("address")
 }
 
 impl World {
     /// Starts a gateway in front of the runners and waits until it is ready.
-    pub async fn start(plan: &Plan, runners: &[(&str, &FakeRunner)]) -> Self {
+    pub(crate) async fn start(plan: &Plan, runners: &[(&str, &FakeRunner)]) -> Self {
         let platform = Arc::new(FakePlatform::default());
         platform.publish(document(1, plan));
         for (index, (service, runner)) in runners.iter().enumerate() {
@@ -157,7 +157,7 @@
         Self::start_with(plan, platform).await
     }
 
-    pub async fn start_with(plan: &Plan, platform: Arc<FakePlatform>) -> Self {
+    pub(crate) async fn start_with(plan: &Plan, platform: Arc<FakePlatform>) -> Self {
         let (front, ready, peers) = (free_address(), free_address(), free_address());
         let settings = GatewaySettings {
             instance: InstanceName::new("g1"),
@@ -192,7 +192,7 @@
         world
     }
 
-    pub async fn wait_ready(&self) {
+    pub(crate) async fn wait_ready(&self) {
         let url = format!("http://{}{READY_PATH}", self.ready);
         for _ in 0..200 {
             if let Ok(response) = self.client.get(&url).send().await
@@ -206,7 +206,7 @@
     }
 
     /// Returns a request of the customer with an attempt id.
-    pub fn post(&self, path: &str, id: &str) -> RequestBuilder {
+    pub(crate) fn post(&self, path: &str, id: &str) -> RequestBuilder {
         self.client
             .post(format!("http://{}{path}", self.front))
             .header("host", "shop.example")
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -25,14 +25,14 @@
 }
 
 /// Keeps objects in memory. While it is down, every call fails and waiting watches are cut.
-pub struct FakePlatform {
+pub(crate) struct FakePlatform {
     content: Mutex<Content>,
     is_down: AtomicBool,
     /// Revisions up to which the history was dropped; a watch from there hangs for its whole wait.
     dropped: AtomicU64,
     changed: watch::Sender<u64>,
-    pub reads: AtomicU64,
-    pub writes: AtomicU64,
+    pub(crate) reads: AtomicU64,
+    pub(crate) writes: AtomicU64,
 }
 
 impl Default for FakePlatform {
@@ -49,7 +49,7 @@
 }
 
 impl FakePlatform {
-    pub fn publish(&self, document: RouteDocument) {
+    pub(crate) fn publish(&self, document: RouteDocument) {
         let mut content = self.content.lock();
         content.revision += 1;
         content.document = Some((content.revision, document));
@@ -57,7 +57,7 @@
         self.notify();
     }
 
-    pub fn list(&self, record: UpstreamRecord) {
+    pub(crate) fn list(&self, record: UpstreamRecord) {
         let mut content = self.content.lock();
         content.revision += 1;
         let revision = content.revision;
@@ -70,7 +70,7 @@
         self.notify();
     }
 
-    pub fn unlist(&self, name: &str) {
+    pub(crate) fn unlist(&self, name: &str) {
         let mut content = self.content.lock();
         content.revision += 1;
         let revision = content.revision;
@@ -83,21 +83,21 @@
     }
 
     /// Changes the content without telling the watches.
-    pub fn publish_silently(&self, document: RouteDocument) {
+    pub(crate) fn publish_silently(&self, document: RouteDocument) {
         let mut content = self.content.lock();
         content.revision += 1;
         content.document = Some((content.revision, document));
     }
 
     /// Drops the history and cuts all watches.
-    pub fn compact(&self) {
+    pub(crate) fn compact(&self) {
         let revision = self.content.lock().revision;
         self.dropped.store(revision, Ordering::SeqCst);
         self.set_down(true);
         self.set_down(false);
     }
 
-    pub fn set_down(&self, is_down: bool) {
+    pub(crate) fn set_down(&self, is_down: bool) {
         self.is_down.store(is_down, Ordering::SeqCst);
         self.notify();
     }
--- a/crates/gateway/tests/common/runner.rs
+++ b/crates/gateway/tests/common/runner.rs
@@ -18,7 +18,7 @@
 
 /// What an upstream does with a request.
 #[derive(Clone, Debug)]
-pub enum Reply {
+pub(crate) enum Reply {
     /// Answers with a status and a body.
     Answer(u16, &'static str),
     /// Says that it did not run the request.
@@ -43,14 +43,14 @@
 
 /// One request as an upstream got it.
 #[derive(Clone, Debug)]
-pub struct Seen {
-    pub head: String,
-    pub body: Vec<u8>,
+pub(crate) struct Seen {
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
 }
 
 impl Seen {
     /// Returns a header by its name in lower case.
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines().skip(1);
         lines.find_map(|line| {
             let (key, value) = line.split_once(':')?;
@@ -68,14 +68,14 @@
     abandoned: AtomicU32,
 }
 
-pub struct FakeRunner {
-    pub address: SocketAddr,
+pub(crate) struct FakeRunner {
+    pub(crate) address: SocketAddr,
     shared: Arc<Shared>,
 }
 
 impl FakeRunner {
     /// Starts an upstream that answers 200 unless other replies are queued.
-    pub async fn start(replies: Vec<Reply>) -> Self {
+    pub(crate) async fn start(replies: Vec<Reply>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let shared = Arc::new(Shared {
@@ -92,19 +92,19 @@
         Self { address, shared }
     }
 
-    pub fn push(&self, reply: Reply) {
+    pub(crate) fn push(&self, reply: Reply) {
         self.shared.replies.lock().push_back(reply);
     }
 
-    pub fn seen(&self) -> Vec<Seen> {
+    pub(crate) fn seen(&self) -> Vec<Seen> {
         self.shared.seen.lock().clone()
     }
 
-    pub fn connections(&self) -> u32 {
+    pub(crate) fn connections(&self) -> u32 {
         self.shared.connections.load(Ordering::SeqCst)
     }
 
-    pub fn abandoned(&self) -> u32 {
+    pub(crate) fn abandoned(&self) -> u32 {
         self.shared.abandoned.load(Ordering::SeqCst)
     }
 }
