--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod config;
 pub mod error;
+mod event;
 pub mod limit;
 pub mod membership;
 pub mod order;
@@ -17,3 +18,7 @@
 pub mod route;
 pub mod routing;
 pub mod stream;
+
+/// The log facade, for [`define_log_events`].
+#[doc(hidden)]
+pub use log;
--- a/crates/router/src/process/event.rs
+++ b/crates/router/src/process/event.rs
@@ -1,41 +1,9 @@
 //! Numbered log events, catalogued in `docs/events.md`.
 
-use log::Level;
+cornelarch_core::define_log_events! {
+    /// Lists every event that a router writes to its log.
+    LogEvent;
 
-macro_rules! define_events {
-    ($($(#[$meta:meta])* $name:ident => $number:literal, $level:ident, $text:literal;)*) => {
-        /// Lists every event that a router writes to its log.
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-        pub enum LogEvent {
-            $($(#[$meta])* $name,)*
-        }
-
-        impl LogEvent {
-            /// Every event, in ascending order of numbers.
-            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
-
-            /// Returns the number in the log line, without the letter `E`.
-            #[must_use]
-            pub const fn number(self) -> u16 {
-                match self { $(Self::$name => $number,)* }
-            }
-
-            /// Returns the level at which the event is logged.
-            #[must_use]
-            pub const fn level(self) -> Level {
-                match self { $(Self::$name => Level::$level,)* }
-            }
-
-            /// Returns the fixed part of the log line.
-            #[must_use]
-            pub const fn text(self) -> &'static str {
-                match self { $(Self::$name => $text,)* }
-            }
-        }
-    };
-}
-
-define_events! {
     /// All ports are bound.
     RouterStarted => 1000, Info, "router started";
     /// A stop was requested.
