--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -99,7 +99,7 @@
 }
 
 /// Tells how a request at an upstream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum FlightEnd {
     /// The upstream answered as it should.
     Answered,
--- a/crates/cornelarch/src/operator/error.rs
+++ b/crates/cornelarch/src/operator/error.rs
@@ -103,7 +103,7 @@
 }
 
 impl ToolError {
-    /// Returns the exit code, as documented in `docs/operations.md`.
+    /// Returns the exit code, as documented in `docs/OPERATIONS.md`.
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,6 +1,6 @@
 //! Running handle of a gateway.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::base::HolderId;
 use http::{Request, Response, StatusCode};
@@ -8,7 +8,7 @@
 use rand::Rng;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::UdpSocket,
+    net::{TcpListener, UdpSocket},
     sync::mpsc,
     task::JoinSet,
     time::{Instant, sleep_until, timeout_at},
@@ -22,7 +22,7 @@
         GatewayPhase, GatewaySettings, GatewayState, LedgerCell, PeerOrder, log_event, run_ledger,
         run_peers, sync_directory, sync_document,
     },
-    request::{AnswerBody, empty_answer, handle_request},
+    request::{AnswerBody, empty_answer, handle_request, whole_body},
 };
 
 /// Time after the request to stop in which new connections still arrive: the balancer asks once a
@@ -36,10 +36,12 @@
 const LEDGER_POLL: Duration = Duration::from_millis(20);
 /// Time between two removals of expired idle connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
-/// Size of the head of a readiness question, in bytes.
-const READY_HEAD_BYTES: usize = 8 * 1024;
-/// Idle time of a connection for readiness questions.
-const READY_IDLE: Duration = Duration::from_secs(30);
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Size of the head of a question for readiness or metrics, in bytes.
+const PROBE_HEAD_BYTES: usize = 8 * 1024;
+/// Idle time of a connection for such questions.
+const PROBE_IDLE: Duration = Duration::from_secs(30);
 
 /// Reports why a gateway cannot start.
 #[derive(Debug, Snafu)]
@@ -76,6 +78,7 @@
         let listen = |address| bind_listener(address).context(BindSnafu { address });
         let (callers_listener, ready_listener) =
             (listen(settings.listen)?, listen(settings.ready_listen)?);
+        let metrics_listener = settings.metrics_listen.map(listen).transpose()?;
         let holder = HolderId::new(settings.instance.clone(), rand::rng().random());
         let ledger = LedgerCell::open(&settings, holder.clone());
         let (sender, events) = mpsc::unbounded_channel();
@@ -97,6 +100,9 @@
         tasks.spawn(run_ledger(Arc::clone(&state), edge, events));
         tasks.spawn(run_peers(Arc::clone(&state), holder, socket, orders));
         tasks.spawn(sweep_connections(Arc::clone(&state)));
+        if let Some(listener) = metrics_listener {
+            tasks.spawn(serve_metrics(Arc::clone(&state), listener));
+        }
         tasks.spawn(serve_ready(Arc::clone(&state), ready_listener));
         let (callers, stop) = (gateway.callers.clone(), gateway.stop.clone());
         let shared = Arc::clone(&state);
@@ -179,14 +185,35 @@
 }
 
 /// Answers whether the instance should get new connections.
-async fn serve_ready(state: Arc<GatewayState>, listener: tokio::net::TcpListener) {
-    let options = || ConnectionOptions {
-        header_bytes: READY_HEAD_BYTES,
-        idle_timeout: READY_IDLE,
-    };
+async fn serve_ready(state: Arc<GatewayState>, listener: TcpListener) {
     let handler = move |request: Request<Incoming>| {
         let status = answer_ready(&state, &request);
-        async move { ready_answer(status) }
+        async move { empty_answer(status) }
+    };
+    serve_probes(listener, handler).await;
+}
+
+/// Serves the metrics as text.
+async fn serve_metrics(state: Arc<GatewayState>, listener: TcpListener) {
+    let handler = move |request: Request<Incoming>| {
+        let answer = match request.uri().path() {
+            METRICS_PATH => Response::new(whole_body(state.render_metrics().into())),
+            _ => empty_answer(StatusCode::NOT_FOUND),
+        };
+        async move { answer }
+    };
+    serve_probes(listener, handler).await;
+}
+
+/// Serves a listener that is not for callers until the task is dropped.
+async fn serve_probes<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let options = || ConnectionOptions {
+        header_bytes: PROBE_HEAD_BYTES,
+        idle_timeout: PROBE_IDLE,
     };
     let connections = ServerConnections::default();
     connections
@@ -203,7 +230,3 @@
         StatusCode::SERVICE_UNAVAILABLE
     }
 }
-
-fn ready_answer(status: StatusCode) -> Response<AnswerBody> {
-    empty_answer(status)
-}
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     edge::{EdgeError, PlatformEdge},
-    process::{GatewaySettings, GatewayState, PeerOrder, log_event},
+    process::{GatewaySettings, GatewayState, PeerOrder, PlatformCall, log_event},
 };
 
 /// Time between two ticks of the ledger.
@@ -162,7 +162,9 @@
     shard: ShardNumber,
 ) -> LedgerEvent {
     let name = object_name(state, shard);
-    match edge.read_object(&name).await {
+    let result = edge.read_object(&name).await;
+    state.metrics.count_call(PlatformCall::LedgerRead, &result);
+    match result {
         Ok(object) if object.revision == 0 => LedgerEvent::ShardRead {
             shard,
             version: 0,
@@ -222,7 +224,9 @@
             return LedgerEvent::PlatformDown { shard };
         }
     };
-    match edge.write_object(&name, expected_version, bytes).await {
+    let result = edge.write_object(&name, expected_version, bytes).await;
+    state.metrics.count_call(PlatformCall::LedgerWrite, &result);
+    match result {
         Ok(version) => LedgerEvent::WriteAccepted { shard, version },
         Err(EdgeError::Conflict) => LedgerEvent::WriteConflict { shard },
         Err(EdgeError::Unknown { reason }) => {
--- /dev/null
+++ b/crates/gateway/src/process/metrics.rs
@@ -0,0 +1,224 @@
+//! Counters and histograms of a gateway, served as text.
+
+use std::{fmt, time::Duration};
+
+use cornelarch_core::{error::ErrorKind, placement::FlightEnd, route::RouteKind};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Smallest upper bound of a histogram, in seconds; doubles 14 times up to 16 s.
+const BUCKET_MIN_S: f64 = 0.001;
+/// Bounds of a histogram.
+const BUCKETS: u16 = 15;
+
+/// Labels a request by the kind of its route and by how it ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    kind: KindLabel,
+    outcome: OutcomeLabel,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    end: EndLabel,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabels {
+    stage: TimedStage,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    call: PlatformCall,
+    result: CallResult,
+}
+
+/// Kind of a route, or none if no route was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct KindLabel(Option<RouteKind>);
+
+/// How a request ended: answered, or the reason of its refusal or failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct OutcomeLabel(RequestOutcome);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct EndLabel(FlightEnd);
+
+/// Lists how requests end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum RequestOutcome {
+    /// An upstream answered; a stream may still break off.
+    Answered,
+    /// The stream of an answer broke off.
+    Broken,
+    /// The gateway refused the request or it failed.
+    Refused(ErrorKind),
+}
+
+/// Lists the measured stages of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum TimedStage {
+    /// From the arrival until the tokens are reserved.
+    Reserve,
+    /// From the arrival to the head of the answer.
+    Head,
+    /// From the arrival to the first event of a stream.
+    FirstEvent,
+    /// Between two events of a stream.
+    EventGap,
+}
+
+/// Lists the calls to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum PlatformCall {
+    /// List or watch of the configuration.
+    Document,
+    /// List or watch of the upstreams.
+    Directory,
+    /// Read of a ledger object.
+    LedgerRead,
+    /// Write of a ledger object.
+    LedgerWrite,
+}
+
+/// Lists the results of calls to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum CallResult {
+    /// The call was carried out.
+    Done,
+    /// The call failed.
+    Failed,
+}
+
+impl EncodeLabelValue for KindLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        let text = match self.0 {
+            None => "none",
+            Some(RouteKind::Idempotent) => "idempotent",
+            Some(RouteKind::AtMostOnce) => "at_most_once",
+            Some(RouteKind::Streaming { .. }) => "streaming",
+        };
+        text.encode(encoder)
+    }
+}
+
+impl EncodeLabelValue for OutcomeLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        let text = match self.0 {
+            RequestOutcome::Answered => "answered",
+            RequestOutcome::Broken => "broken",
+            RequestOutcome::Refused(kind) => kind.answer().code,
+        };
+        text.encode(encoder)
+    }
+}
+
+impl EncodeLabelValue for EndLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        let text = match self.0 {
+            FlightEnd::Answered => "answered",
+            FlightEnd::Failed => "failed",
+            FlightEnd::Refused => "refused",
+            FlightEnd::NotReached => "not_reached",
+            FlightEnd::Lost => "lost",
+            FlightEnd::TimedOut => "timed_out",
+            FlightEnd::Cancelled => "cancelled",
+        };
+        text.encode(encoder)
+    }
+}
+
+/// Holds the metrics of one gateway.
+#[derive(Debug)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    attempts: Family<AttemptLabels, Counter>,
+    stages: Family<StageLabels, Histogram>,
+    calls: Family<CallLabels, Counter>,
+    resumes: Counter,
+    running: Gauge,
+    version: Gauge,
+    upstreams: Gauge,
+}
+
+impl GatewayMetrics {
+    /// Creates the metrics.
+    pub(crate) fn new() -> Self {
+        let buckets = || Histogram::new(exponential_buckets(BUCKET_MIN_S, 2.0, BUCKETS));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("cornelarch"),
+            requests: Family::default(),
+            attempts: Family::default(),
+            stages: Family::new_with_constructor(buckets),
+            calls: Family::default(),
+            resumes: Counter::default(),
+            running: Gauge::default(),
+            version: Gauge::default(),
+            upstreams: Gauge::default(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("requests", "Requests by outcome", metrics.requests.clone());
+        registry.register("attempts", "Attempts by end", metrics.attempts.clone());
+        registry.register("seconds", "Time by stage", metrics.stages.clone());
+        registry.register("calls", "Calls to the platform", metrics.calls.clone());
+        registry.register("resumes", "Streams resumed", metrics.resumes.clone());
+        registry.register("running", "Requests in progress", metrics.running.clone());
+        registry.register("version", "Configuration version", metrics.version.clone());
+        registry.register("upstreams", "Usable upstreams", metrics.upstreams.clone());
+        metrics
+    }
+
+    pub(crate) fn count_request(&self, kind: Option<RouteKind>, outcome: RequestOutcome) {
+        let labels = RequestLabels {
+            kind: KindLabel(kind),
+            outcome: OutcomeLabel(outcome),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_attempt(&self, end: FlightEnd) {
+        let labels = AttemptLabels { end: EndLabel(end) };
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn observe(&self, stage: TimedStage, time: Duration) {
+        let labels = StageLabels { stage };
+        let histogram = self.stages.get_or_create(&labels);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn count_call<T, E>(&self, call: PlatformCall, result: &Result<T, E>) {
+        let result = match result {
+            Ok(_) => CallResult::Done,
+            Err(_) => CallResult::Failed,
+        };
+        self.calls.get_or_create(&CallLabels { call, result }).inc();
+    }
+
+    pub(crate) fn count_resume(&self) {
+        self.resumes.inc();
+    }
+
+    /// Sets the gauges and returns all metrics as text.
+    pub(crate) fn render(&self, running: usize, version: u64, upstreams: usize) -> String {
+        self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
+        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.upstreams
+            .set(i64::try_from(upstreams).unwrap_or(i64::MAX));
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::warn!("metrics cannot be written: {error}");
+        }
+        text
+    }
+}
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod event;
 mod gateway;
 mod ledger;
+mod metrics;
 mod peers;
 mod settings;
 mod state;
@@ -12,6 +13,7 @@
 pub(crate) use event::log_event;
 pub use gateway::{Gateway, GatewayError};
 pub(crate) use ledger::{LedgerCell, TOKEN_WAIT, run_ledger};
+pub(crate) use metrics::{GatewayMetrics, PlatformCall, RequestOutcome, TimedStage};
 pub(crate) use peers::{PeerOrder, run_peers};
 pub use settings::GatewaySettings;
 pub(crate) use state::{GatewayPhase, GatewayState, RunningGuard};
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -22,6 +22,8 @@
     pub ready_listen: SocketAddr,
     /// Path of that question.
     pub ready_path: String,
+    /// Address at which the metrics are served as text under `/metrics`; `None` serves none.
+    pub metrics_listen: Option<SocketAddr>,
     /// Address for messages of other instances, as UDP.
     pub peer_listen: SocketAddr,
     /// Addresses of some instances, from which the others are learnt.
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -26,7 +26,7 @@
 use crate::{
     connection::UpstreamPool,
     edge::HeaderNames,
-    process::{GatewaySettings, LedgerCell, PeerOrder, log_event},
+    process::{GatewayMetrics, GatewaySettings, LedgerCell, PeerOrder, log_event},
 };
 
 /// Time without confirmation after which a configuration may be outdated. A host or key that it
@@ -53,6 +53,7 @@
     pub(crate) placement: Mutex<PlacementTable>,
     pub(crate) ledger: LedgerCell,
     pub(crate) pool: UpstreamPool,
+    pub(crate) metrics: GatewayMetrics,
     pub(crate) instances: AtomicUsize,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
     peer_orders: mpsc::UnboundedSender<PeerOrder>,
@@ -81,6 +82,7 @@
             placement: Mutex::new(PlacementTable::new(options)),
             ledger,
             pool: UpstreamPool::default(),
+            metrics: GatewayMetrics::new(),
             instances: AtomicUsize::new(INSTANCES_PRIOR),
             ledger_events,
             peer_orders,
@@ -217,6 +219,14 @@
         self.running.load(Ordering::Acquire)
     }
 
+    /// Returns the metrics as text.
+    pub(crate) fn render_metrics(&self) -> String {
+        let document = self.document.load();
+        let version = document.as_ref().map_or(0, |document| document.version);
+        let upstreams = self.placement.lock().listed_count();
+        self.metrics.render(self.running(), version, upstreams)
+    }
+
     /// Waits until no request is in progress.
     pub(crate) async fn wait_idle(&self) {
         let mut idle = self.idle.subscribe();
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     edge::{DirectoryEvent, EdgeError, PlatformEdge},
-    process::{GatewayState, log_event},
+    process::{GatewayState, PlatformCall, log_event},
 };
 
 /// Longest wait of one watch. A connection that went silent is noticed after this time, which must
@@ -81,6 +81,7 @@
             None => edge.read_document().await,
             Some(revision) => edge.watch_document(revision, WATCH_WAIT).await,
         };
+        state.metrics.count_call(PlatformCall::Document, &result);
         match result {
             Ok(change) => {
                 track.record_success();
@@ -124,6 +125,7 @@
                 change.revision
             }),
         };
+        state.metrics.count_call(PlatformCall::Directory, &result);
         match result {
             Ok(new) => {
                 track.record_success();
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -8,7 +8,7 @@
     error::ErrorKind,
     placement::{FlightEnd, Placement, PlacementKey, PlacementRefusal, PlacementRequest, WorkSize},
     retry::AttemptOutcome,
-    route::{CustomerRecord, RouteDocument, RouteLookup, RouteRule, ServiceRecord},
+    route::{CustomerRecord, RouteDocument, RouteKind, RouteLookup, RouteRule, ServiceRecord},
 };
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    process::{GatewayPhase, GatewayState, log_event},
+    process::{GatewayPhase, GatewayState, RequestOutcome, TimedStage, log_event},
     request::{
         AnswerBody, RequestRefusal,
         attempt::{AttemptAnswer, AttemptFailure, AttemptRequest, send_attempt},
@@ -116,10 +116,17 @@
 ) -> Response<AnswerBody> {
     let started = Instant::now();
     let id = read_id(&state, request.headers());
-    let result = serve_request(&state, request, started).await;
+    let mut kind = None;
+    let result = serve_request(&state, request, started, &mut kind).await;
+    let outcome = match &result {
+        Ok(_) => RequestOutcome::Answered,
+        Err(refusal) => RequestOutcome::Refused(refusal.kind),
+    };
+    state.metrics.count_request(kind, outcome);
     let mut response = match result {
         Ok(response) => {
             let ms = started.elapsed().as_millis();
+            state.metrics.observe(TimedStage::Head, started.elapsed());
             log_event!(
                 RequestAnswered,
                 "id={id} status={} head_ms={ms}",
@@ -164,11 +171,15 @@
     state: &Arc<GatewayState>,
     request: Request<Incoming>,
     started: Instant,
+    kind: &mut Option<RouteKind>,
 ) -> Result<Response<AnswerBody>, RequestRefusal> {
     let guard = state.start_request();
     let exchange = open_exchange(state, request, started).await?;
+    *kind = Some(exchange.rule.kind);
     exchange.state.record_request(&exchange.service.name);
     let bill = exchange.reserve().await?;
+    let metrics = &state.metrics;
+    metrics.observe(TimedStage::Reserve, started.elapsed());
     let exchange = Arc::new(exchange);
     match exchange.rule.kind.is_stream() {
         true => answer_stream(exchange, bill, guard).await,
--- a/crates/gateway/src/request/flight.rs
+++ b/crates/gateway/src/request/flight.rs
@@ -69,6 +69,7 @@
     fn end(&mut self, end: FlightEnd) {
         if let Some(flight) = self.flight.take() {
             let now = self.state.now();
+            self.state.metrics.count_attempt(end);
             self.state.placement.lock().finish(flight, end, now);
         }
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -9,5 +9,5 @@
 mod head;
 mod relay;
 
-pub(crate) use answer::{AnswerBody, RequestRefusal, empty_answer};
+pub(crate) use answer::{AnswerBody, RequestRefusal, empty_answer, whole_body};
 pub(crate) use exchange::handle_request;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     connection::PooledConnection,
-    process::{RunningGuard, log_event},
+    process::{RequestOutcome, RunningGuard, TimedStage, log_event},
     request::{
         AnswerBody, RequestRefusal,
         bill::RequestBill,
@@ -80,6 +80,7 @@
     ready: VecDeque<Bytes>,
     last_id: Option<String>,
     events: u64,
+    last_event: Option<Instant>,
     is_over: bool,
     _guard: RunningGuard,
 }
@@ -109,6 +110,7 @@
             ready: VecDeque::new(),
             last_id: None,
             events: 0,
+            last_event: None,
             is_over: false,
             _guard: guard,
         }
@@ -182,11 +184,7 @@
     fn take_chunk(&mut self, chunk: Bytes) {
         self.splitter.push(chunk);
         while let Some(event) = self.splitter.next_event() {
-            if self.events == 0
-                && let Some(upstream) = &self.upstream
-            {
-                upstream.flight.begin();
-            }
+            self.observe_event();
             self.events += 1;
             self.bill_event();
             if let Some(id) = find_event_id(&event) {
@@ -196,6 +194,20 @@
         }
     }
 
+    fn observe_event(&mut self) {
+        let (now, metrics) = (Instant::now(), &self.exchange.state.metrics);
+        match self.last_event {
+            Some(last) => metrics.observe(TimedStage::EventGap, now - last),
+            None => {
+                metrics.observe(TimedStage::FirstEvent, now - self.exchange.started);
+                if let Some(upstream) = &self.upstream {
+                    upstream.flight.begin();
+                }
+            }
+        }
+        self.last_event = Some(now);
+    }
+
     /// Bills the tokens of one event, at most up to the largest answer.
     fn bill_event(&mut self) {
         let per_event = self.exchange.service.event_tokens.max(1);
@@ -225,6 +237,9 @@
         let is_late = Instant::now() >= self.exchange.end;
         let broken = |why: &str| {
             log_event!(StreamBroken, "id={id} reason={reason} resumed={why}");
+            let kind = Some(self.exchange.rule.kind);
+            let metrics = &self.exchange.state.metrics;
+            metrics.count_request(kind, RequestOutcome::Broken);
             io::Error::other("stream broken off")
         };
         if !self.exchange.rule.kind.is_repeatable() || is_late {
@@ -246,6 +261,7 @@
                     self.events,
                     begun.flight.upstream
                 );
+                self.exchange.state.metrics.count_resume();
                 self.upstream = Some(UpstreamStream::open(begun));
                 Ok(())
             }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -235,3 +235,26 @@
     }
     assert!(runner.seen().is_empty());
 }
+
+/// Guards against outcomes that no counter shows.
+#[tokio::test]
+async fn metrics_count_each_outcome() {
+    let runner = FakeRunner::start(vec![Reply::Answer(200, "x"), Reply::Refuse]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    for id in ["r1", "r2"] {
+        world.post("/once/a", id).send().await.expect("answer");
+    }
+    world.post("/none/a", "r3").send().await.expect("answer");
+    let url = format!("http://{}/metrics", world.metrics);
+    let response = world.client.get(url).send().await.expect("metrics");
+    let text = response.text().await.expect("text");
+    for line in [
+        "cornelarch_requests_total{kind=\"at_most_once\",outcome=\"answered\"} 1",
+        "cornelarch_requests_total{kind=\"at_most_once\",outcome=\"overloaded\"} 1",
+        "cornelarch_requests_total{kind=\"none\",outcome=\"unknown_path\"} 1",
+        "cornelarch_attempts_total{end=\"refused\"} 1",
+        "cornelarch_upstreams 1",
+    ] {
+        assert!(text.contains(line), "{line} is not in {text}");
+    }
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -32,6 +32,7 @@
     pub(crate) gateway: Option<Gateway>,
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) client: Client,
 }
 
@@ -158,7 +159,8 @@
     }
 
     pub(crate) async fn start_with(plan: &Plan, platform: Arc<FakePlatform>) -> Self {
-        let (front, ready, peers) = (free_address(), free_address(), free_address());
+        let (front, ready) = (free_address(), free_address());
+        let (peers, metrics) = (free_address(), free_address());
         let settings = GatewaySettings {
             instance: InstanceName::new("g1"),
             domain: DomainName::new("a"),
@@ -166,6 +168,7 @@
             listen: front,
             ready_listen: ready,
             ready_path: READY_PATH.to_owned(),
+            metrics_listen: Some(metrics),
             peer_listen: peers,
             seeds: Vec::new(),
             grace: plan.grace,
@@ -186,6 +189,7 @@
             gateway: Some(gateway),
             front,
             ready,
+            metrics,
             client: Client::builder().no_proxy().build().expect("client"),
         };
         world.wait_ready().await;
