Log each decision through a bounded queue

One line for the placement, the answer and the end of a stream beside those for refusals and failures, with the id and the inputs; at most 200 lines an event and second, through a queue of 4,096 lines to a writing thread, so that a slow reader never blocks a request. Dropped lines are counted.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,4 +14,4 @@
     DirectoryChange, DirectoryEvent, DirectoryList, EdgeError, HeaderNames, PlatformEdge,
     StoredObject, Versioned,
 };
-pub use process::{Gateway, GatewayError, GatewaySettings, LogEvent};
+pub use process::{Gateway, GatewayError, GatewaySettings, LogEvent, open_log};
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -38,25 +38,31 @@
     /// A stream was broken off before its end.
     StreamBroken => 2404, Info, "stream broken off";
     /// A request was answered.
-    RequestAnswered => 2405, Debug, "request answered";
+    RequestAnswered => 2405, Info, "request answered";
+    /// An upstream was chosen for a request.
+    RequestPlaced => 2406, Info, "request placed";
+    /// A stream was passed on to its end.
+    StreamEnded => 2407, Info, "stream ended";
 }
 
-/// Writes one numbered event with details to the log.
+/// Writes one numbered event with details to the log, unless too many of them were written in this
+/// second.
 macro_rules! log_event {
-    ($event:ident) => {{
-        let event = $crate::process::LogEvent::$event;
-        log::log!(target: "cornelarch", event.level(), "E{} {}", event.number(), event.text())
-    }};
+    ($event:ident) => {
+        $crate::process::log_event!($event, "")
+    };
     ($event:ident, $($details:tt)+) => {{
         let event = $crate::process::LogEvent::$event;
-        log::log!(
-            target: "cornelarch",
-            event.level(),
-            "E{} {}: {}",
-            event.number(),
-            event.text(),
-            format_args!($($details)+)
-        )
+        if log::log_enabled!(target: "cornelarch", event.level()) && $crate::process::has_room(event) {
+            log::log!(
+                target: "cornelarch",
+                event.level(),
+                "E{} {}: {}",
+                event.number(),
+                event.text(),
+                format_args!($($details)+)
+            )
+        }
     }};
 }
 
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -14,6 +14,8 @@
     registry::Registry,
 };
 
+use crate::process::dropped_lines;
+
 /// Smallest upper bound of a histogram, in seconds; doubles 14 times up to 16 s.
 const BUCKET_MIN_S: f64 = 0.001;
 /// Bounds of a histogram.
@@ -149,6 +151,7 @@
     running: Gauge,
     version: Gauge,
     upstreams: Gauge,
+    dropped_lines: Gauge,
 }
 
 impl GatewayMetrics {
@@ -165,6 +168,7 @@
             running: Gauge::default(),
             version: Gauge::default(),
             upstreams: Gauge::default(),
+            dropped_lines: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
@@ -175,6 +179,8 @@
         registry.register("running", "Requests in progress", metrics.running.clone());
         registry.register("version", "Configuration version", metrics.version.clone());
         registry.register("upstreams", "Usable upstreams", metrics.upstreams.clone());
+        let dropped = metrics.dropped_lines.clone();
+        registry.register("dropped_lines", "Log lines dropped", dropped);
         metrics
     }
 
@@ -215,6 +221,8 @@
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.upstreams
             .set(i64::try_from(upstreams).unwrap_or(i64::MAX));
+        let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
+        self.dropped_lines.set(dropped);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::warn!("metrics cannot be written: {error}");
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod event;
 mod gateway;
 mod ledger;
+mod log;
 mod metrics;
 mod peers;
 mod settings;
@@ -13,6 +14,8 @@
 pub(crate) use event::log_event;
 pub use gateway::{Gateway, GatewayError};
 pub(crate) use ledger::{LedgerCell, TOKEN_WAIT, run_ledger};
+pub use log::open_log;
+pub(crate) use log::{dropped_lines, has_room};
 pub(crate) use metrics::{GatewayMetrics, PlatformCall, RequestOutcome, TimedStage};
 pub(crate) use peers::{PeerOrder, run_peers};
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/request/bill.rs
+++ b/crates/gateway/src/request/bill.rs
@@ -44,14 +44,15 @@
     /// Returns why the request cannot be paid now; nothing is reserved then.
     pub(crate) async fn reserve(
         state: &Arc<GatewayState>,
-        customer: &str,
+        (id, customer): (&str, &str),
         size: &WorkSize,
         until: Instant,
     ) -> Result<Self, RequestRefusal> {
         let amount = TokenCount::new(size.total());
         let key = state.ledger.lock().register(BudgetName::new(customer));
         let until = until.min(Instant::now() + TOKEN_WAIT);
-        let reservation = wait_for_tokens(state, key, amount, until).await?;
+        let reservation = wait_for_tokens(state, key, amount, until).await;
+        let reservation = reservation.inspect_err(|_| log_balance(state, id, key, amount))?;
         Ok(Self {
             state: Arc::clone(state),
             reservation: Some(reservation),
@@ -114,18 +115,17 @@
         state.tell_ledger(LedgerEvent::Tick);
         if !is_waiting || timeout_at(until, notified).await.is_err() {
             state.ledger.lock().withdraw(key, amount);
-            log_balance(state, key, amount);
             return Err(refuse(error));
         }
     }
 }
 
 /// Writes the inputs of a refusal to the log.
-fn log_balance(state: &GatewayState, key: BudgetKey, amount: TokenCount) {
+fn log_balance(state: &GatewayState, id: &str, key: BudgetKey, amount: TokenCount) {
     if let Some(account) = state.ledger.lock().account(key) {
         log_event!(
             BudgetShort,
-            "budget={} needed={amount} balance={} reserved={} available={:?} drawing={}",
+            "id={id} budget={} needed={amount} balance={} reserved={} available={:?} drawing={}",
             account.budget,
             account.balance,
             account.reserved,
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -312,7 +312,8 @@
         });
         match (customer, prepaid) {
             (Some(name), Some(_)) if self.size.total() > 0 => {
-                RequestBill::reserve(&self.state, name, &self.size, self.end).await
+                let owner = (self.id(), name);
+                RequestBill::reserve(&self.state, owner, &self.size, self.end).await
             }
             _ => Ok(RequestBill::free(&self.state)),
         }
@@ -332,6 +333,20 @@
         loop {
             let placement = self.place(log)?;
             let is_engine = self.service.is_engine;
+            log_event!(
+                RequestPlaced,
+                "id={} route={} upstream={} expected_ms={} uncached={} version={} left_ms={} sent={}",
+                self.id(),
+                self.rule.name,
+                placement.upstream,
+                placement.expected.as_millis(),
+                placement.uncached_tokens,
+                self.document.version,
+                self.end
+                    .saturating_duration_since(Instant::now())
+                    .as_millis(),
+                log.sent
+            );
             let flight = RequestFlight::start(&self.state, &placement, &self.size, is_engine);
             log.tried.push(placement.key);
             let request = self.build_attempt(log, last_event_id);
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -135,6 +135,9 @@
                 NextChunk::End => {
                     self.finish_upstream(FlightEnd::Answered, true);
                     self.is_over = true;
+                    let ms = self.exchange.started.elapsed().as_millis();
+                    let (id, events) = (self.exchange.id(), self.events);
+                    log_event!(StreamEnded, "id={id} events={events} ms={ms}");
                 }
                 NextChunk::Broken(end, reason) => {
                     if let Err(error) = self.resume(end, &reason).await {
