--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -15,7 +15,7 @@
 
 /// Part of the stock below which a refill of a reserve for seconds starts. A refill at 0.95 would
 /// write for every request.
-const RECENT_REFILL_PART: f64 = 0.9;
+const RECENT_REFILL_PART: f64 = 0.8;
 /// Part of the stock below which a refill from a nearly exhausted budget starts.
 const SCARCE_REFILL_PART: f64 = 0.5;
 
--- a/crates/core/tests/budget/seconds.rs
+++ b/crates/core/tests/budget/seconds.rs
@@ -26,7 +26,7 @@
         shards: 1,
         domain: DomainName::new(domain),
         domains: 2,
-        horizon: Duration::from_secs(1),
+        horizon: Duration::from_secs(2),
         outage_reserve: Duration::from_secs(9),
         reserve_rate: ReserveRate::Recent,
         draw_requests: 2,
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -21,7 +21,7 @@
 /// Time between two ticks of the ledger.
 const LEDGER_TICK: Duration = Duration::from_millis(200);
 /// Time for which a balance should last beside the outage reserve.
-const HORIZON: Duration = Duration::from_secs(1);
+const HORIZON: Duration = Duration::from_secs(2);
 /// Time for which a balance that a neighbour lent should last; the lender is a millisecond away.
 const BORROW_HORIZON: Duration = Duration::from_secs(1);
 /// Requests that a draw covers at least. A budget may hold only a few dozen requests in all.
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -55,6 +55,8 @@
     pub(crate) pool: UpstreamPool,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) instances: AtomicUsize,
+    /// Changes whenever the platform confirms the configuration.
+    pub(crate) confirmed: watch::Sender<()>,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
     peer_orders: mpsc::UnboundedSender<PeerOrder>,
     repeats: Mutex<HashMap<ServiceName, WindowBudget>>,
@@ -84,6 +86,7 @@
             pool: UpstreamPool::default(),
             metrics: GatewayMetrics::new(),
             instances: AtomicUsize::new(INSTANCES_PRIOR),
+            confirmed: watch::Sender::new(()),
             ledger_events,
             peer_orders,
             repeats: Mutex::default(),
@@ -150,6 +153,7 @@
     pub(crate) fn confirm_document(&self) {
         self.confirmed_us
             .store(self.now().as_micros(), Ordering::Release);
+        self.confirmed.send_replace(());
     }
 
     /// Returns whether the configuration was confirmed lately.
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -4,7 +4,7 @@
 
 use cornelarch_core::{base::UpstreamName, placement::UpstreamRecord};
 use rand::Rng;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::{
     edge::{DirectoryEvent, EdgeError, PlatformEdge},
@@ -14,13 +14,19 @@
 /// Longest wait of one watch. A connection that went silent is noticed after this time, which must
 /// stay well below the time within which a change has to be in force.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+/// Least time between two watches of the upstreams. While many of them change, each watch then
+/// reports several changes; an upstream that leaves serves for seconds more.
+const DIRECTORY_PERIOD: Duration = Duration::from_millis(700);
 /// First wait after a failed call; doubles up to [`RETRY_MAX`], with jitter.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// Longest wait after a failed call.
-const RETRY_MAX: Duration = Duration::from_millis(500);
+const RETRY_MAX: Duration = Duration::from_millis(1_000);
 /// Time after the return of the platform in which missing upstreams are still used: live ones whose
 /// entries lapsed during an outage register again within two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+/// Longest wait of the directory for the configuration to be read again after a failure. One of
+/// them probes the platform for both, because each call counts.
+const PROBE_WAIT: Duration = Duration::from_secs(2);
 /// Failures in a row after which a dependency counts as lost.
 const LOST_FAILURES: u32 = 2;
 
@@ -112,7 +118,9 @@
     let mut track = DependencyTrack::new("directory");
     let mut revision = None;
     let mut lapsed: HashSet<UpstreamName> = HashSet::new();
+    let mut confirmed = state.confirmed.subscribe();
     loop {
+        let began = Instant::now();
         let grace_end = track.grace_end().filter(|_| !lapsed.is_empty());
         let wait = grace_end.map_or(WATCH_WAIT, |end| end - Instant::now());
         let result = match revision {
@@ -134,12 +142,15 @@
                 if track.grace_end().is_none() {
                     lapsed.drain().for_each(|name| remove(&state, &name));
                 }
+                sleep_until(began + DIRECTORY_PERIOD).await;
             }
             Err(EdgeError::HistoryGone) => revision = None,
             Err(error) => {
                 track.record_failure(&error).await;
                 // A watch from a revision whose history was dropped meanwhile may hang until its
                 // wait ends, so that changes of the last seconds would be noticed late.
+                // The sender lives as long as the state.
+                let _ = timeout(PROBE_WAIT, confirmed.changed()).await;
                 revision = None;
             }
         }
