--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -187,6 +187,12 @@
             "answer names no request",
         ));
     }
+    if status.is_success() && !headers.contains_key(&names.answer_seal) {
+        return Err(AttemptFailure::new(
+            FlightEnd::Lost,
+            "answer has no proof of its upstream",
+        ));
+    }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Err(AttemptFailure::new(
             FlightEnd::Lost,
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -89,7 +89,7 @@
 /// caller must not be told that it did not run.
 #[tokio::test]
 async fn order_is_not_repeated_after_a_lost_answer() {
-    for reply in [Reply::Reset, Reply::Foreign, Reply::Short] {
+    for reply in [Reply::Reset, Reply::Foreign, Reply::Short, Reply::Unsealed] {
         let runner = FakeRunner::start(vec![reply.clone()]).await;
         let other = FakeRunner::start(vec![reply.clone()]).await;
         let world = World::start(&Plan::default(), &[("plain", &runner), ("plain", &other)]).await;
--- a/crates/gateway/tests/common/runner.rs
+++ b/crates/gateway/tests/common/runner.rs
@@ -37,6 +37,8 @@
     Broken(Vec<String>),
     /// Sends an event at a time with a pause between them.
     Paced(Vec<String>, Duration),
+    /// Answers without the proof that the answer is its own.
+    Unsealed,
     /// Sends fewer bytes than announced and closes.
     Short,
 }
@@ -169,6 +171,7 @@
             let second = whole("another", 200, "", "wrong");
             whole(id, 200, "", body) + &second
         }
+        Reply::Unsealed => whole(id, 200, "", "x").replace("t-seal", "t-other"),
         Reply::Foreign => whole("another", 200, "", "wrong"),
         Reply::Reset => {
             // Unread or lingering data turns the close into a reset.
