Grant lapsed upstreams their grace after every outage

Cause: a test failed after the watches were paced: the directory loop slept through an outage of half a second, and waited for the prober in longer ones, so that it never counted two failures in a row and dropped entries that had only lapsed. Change: both loops share what they saw of the platform; an outage is 0.3 s without an answer, so that a watch that is cut and repeated at once grants nothing.

--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -20,4 +20,4 @@
 pub(crate) use peers::{PeerOrder, run_peers};
 pub use settings::GatewaySettings;
 pub(crate) use state::{GatewayPhase, GatewayState, RunningGuard};
-pub(crate) use sync::{sync_directory, sync_document};
+pub(crate) use sync::{PlatformOutage, sync_directory, sync_document};
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -26,7 +26,7 @@
 use crate::{
     connection::UpstreamPool,
     edge::HeaderNames,
-    process::{GatewayMetrics, GatewaySettings, LedgerCell, PeerOrder, log_event},
+    process::{GatewayMetrics, GatewaySettings, LedgerCell, PeerOrder, PlatformOutage, log_event},
 };
 
 /// Time without confirmation after which a configuration may be outdated. A host or key that it
@@ -57,6 +57,7 @@
     pub(crate) instances: AtomicUsize,
     /// Changes whenever the platform confirms the configuration.
     pub(crate) confirmed: watch::Sender<()>,
+    pub(crate) outage: Mutex<PlatformOutage>,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
     peer_orders: mpsc::UnboundedSender<PeerOrder>,
     repeats: Mutex<HashMap<ServiceName, WindowBudget>>,
@@ -87,6 +88,7 @@
             metrics: GatewayMetrics::new(),
             instances: AtomicUsize::new(INSTANCES_PRIOR),
             confirmed: watch::Sender::new(()),
+            outage: Mutex::default(),
             ledger_events,
             peer_orders,
             repeats: Mutex::default(),
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -1,6 +1,10 @@
 //! Following the configuration and the upstreams of the platform.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use cornelarch_core::{base::UpstreamName, placement::UpstreamRecord};
 use rand::Rng;
@@ -26,35 +30,67 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
 /// Longest wait of the directory for the configuration to be read again after a failure. One of
 /// them probes the platform for both, because each call counts.
-const PROBE_WAIT: Duration = Duration::from_secs(2);
+const PROBE_WAIT: Duration = Duration::from_secs(1);
+/// Shortest time without an answer that counts as an outage, in which entries may have lapsed. A
+/// watch that is cut is repeated sooner.
+const OUTAGE_MIN: Duration = Duration::from_millis(300);
 /// Failures in a row after which a dependency counts as lost.
 const LOST_FAILURES: u32 = 2;
 
+/// Tells whether upstreams may be missing from the directory because of an outage, from all calls to
+/// the platform.
+#[derive(Debug, Default)]
+pub(crate) struct PlatformOutage {
+    /// The dependencies whose last call failed.
+    failing: BTreeSet<&'static str>,
+    returned_at: Option<Instant>,
+}
+
+impl PlatformOutage {
+    /// Returns when lapsed entries count as gone, if the platform is away or returned a short time
+    /// ago.
+    fn grace_end(&self) -> Option<Instant> {
+        let now = Instant::now();
+        match self.failing.is_empty() {
+            true => Some(self.returned_at? + RETURN_GRACE).filter(|end| now < *end),
+            false => Some(now + RETURN_GRACE),
+        }
+    }
+}
+
 /// Paces calls to a dependency that fails, and logs its loss and return.
 struct DependencyTrack {
     name: &'static str,
     failures: u32,
     wait: Duration,
+    failed_at: Option<Instant>,
     lost_since: Option<Instant>,
-    returned_at: Option<Instant>,
+    state: Arc<GatewayState>,
 }
 
 impl DependencyTrack {
-    const fn new(name: &'static str) -> Self {
+    const fn new(name: &'static str, state: Arc<GatewayState>) -> Self {
         Self {
             name,
             failures: 0,
             wait: RETRY_MIN,
+            failed_at: None,
             lost_since: None,
-            returned_at: None,
+            state,
         }
     }
 
     fn record_success(&mut self) {
         self.failures = 0;
         self.wait = RETRY_MIN;
+        if let Some(at) = self.failed_at.take() {
+            let mut outage = self.state.outage.lock();
+            outage.failing.remove(self.name);
+            if at.elapsed() >= OUTAGE_MIN {
+                outage.returned_at = Some(Instant::now());
+            }
+        }
         if let Some(since) = self.lost_since.take() {
-            self.returned_at = Some(Instant::now());
             let ms = since.elapsed().as_millis();
             log_event!(DependencyBack, "name={} lost_ms={ms}", self.name);
         }
@@ -62,6 +98,8 @@
 
     async fn record_failure(&mut self, error: &EdgeError) {
         self.failures += 1;
+        self.failed_at.get_or_insert_with(Instant::now);
+        self.state.outage.lock().failing.insert(self.name);
         if self.failures >= LOST_FAILURES && self.lost_since.is_none() {
             self.lost_since = Some(Instant::now());
             log_event!(DependencyLost, "name={} error={error}", self.name);
@@ -70,17 +108,11 @@
         tokio::time::sleep(self.wait.mul_f64(jitter)).await;
         self.wait = (self.wait * 2).min(RETRY_MAX);
     }
-
-    /// Returns when lapsed entries count as gone, if the platform returned a short time ago.
-    fn grace_end(&self) -> Option<Instant> {
-        let end = self.returned_at? + RETURN_GRACE;
-        (Instant::now() < end).then_some(end)
-    }
 }
 
 /// Follows the configuration until the task is dropped.
 pub(crate) async fn sync_document<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
-    let mut track = DependencyTrack::new("configuration");
+    let mut track = DependencyTrack::new("configuration", Arc::clone(&state));
     let mut revision = None;
     loop {
         let result = match revision {
@@ -115,13 +147,14 @@
 
 /// Follows the upstreams until the task is dropped.
 pub(crate) async fn sync_directory<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
-    let mut track = DependencyTrack::new("directory");
+    let mut track = DependencyTrack::new("directory", Arc::clone(&state));
     let mut revision = None;
     let mut lapsed: HashSet<UpstreamName> = HashSet::new();
     let mut confirmed = state.confirmed.subscribe();
     loop {
         let began = Instant::now();
-        let grace_end = track.grace_end().filter(|_| !lapsed.is_empty());
+        let grace_end = state.outage.lock().grace_end();
+        let grace_end = grace_end.filter(|_| !lapsed.is_empty());
         let wait = grace_end.map_or(WATCH_WAIT, |end| end - Instant::now());
         let result = match revision {
             None => edge.read_directory().await.map(|list| {
@@ -139,7 +172,7 @@
                 track.record_success();
                 state.confirm_directory();
                 revision = Some(new);
-                if track.grace_end().is_none() {
+                if state.outage.lock().grace_end().is_none() {
                     lapsed.drain().for_each(|name| remove(&state, &name));
                 }
                 sleep_until(began + DIRECTORY_PERIOD).await;
