Remove upstreams at once that the platform removes after an outage

Ruled out: a late watch; the event had arrived. Change: only entries missing from the first list after an outage have a grace, which the pause no longer extends.

--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -154,6 +154,9 @@
     loop {
         let began = Instant::now();
         let grace_end = state.outage.lock().grace_end();
+        if grace_end.is_none() {
+            lapsed.drain().for_each(|name| remove(&state, &name));
+        }
         let grace_end = grace_end.filter(|_| !lapsed.is_empty());
         let wait = grace_end.map_or(WATCH_WAIT, |end| end - Instant::now());
         let result = match revision {
@@ -172,10 +175,13 @@
                 track.record_success();
                 state.confirm_directory();
                 revision = Some(new);
-                if state.outage.lock().grace_end().is_none() {
-                    lapsed.drain().for_each(|name| remove(&state, &name));
+                let pause = began + DIRECTORY_PERIOD;
+                let grace_end = state.outage.lock().grace_end();
+                match grace_end.filter(|end| !lapsed.is_empty() && *end < pause) {
+                    Some(end) => sleep_until(end).await,
+                    None if grace_end.is_none() && !lapsed.is_empty() => {}
+                    None => sleep_until(pause).await,
                 }
-                sleep_until(began + DIRECTORY_PERIOD).await;
             }
             Err(EdgeError::HistoryGone) => revision = None,
             Err(error) => {
@@ -216,8 +222,10 @@
                 lapsed.remove(&record.name);
                 add(state, record);
             }
+            // The list after the outage still had the entry, so that it did not lapse in it.
             DirectoryEvent::Unlisted(name) => {
-                lapsed.insert(name);
+                lapsed.remove(&name);
+                remove(state, &name);
             }
         }
     }
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -32,6 +32,7 @@
     dropped: AtomicU64,
     changed: watch::Sender<u64>,
     pub(crate) reads: AtomicU64,
+    pub(crate) lists: AtomicU64,
     pub(crate) writes: AtomicU64,
 }
 
@@ -43,6 +44,7 @@
             dropped: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             reads: AtomicU64::new(0),
+            lists: AtomicU64::new(0),
             writes: AtomicU64::new(0),
         }
     }
@@ -186,6 +188,7 @@
 
     async fn read_directory(&self) -> Result<DirectoryList, EdgeError> {
         self.check()?;
+        self.lists.fetch_add(1, Ordering::SeqCst);
         let content = self.content.lock();
         Ok(Versioned {
             revision: content.revision,
