--- a/crates/gateway/tests/common/runner.rs
+++ b/crates/gateway/tests/common/runner.rs
@@ -94,8 +94,9 @@
         Self { address, shared }
     }
 
-    pub(crate) fn push(&self, reply: Reply) {
-        self.shared.replies.lock().push_back(reply);
+    /// Replaces the queued replies.
+    pub(crate) fn script(&self, replies: Vec<Reply>) {
+        *self.shared.replies.lock() = replies.into();
     }
 
     pub(crate) fn seen(&self) -> Vec<Seen> {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -16,9 +16,10 @@
 /// an event.
 #[tokio::test]
 async fn broken_stream_continues_after_the_last_whole_event() {
+    let probe = || vec![Reply::Events(events(1..2))];
     let runners = [
-        FakeRunner::start(vec![]).await,
-        FakeRunner::start(vec![]).await,
+        FakeRunner::start(probe()).await,
+        FakeRunner::start(probe()).await,
     ];
     let services = [("engine", &runners[0]), ("engine", &runners[1])];
     let world = World::start(&Plan::default(), &services).await;
@@ -33,8 +34,8 @@
     let (first, second) = (&runners[first], &runners[1 - first]);
     let mut torn = events(1..4);
     torn.push("id: 4\nda".to_owned());
-    first.push(Reply::Broken(torn));
-    second.push(Reply::Events(events(4..7)));
+    first.script(vec![Reply::Broken(torn)]);
+    second.script(vec![Reply::Events(events(4..7))]);
     let response = send("r1").await;
     assert_eq!(response.headers()["t-seal"], "seal-r1");
     let text = response.text().await.expect("whole stream");
