Bill a run only if the caller got a part of its answer

The platform counts input with a delivered answer, and a request that has no first token has not run. Ruled out: double reports (the sum of all settlements equals the spent tokens of the store), a top-up that was missed (the amounts of all versions were compared). Change: settlement bills prompt and delivered tokens once any event or answer was passed on, and nothing before. Test run_without_an_answer_is_not_billed failed first. Requests of callers that leave on purpose are still billed for what they got, although the platform seems not to count them at all; the gateway cannot tell them apart.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -62,8 +62,7 @@
     pub(crate) until: Instant,
 }
 
-/// Sends a request to an upstream and waits for the head of the answer. `on_send` is called before
-/// the first byte may reach the upstream.
+/// Sends a request to an upstream and waits for the head of the answer.
 ///
 /// # Errors
 ///
@@ -73,7 +72,6 @@
     request: &AttemptRequest<'_>,
     placement: &Placement,
     flight: &RequestFlight,
-    mut on_send: impl FnMut(),
 ) -> Result<AttemptAnswer, AttemptFailure> {
     for _ in 0..CONNECTS_MAX {
         let mut connection = open_connection(state, request, placement).await?;
@@ -85,7 +83,6 @@
             ));
         }
         let message = build_message(state, request, placement);
-        on_send();
         let sent = timeout_at(request.until, connection.send(message)).await;
         match sent {
             Ok(Ok(response)) => {
--- a/crates/gateway/src/request/bill.rs
+++ b/crates/gateway/src/request/bill.rs
@@ -16,13 +16,13 @@
 };
 
 /// Holds the reservation of one request and settles it exactly once, at the latest when it is
-/// dropped.
+/// dropped. A run of which the caller got nothing costs nothing.
 pub(crate) struct RequestBill {
     state: Arc<GatewayState>,
     reservation: Option<ReservationKey>,
     prompt_tokens: u64,
-    delivered_tokens: u64,
-    may_have_run: bool,
+    /// `None` until the caller gets a part of an answer.
+    delivered_tokens: Option<u64>,
 }
 
 impl RequestBill {
@@ -32,8 +32,7 @@
             state: Arc::clone(state),
             reservation: None,
             prompt_tokens: 0,
-            delivered_tokens: 0,
-            may_have_run: false,
+            delivered_tokens: None,
         }
     }
 
@@ -57,24 +56,14 @@
             state: Arc::clone(state),
             reservation: Some(reservation),
             prompt_tokens: size.prompt_tokens,
-            delivered_tokens: 0,
-            may_have_run: false,
+            delivered_tokens: None,
         })
     }
 
-    /// Records that an upstream may run the request from now on.
-    pub(crate) const fn record_sent(&mut self) {
-        self.may_have_run = true;
-    }
-
-    /// Records that the upstreams certainly did not run the request.
-    pub(crate) const fn record_not_run(&mut self) {
-        self.may_have_run = false;
-    }
-
-    /// Adds tokens that were delivered to the caller.
-    pub(crate) const fn add_delivered(&mut self, tokens: u64) {
-        self.delivered_tokens = self.delivered_tokens.saturating_add(tokens);
+    /// Adds tokens that were delivered to the caller, 0 for an answer without generated tokens.
+    pub(crate) fn add_delivered(&mut self, tokens: u64) {
+        let delivered = self.delivered_tokens.unwrap_or(0);
+        self.delivered_tokens = Some(delivered.saturating_add(tokens));
     }
 }
 
@@ -83,9 +72,9 @@
         let Some(reservation) = self.reservation.take() else {
             return;
         };
-        let cost = match self.may_have_run {
-            true => self.prompt_tokens.saturating_add(self.delivered_tokens),
-            false => 0,
+        let cost = match self.delivered_tokens {
+            None => 0,
+            Some(delivered) => self.prompt_tokens.saturating_add(delivered),
         };
         let now = self.state.now();
         let mut ledger = self.state.ledger.lock();
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -50,12 +50,15 @@
     let mut log = RequestExchange::open_log();
     let mut fallback = None;
     loop {
-        let begun = match exchange.begin_answer(&mut log, &mut bill, None).await {
+        let begun = match exchange.begin_answer(&mut log, None).await {
             Ok(begun) => begun,
             Err(refusal) => return fallback.map(WholeAnswer::into_response).ok_or(refusal),
         };
         match read_whole(exchange, begun).await {
-            Ok(answer) if !is_repeated(exchange, &answer) => return Ok(answer.into_response()),
+            Ok(answer) if !is_repeated(exchange, &answer) => {
+                bill.add_delivered(0);
+                return Ok(answer.into_response());
+            }
             Ok(answer) => fallback = Some(answer),
             Err(end) => log.record_broken(end),
         }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -327,7 +327,6 @@
     pub(crate) async fn begin_answer(
         &self,
         log: &mut AttemptLog,
-        bill: &mut RequestBill,
         last_event_id: Option<&str>,
     ) -> Result<BegunAnswer, RequestRefusal> {
         loop {
@@ -350,10 +349,7 @@
             let flight = RequestFlight::start(&self.state, &placement, &self.size, is_engine);
             log.tried.push(placement.key);
             let request = self.build_attempt(log, last_event_id);
-            let may_have_run = log.may_have_run;
-            let sent = send_attempt(&self.state, &request, &placement, &flight, || {
-                bill.record_sent();
-            });
+            let sent = send_attempt(&self.state, &request, &placement, &flight);
             let failure = match sent.await {
                 Ok(answer) => {
                     log.sent += 1;
@@ -364,9 +360,6 @@
             };
             flight.finish(failure.end);
             self.record_failure(log, &placement, &failure);
-            if !log.may_have_run && !may_have_run {
-                bill.record_not_run();
-            }
             self.check_repeat(log)?;
         }
     }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -32,11 +32,11 @@
 /// Returns the refusal or failure for the caller if no upstream began an answer.
 pub(crate) async fn answer_stream(
     exchange: Arc<RequestExchange>,
-    mut bill: RequestBill,
+    bill: RequestBill,
     guard: RunningGuard,
 ) -> Result<Response<AnswerBody>, RequestRefusal> {
     let mut log = RequestExchange::open_log();
-    let begun = exchange.begin_answer(&mut log, &mut bill, None).await?;
+    let begun = exchange.begin_answer(&mut log, None).await?;
     let response = &begun.answer.response;
     let (status, headers) = (response.status(), passed_headers(response.headers()));
     let relay = EventRelay::open(exchange, begun, log, bill, guard);
@@ -255,7 +255,7 @@
         }
         let exchange = Arc::clone(&self.exchange);
         let last_id = self.last_id.clone();
-        let begun = exchange.begin_answer(&mut self.log, &mut self.bill, last_id.as_deref());
+        let begun = exchange.begin_answer(&mut self.log, last_id.as_deref());
         match begun.await {
             Ok(begun) if begun.answer.response.status() == StatusCode::OK => {
                 log_event!(
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -119,3 +119,27 @@
     assert_eq!(served, 8);
     assert_eq!(runner.seen().len(), 8);
 }
+
+/// Guards against a bill for a run whose answer never reached the caller: its customer would run
+/// out of tokens without having got anything.
+#[tokio::test]
+async fn run_without_an_answer_is_not_billed() {
+    let plan = Plan {
+        prepaid: Some(1_000),
+        is_resumable: false,
+        ..Plan::default()
+    };
+    let mut replies = vec![Reply::Reset; 10];
+    replies.push(Reply::Events(events(1..3)));
+    let runner = FakeRunner::start(replies).await;
+    let world = World::start(&plan, &[("engine", &runner)]).await;
+    let send = async |id: String| {
+        let request = world.post("/stream/a", &id).header("t-tokens", "100,100");
+        request.send().await.expect("answer").status().as_u16()
+    };
+    // Ten lost answers with 100 prompt tokens each would use the whole amount.
+    for attempt in 0..10 {
+        assert_eq!(send(format!("lost{attempt}")).await, 502);
+    }
+    assert_eq!(send("whole".to_owned()).await, 200);
+}
