Explain a request from the logs, and log why no upstream fits

cornelarch explain ID FILE... prints how a request ended, its lines and what happened around it (failures of its upstreams anywhere, lost dependencies and starts). Parsing, cause and selection are plain functions with tests; lines that are no events are counted. tests/causes.rs breaks one thing at a time (lost answer, silence, budget, key, path, outage, no upstream) and asserts that the lines of the id alone name the cause.

--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use snafu::Snafu;
+
 use crate::{
     base::{DomainName, ServiceName, UpstreamName},
     placement::PlacementKey,
@@ -85,16 +87,19 @@
 }
 
 /// Reports why no upstream was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum PlacementRefusal {
     /// No upstream of the service is usable.
+    #[snafu(display("no upstream is listed"))]
     NoUpstream,
     /// Every usable upstream would answer too late or lacks memory.
+    #[snafu(display("the best one is {} ms too late", retry_after.as_millis()))]
     Overloaded {
         /// Time after which the queue will have become short enough.
         retry_after: Duration,
     },
     /// The request does not fit into the memory of an engine.
+    #[snafu(display("the request exceeds the memory of an engine"))]
     TooLarge,
 }
 
--- /dev/null
+++ b/crates/cornelarch/src/explain/mod.rs
@@ -0,0 +1,11 @@
+//! Explanation of one request from the logs of many instances.
+//!
+//! Everything here works on text that was already read, so that a log of any age can be explained.
+
+mod cause;
+mod line;
+mod timeline;
+
+pub use cause::RequestCause;
+pub use line::{LogLine, LogTime, parse_line};
+pub use timeline::{LogCollection, RequestTimeline};
--- /dev/null
+++ b/crates/cornelarch/src/explain/timeline.rs
@@ -0,0 +1,120 @@
+//! The lines of one request and what happened around it.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use crate::explain::{LogLine, LogTime, RequestCause, cause::event, parse_line};
+
+/// Seconds before the first and after the last line of a request in which other events are shown:
+/// longer than the recovery of an upstream and than one watch of the platform.
+const CONTEXT_S: u32 = 5;
+/// Related lines that are shown.
+const RELATED_MAX: usize = 40;
+
+/// Holds the events of the logs of many instances.
+#[derive(Clone, Debug, Default)]
+pub struct LogCollection {
+    lines: Vec<LogLine>,
+    /// Lines that are no numbered events.
+    pub skipped: usize,
+}
+
+impl LogCollection {
+    /// Adds the log of one instance.
+    pub fn add_log(&mut self, instance: &str, text: &str) {
+        let instance: Arc<str> = Arc::from(instance);
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            match parse_line(&instance, line) {
+                Some(line) => self.lines.push(line),
+                None => self.skipped += 1,
+            }
+        }
+    }
+
+    /// Returns what the logs tell about a request.
+    #[must_use]
+    pub fn explain(&self, id: &str) -> RequestTimeline {
+        let is_own = |line: &&LogLine| line.field("id") == Some(id);
+        let mut own: Vec<&LogLine> = self.lines.iter().filter(is_own).collect();
+        // Lines of one instance stay in their order within a second.
+        own.sort_by_key(|line| line.time);
+        RequestTimeline {
+            cause: RequestCause::of_lines(&own),
+            related: self.find_related(&own),
+            lines: own.into_iter().cloned().collect(),
+        }
+    }
+
+    /// Returns events that may explain the end of a request: failures of its upstreams anywhere, and
+    /// lost dependencies, starts and stops of its instance.
+    fn find_related(&self, own: &[&LogLine]) -> Vec<LogLine> {
+        let (Some(first), Some(last)) = (own.first(), own.last()) else {
+            return Vec::new();
+        };
+        let from = first.time.0.saturating_sub(CONTEXT_S);
+        let to = last.time.0.saturating_add(CONTEXT_S);
+        let window = LogTime(from)..=LogTime(to);
+        let upstreams: BTreeSet<&str> = own.iter().filter_map(|l| l.field("upstream")).collect();
+        let instances: BTreeSet<&str> = own.iter().map(|line| &*line.instance).collect();
+        let is_short = own.iter().any(|line| line.event == event::BUDGET_SHORT);
+        let is_related = |line: &&LogLine| match line.event {
+            event::ATTEMPT_FAILED | event::UPSTREAM_CHANGED => line
+                .field("upstream")
+                .is_some_and(|name| upstreams.contains(name)),
+            // Tokens may be held by any instance, so that each loss and start matters.
+            event::DEPENDENCY_LOST | event::DEPENDENCY_BACK | event::GATEWAY_STARTED => {
+                is_short || instances.contains(&*line.instance)
+            }
+            event::DRAIN_STARTED => instances.contains(&*line.instance),
+            _ => false,
+        };
+        let own_id = first.field("id");
+        let mut related: Vec<LogLine> = self
+            .lines
+            .iter()
+            .filter(|line| window.contains(&line.time))
+            .filter(|line| line.field("id").is_none() || line.field("id") != own_id)
+            .filter(is_related)
+            .cloned()
+            .collect();
+        related.sort_by_key(|line| line.time);
+        related.truncate(RELATED_MAX);
+        related
+    }
+}
+
+/// Holds what the logs tell about one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestTimeline {
+    /// How the request ended.
+    pub cause: RequestCause,
+    /// Its own lines, in the order of time.
+    pub lines: Vec<LogLine>,
+    /// Other events around it that may explain its end.
+    pub related: Vec<LogLine>,
+}
+
+impl RequestTimeline {
+    /// Returns the timeline as text for people.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = format!("{}\n", self.cause);
+        push_lines(&mut text, "lines of the request", &self.lines);
+        push_lines(&mut text, "around it", &self.related);
+        text
+    }
+}
+
+fn push_lines(text: &mut String, title: &str, lines: &[LogLine]) {
+    if lines.is_empty() {
+        return;
+    }
+    text.push_str(&format!("\n{title}:\n"));
+    for line in lines {
+        let LogTime(time) = line.time;
+        let (hours, minutes, seconds) = (time / 3_600, time / 60 % 60, time % 60);
+        text.push_str(&format!(
+            "  {hours:02}:{minutes:02}:{seconds:02} {} {}\n",
+            line.instance, line.text
+        ));
+    }
+}
--- a/crates/cornelarch/src/operator/command.rs
+++ b/crates/cornelarch/src/operator/command.rs
@@ -8,7 +8,7 @@
 use crate::operator::{
     ApplyRequest, CommandReport, PromoteRequest, ToolError, apply_document,
     arguments::{CommandArguments, OptionGroup, add_group, usage},
-    budget, check, promote_version, prove_version, show,
+    budget, check, explain, promote_version, prove_version, show,
 };
 
 const USAGE: &str = "\
@@ -26,6 +26,7 @@
   budget top-up BUDGET TOKENS
   budget release BUDGET   write off the tokens of a lost holder
   unblock FINGERPRINT     allow a blocked request again
+  explain ID [FILE]...    show how a request ended, from the logs of instances
   demo                    run a fleet on this machine
 
 cornelarch COMMAND --help lists the options of a command.
@@ -47,6 +48,7 @@
     BudgetTopUp,
     BudgetRelease,
     Unblock,
+    Explain,
 }
 
 impl Command {
@@ -61,6 +63,7 @@
             "status" => Self::Status,
             "dump" => Self::Dump,
             "unblock" => Self::Unblock,
+            "explain" => Self::Explain,
             "budget" => {
                 let command = match args.get(1)?.as_str() {
                     "show" => Self::BudgetShow,
@@ -94,6 +97,10 @@
                 "usage: cornelarch budget release BUDGET --holder HOLDER --operation-id ID"
             }
             Self::Unblock => "usage: cornelarch unblock FINGERPRINT",
+            Self::Explain => {
+                "usage: cornelarch explain ID [FILE]...\n\n\
+                 Each file is the log of one instance; without files, standard input is read."
+            }
         }
     }
 
@@ -101,7 +108,7 @@
         use OptionGroup::{Change, Environment, Instances, Ledger, Platform};
         let mut options = Options::new();
         let groups: &[OptionGroup] = match self {
-            Self::Check => &[],
+            Self::Check | Self::Explain => &[],
             Self::Diff => &[Platform],
             Self::Apply => &[Platform, Change, Ledger],
             Self::Prove => &[Platform, Environment, Change, Instances],
@@ -171,6 +178,7 @@
             Self::BudgetTopUp => budget::top_up(arguments).await,
             Self::BudgetRelease => budget::release(arguments).await,
             Self::Unblock => show::unblock(arguments).await,
+            Self::Explain => explain::explain(arguments),
         }
     }
 }
--- /dev/null
+++ b/crates/cornelarch/src/operator/explain.rs
@@ -0,0 +1,69 @@
+//! Command `explain`.
+
+use std::{io::Read, path::Path};
+
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::{
+    explain::LogCollection,
+    operator::{
+        CommandReport, ToolError,
+        arguments::{CommandArguments, usage},
+        error::FileSnafu,
+    },
+};
+
+/// Name of the log that comes from standard input.
+const STANDARD_INPUT: &str = "-";
+
+/// Explains how a request ended, from the logs of instances.
+pub(crate) fn explain(arguments: &CommandArguments) -> Result<CommandReport, ToolError> {
+    let Some((id, files)) = arguments.matches.free.split_first() else {
+        return Err(usage("the id of a request is missing".to_owned()));
+    };
+    let mut logs = LogCollection::default();
+    if files.is_empty() {
+        logs.add_log(STANDARD_INPUT, &read_log(STANDARD_INPUT)?);
+    }
+    for file in files {
+        logs.add_log(&name_instance(file), &read_log(file)?);
+    }
+    let timeline = logs.explain(id);
+    let text = format!(
+        "{}\n{} other lines were skipped",
+        timeline.render(),
+        logs.skipped
+    );
+    let texts = |lines: &[crate::explain::LogLine]| -> Vec<String> {
+        let name = |line: &crate::explain::LogLine| format!("{} {}", line.instance, line.text);
+        lines.iter().map(name).collect()
+    };
+    let json = json!({
+        "cause": timeline.cause.to_string(),
+        "lines": texts(&timeline.lines),
+        "related": texts(&timeline.related),
+        "skipped": logs.skipped,
+    });
+    Ok(CommandReport::new(text, json))
+}
+
+/// Reads a log; bytes that are no text are replaced, because a killed process may cut a line.
+fn read_log(file: &str) -> Result<String, ToolError> {
+    let mut bytes = Vec::new();
+    match file {
+        STANDARD_INPUT => std::io::stdin().read_to_end(&mut bytes).map(drop),
+        path => std::fs::read(path).map(|read| bytes = read),
+    }
+    .context(FileSnafu { file })?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// Returns the name of the instance that wrote a log: the name of the file without its extension.
+fn name_instance(file: &str) -> String {
+    let stem = Path::new(file).file_stem();
+    stem.map_or_else(
+        || file.to_owned(),
+        |stem| stem.to_string_lossy().into_owned(),
+    )
+}
--- a/crates/cornelarch/src/operator/mod.rs
+++ b/crates/cornelarch/src/operator/mod.rs
@@ -6,6 +6,7 @@
 mod check;
 mod command;
 mod error;
+mod explain;
 mod instance;
 mod ledger;
 mod promote;
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -43,6 +43,8 @@
     RequestPlaced => 2406, Info, "request placed";
     /// A stream was passed on to its end.
     StreamEnded => 2407, Info, "stream ended";
+    /// No upstream can begin a request in time.
+    PlacementRefused => 2408, Info, "no upstream fits";
 }
 
 /// Writes one numbered event with details to the log, unless too many of them were written in this
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -381,7 +381,17 @@
             .placement
             .lock()
             .choose(&request, self.state.now());
-        chosen.map_err(|refusal| self.refuse_placement(refusal, log))
+        chosen.map_err(|refusal| {
+            log_event!(
+                PlacementRefused,
+                "id={} service={} why={refusal} patience_ms={} tried={}",
+                self.id(),
+                self.service.name,
+                request.patience.as_millis(),
+                log.tried.len()
+            );
+            self.refuse_placement(refusal, log)
+        })
     }
 
     /// Returns the longest useful time to the first token or the answer.
--- /dev/null
+++ b/crates/gateway/tests/causes.rs
@@ -0,0 +1,149 @@
+//! One fault at a time: the lines of a request's id alone name the cause of its end.
+
+mod common;
+
+use std::{
+    sync::{Mutex, Once},
+    time::Duration,
+};
+
+use common::{FakeRunner, Plan, Reply, World, document};
+use log::{Log, Metadata, Record};
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+static INSTALLED: Once = Once::new();
+
+/// Collects the lines of all gateways of this process.
+struct LineCollector;
+
+impl Log for LineCollector {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target() == "cornelarch"
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.enabled(record.metadata()) {
+            let mut lines = LINES.lock().expect("lock");
+            lines.push(record.args().to_string());
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+fn collect_lines() {
+    INSTALLED.call_once(|| {
+        log::set_logger(&LineCollector).expect("only logger");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+}
+
+/// Returns the lines that name a request.
+fn lines_of(id: &str) -> Vec<String> {
+    let lines = LINES.lock().expect("lock");
+    let name = format!("id={id} ");
+    lines
+        .iter()
+        .filter(|line| line.contains(&name))
+        .cloned()
+        .collect()
+}
+
+/// Asserts that some line of the request has the event and the text.
+fn assert_line(id: &str, event: &str, text: &str) {
+    let lines = lines_of(id);
+    let has_line = lines
+        .iter()
+        .any(|line| line.starts_with(event) && line.contains(text));
+    assert!(has_line, "{event} with {text:?} is missing in {lines:#?}");
+}
+
+async fn send(world: &World, path: &str, id: &str) -> u16 {
+    let request = world.post(path, id).header("t-tokens", "100,50");
+    request.send().await.expect("answer").status().as_u16()
+}
+
+/// Guards against a failure whose upstream is not named.
+#[tokio::test]
+async fn dead_upstream_is_named() {
+    collect_lines();
+    let runner = FakeRunner::start(vec![Reply::Reset]).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    assert_eq!(send(&world, "/once/a", "cause-lost").await, 502);
+    assert_line("cause-lost", "E2401", "end=Lost");
+    assert_line("cause-lost", "E2402", "reason=upstream_lost");
+}
+
+/// Guards against an unanswered request that looks like a lost connection.
+#[tokio::test]
+async fn silent_upstream_is_a_timeout() {
+    collect_lines();
+    let plan = Plan {
+        timeout: Duration::from_millis(300),
+        ..Plan::default()
+    };
+    let runner = FakeRunner::start(vec![Reply::Silent]).await;
+    let world = World::start(&plan, &[("plain", &runner)]).await;
+    assert_eq!(send(&world, "/once/a", "cause-silent").await, 504);
+    assert_line("cause-silent", "E2401", "end=TimedOut");
+    assert_line("cause-silent", "E2402", "reason=upstream_timeout");
+}
+
+/// Guards against a refusal for budget without the amounts that decided it.
+#[tokio::test]
+async fn short_budget_is_named_with_its_amounts() {
+    collect_lines();
+    let plan = Plan {
+        prepaid: Some(120),
+        ..Plan::default()
+    };
+    let runner = FakeRunner::start(Vec::new()).await;
+    let world = World::start(&plan, &[("engine", &runner)]).await;
+    assert!([402, 503].contains(&send(&world, "/stream/a", "cause-budget").await));
+    assert_line("cause-budget", "E2202", "needed=150");
+    assert_line("cause-budget", "E2400", "reason=budget_");
+}
+
+/// Guards against a refused key that cannot be told from a missing route.
+#[tokio::test]
+async fn unknown_key_is_named() {
+    collect_lines();
+    let runner = FakeRunner::start(Vec::new()).await;
+    let world = World::start(&Plan::default(), &[("plain", &runner)]).await;
+    let url = format!("http://{}/once/a", world.front);
+    let request = world.client.post(url).header("host", "shop.example");
+    let request = request
+        .header("t-attempt", "cause-key")
+        .header("t-key", "gone");
+    assert_eq!(request.send().await.expect("answer").status().as_u16(), 401);
+    assert_line("cause-key", "E2400", "reason=unknown_key");
+    assert_eq!(send(&world, "/nowhere/a", "cause-path").await, 404);
+    assert_line("cause-path", "E2400", "reason=unknown_path");
+}
+
+/// Guards against a refusal during an outage of the platform that looks like an exhausted budget.
+#[tokio::test]
+async fn outage_of_the_platform_is_named() {
+    collect_lines();
+    let plan = Plan {
+        prepaid: Some(1_000_000),
+        ..Plan::default()
+    };
+    let runner = FakeRunner::start(Vec::new()).await;
+    let world = World::start(&plan, &[("engine", &runner)]).await;
+    world.platform.set_down(true);
+    assert_eq!(send(&world, "/stream/a", "cause-outage").await, 503);
+    assert_line("cause-outage", "E2202", "available=None");
+    assert_line("cause-outage", "E2400", "reason=budget_unavailable");
+}
+
+/// Guards against a request without an upstream that looks like one under load.
+#[tokio::test]
+async fn missing_upstream_is_named() {
+    collect_lines();
+    let runner = FakeRunner::start(Vec::new()).await;
+    let world = World::start(&Plan::default(), &[("engine", &runner)]).await;
+    world.platform.publish(document(2, &Plan::default()));
+    assert_eq!(send(&world, "/once/a", "cause-none").await, 503);
+    assert_line("cause-none", "E2400", "reason=no_upstream");
+}
