--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -36,6 +36,9 @@
 const HOLD_CAP: f64 = 1.5;
 /// Time after which a request for a loan is repeated; messages take a millisecond or two.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(20);
+/// Longest time between two sendings of a transfer. Tokens that were sent into a cut are usable only
+/// after the next sending.
+const RESEND_MAX: Duration = Duration::from_secs(1);
 /// Requests to the shard owner before an instance draws for itself: the owner alone may have lost
 /// the platform.
 const OWNER_ASKS: u8 = 2;
@@ -79,6 +82,7 @@
             need_factor: NEED_FACTOR,
             hold_cap: HOLD_CAP,
             borrow_timeout: BORROW_TIMEOUT,
+            resend_max: RESEND_MAX,
             owner_asks: OWNER_ASKS,
             owner_silence: OWNER_SILENCE,
             outage_reserve: settings.outage_reserve,
