Split the entry of a request from its attempts, and retry taken test addresses

Behaviour is unchanged. The test broken_stream_continues_after_the_last_whole_event failed once in "gateway starts": a free address was taken by another test between its choice and the bind.

--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -1,31 +1,25 @@
-//! One request of a caller: checks, reservation, attempts and answer.
+//! One request of a caller: reservation, attempts and the decisions between them.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cornelarch_core::{
-    base::ServiceName,
     error::ErrorKind,
     placement::{FlightEnd, Placement, PlacementKey, PlacementRefusal, PlacementRequest, WorkSize},
     retry::AttemptOutcome,
-    route::{CustomerRecord, RouteDocument, RouteKind, RouteLookup, RouteRule, ServiceRecord},
+    route::{RouteDocument, RouteRule, ServiceRecord},
 };
-use http::{HeaderMap, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use http::HeaderValue;
+use tokio::time::Instant;
 
 use crate::{
-    process::{GatewayPhase, GatewayState, RequestOutcome, TimedStage, log_event},
+    process::{GatewayState, log_event},
     request::{
-        AnswerBody, RequestRefusal,
+        RequestRefusal,
         attempt::{AttemptAnswer, AttemptFailure, AttemptRequest, send_attempt},
         bill::RequestBill,
-        call::answer_call,
         flight::RequestFlight,
-        head::{RequestHead, read_deadline, read_size, upstream_headers},
-        relay::answer_stream,
+        head::RequestHead,
     },
 };
 
@@ -37,8 +31,6 @@
 const PATIENCE_PART: f64 = 0.8;
 /// Part of the remaining time after which a repeatable request is sent to another upstream.
 const REPEAT_PART: f64 = 0.45;
-/// Time that is kept back for the way of the last answer to the caller.
-const ANSWER_TIME: Duration = Duration::from_millis(5);
 /// Wait that is suggested if no upstream is usable; a replacement appears within about a second.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(300);
 /// Largest rank that engines know.
@@ -109,202 +101,18 @@
     pub(crate) flight: RequestFlight,
 }
 
-/// Serves one request.
-pub(crate) async fn handle_request(
-    state: Arc<GatewayState>,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
-    let started = Instant::now();
-    let id = read_id(&state, request.headers());
-    let mut kind = None;
-    let result = serve_request(&state, request, started, &mut kind).await;
-    let outcome = match &result {
-        Ok(_) => RequestOutcome::Answered,
-        Err(refusal) => RequestOutcome::Refused(refusal.kind),
-    };
-    state.metrics.count_request(kind, outcome);
-    let mut response = match result {
-        Ok(response) => {
-            let ms = started.elapsed().as_millis();
-            state.metrics.observe(TimedStage::Head, started.elapsed());
-            log_event!(
-                RequestAnswered,
-                "id={id} status={} head_ms={ms}",
-                response.status().as_u16()
-            );
-            response
-        }
-        Err(refusal) => {
-            log_refusal(&id, refusal, started);
-            refusal.answer(rand::rng().random())
-        }
-    };
-    if state.phase() != GatewayPhase::Serving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
-    response
-}
-
-fn log_refusal(id: &str, refusal: RequestRefusal, started: Instant) {
-    use cornelarch_core::error::RunState;
-
-    let answer = refusal.kind.answer();
-    let ms = started.elapsed().as_millis();
-    match answer.run {
-        RunState::NotRun => {
-            log_event!(RequestRefused, "id={id} reason={} ms={ms}", answer.code);
-        }
-        RunState::Unknown | RunState::Ran => {
-            log_event!(RequestFailed, "id={id} reason={} ms={ms}", answer.code);
-        }
-    }
-}
-
-fn read_id(state: &GatewayState, headers: &HeaderMap) -> String {
-    let id = headers.get(&state.headers.attempt_id);
-    let text = id.and_then(|id| id.to_str().ok());
-    text.unwrap_or("-").to_owned()
-}
-
-async fn serve_request(
-    state: &Arc<GatewayState>,
-    request: Request<Incoming>,
-    started: Instant,
-    kind: &mut Option<RouteKind>,
-) -> Result<Response<AnswerBody>, RequestRefusal> {
-    let guard = state.start_request();
-    let exchange = open_exchange(state, request, started).await?;
-    *kind = Some(exchange.rule.kind);
-    exchange.state.record_request(&exchange.service.name);
-    let bill = exchange.reserve().await?;
-    let metrics = &state.metrics;
-    metrics.observe(TimedStage::Reserve, started.elapsed());
-    let exchange = Arc::new(exchange);
-    match exchange.rule.kind.is_stream() {
-        true => answer_stream(exchange, bill, guard).await,
-        false => answer_call(&exchange, bill).await,
-    }
-}
-
-/// Checks a request and reads its body.
-async fn open_exchange(
-    state: &Arc<GatewayState>,
-    request: Request<Incoming>,
-    started: Instant,
-) -> Result<RequestExchange, RequestRefusal> {
-    let document = state.document.load_full().ok_or(ErrorKind::NotReady)?;
-    let (parts, body) = request.into_parts();
-    let host = parts.headers.get(header::HOST);
-    let host = host
-        .and_then(|host| host.to_str().ok())
-        .ok_or(ErrorKind::MalformedRequest)?;
-    let rule = match document.find_route(host, parts.uri.path()) {
-        RouteLookup::Found(rule) => rule.clone(),
-        RouteLookup::Missing => return Err(refuse_unknown(state, ErrorKind::UnknownPath)),
-    };
-    let customer = find_customer(state, &document, &rule, &parts.headers)?;
-    let attempt_id = parts
-        .headers
-        .get(&state.headers.attempt_id)
-        .cloned()
-        .ok_or(ErrorKind::MalformedRequest)?;
-    let patience = read_deadline(&parts.headers, &state.headers).unwrap_or(rule.timeout);
-    let deadline = started + patience;
-    let end = (started + rule.timeout).min(deadline.checked_sub(ANSWER_TIME).unwrap_or(deadline));
-    let body = read_body(body, document.limits().body_bytes, end).await?;
-    let spread = rand::rng().random();
-    let service = rule.pick_service(spread).cloned();
-    let service = service.ok_or(ErrorKind::NoUpstream)?;
-    let size = read_size(&parts.headers, &state.headers);
-    let uri = parts.uri.into_parts().path_and_query;
-    let uri = uri.map_or_else(http::Uri::default, http::Uri::from);
-    Ok(RequestExchange {
-        service: find_service(&document, service),
-        head: RequestHead {
-            method: parts.method,
-            uri,
-            headers: upstream_headers(&parts.headers, &state.headers),
-            attempt_id,
-        },
-        priority: customer
-            .as_ref()
-            .and_then(|customer| customer.priority)
-            .unwrap_or(rule.priority),
-        customer: customer.map(|customer| name_header(&customer)),
-        state: Arc::clone(state),
-        document,
-        rule,
-        body,
-        size,
-        started,
-        deadline,
-        end,
-    })
-}
-
-fn name_header(customer: &CustomerRecord) -> HeaderValue {
-    HeaderValue::from_str(&customer.name).unwrap_or_else(|_| HeaderValue::from_static(""))
-}
-
-fn find_service(document: &RouteDocument, name: ServiceName) -> ServiceRecord {
-    document.service(&name).cloned().unwrap_or(ServiceRecord {
-        name,
-        is_engine: false,
-        memory_tokens: 0,
-        event_tokens: 1,
-    })
-}
-
-/// Returns the customer of a request, or `None` if the route needs none.
-fn find_customer(
-    state: &GatewayState,
-    document: &RouteDocument,
-    rule: &RouteRule,
-    headers: &HeaderMap,
-) -> Result<Option<CustomerRecord>, RequestRefusal> {
-    if rule.is_public || !document.has_customers {
-        return Ok(None);
-    }
-    let key = headers.get(&state.headers.customer_key);
-    let key = key
-        .and_then(|key| key.to_str().ok())
-        .ok_or(ErrorKind::MissingKey)?;
-    match document.find_customer(key) {
-        Some(customer) => Ok(Some(customer.clone())),
-        None => Err(refuse_unknown(state, ErrorKind::UnknownKey)),
-    }
-}
-
-/// Refuses what the configuration does not know, if the configuration is certainly in force.
-fn refuse_unknown(state: &GatewayState, kind: ErrorKind) -> RequestRefusal {
-    match state.is_confirmed() {
-        true => kind.into(),
-        false => ErrorKind::NotReady.into(),
-    }
-}
-
-async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, RequestRefusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(ErrorKind::BodyTooLarge.into());
-    }
-    let collected = timeout_at(until, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge.into()),
-        // The caller left or sent bytes that are no body.
-        Ok(Err(_)) => Err(ErrorKind::MalformedRequest.into()),
-        Err(_) => Err(ErrorKind::Overloaded.into()),
-    }
-}
-
 impl RequestExchange {
     /// Returns the id of the request for logs.
     pub(crate) fn id(&self) -> &str {
         self.head.attempt_id.to_str().unwrap_or("-")
     }
 
-    async fn reserve(&self) -> Result<RequestBill, RequestRefusal> {
+    /// Reserves the largest cost of the request in the budget of its customer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request cannot be paid now.
+    pub(crate) async fn reserve(&self) -> Result<RequestBill, RequestRefusal> {
         let customer = self.customer.as_ref().and_then(|name| name.to_str().ok());
         let prepaid = customer.and_then(|name| {
             let mut customers = self.document.customers();
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -4,10 +4,11 @@
 mod attempt;
 mod bill;
 mod call;
+mod entry;
 mod exchange;
 mod flight;
 mod head;
 mod relay;
 
 pub(crate) use answer::{AnswerBody, RequestRefusal, empty_answer, whole_body};
-pub(crate) use exchange::handle_request;
+pub(crate) use entry::handle_request;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -16,7 +16,7 @@
         SplitTarget,
     },
 };
-use cornelarch_gateway::{Gateway, GatewaySettings, HeaderNames};
+use cornelarch_gateway::{Gateway, GatewayError, GatewaySettings, HeaderNames};
 use http::HeaderName;
 use reqwest::{Client, RequestBuilder};
 
@@ -24,6 +24,8 @@
 pub(crate) use runner::{FakeRunner, Reply};
 
 pub(crate) const KEY: &str = "key-1";
+/// Sets of free addresses that are tried for a gateway.
+const BIND_TRIES: usize = 10;
 pub(crate) const READY_PATH: &str = "/ready";
 
 /// A gateway with its platform and upstreams.
@@ -147,6 +149,44 @@
     listener.local_addr().expect("address")
 }
 
+/// Binds a gateway. Another test may take a free address before the gateway does, so that others
+/// are tried then.
+async fn bind_gateway(plan: &Plan, platform: &Arc<FakePlatform>) -> (Gateway, GatewaySettings) {
+    for _ in 0..BIND_TRIES {
+        let settings = settings(plan);
+        match Gateway::bind(settings.clone(), header_names(), Arc::clone(platform)).await {
+            Ok(gateway) => return (gateway, settings),
+            Err(GatewayError::Bind { source, .. })
+                if source.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => panic!("gateway does not start: {error}"),
+        }
+    }
+    panic!("no free address after {BIND_TRIES} tries");
+}
+
+fn settings(plan: &Plan) -> GatewaySettings {
+    GatewaySettings {
+        instance: InstanceName::new("g1"),
+        domain: DomainName::new("a"),
+        environment: EnvironmentName::new("test"),
+        listen: free_address(),
+        ready_listen: free_address(),
+        ready_path: READY_PATH.to_owned(),
+        metrics_listen: Some(free_address()),
+        peer_listen: free_address(),
+        seeds: Vec::new(),
+        grace: plan.grace,
+        repeats: WindowOptions {
+            ratio: 0.2,
+            slack: plan.slack,
+            window: Duration::from_secs(10),
+        },
+        outage_reserve: Duration::from_secs(9),
+        ledger_shards: 1,
+        domains: 1,
+    }
+}
+
 impl World {
     /// Starts a gateway in front of the runners and waits until it is ready.
     pub(crate) async fn start(plan: &Plan, runners: &[(&str, &FakeRunner)]) -> Self {
@@ -159,37 +199,13 @@
     }
 
     pub(crate) async fn start_with(plan: &Plan, platform: Arc<FakePlatform>) -> Self {
-        let (front, ready) = (free_address(), free_address());
-        let (peers, metrics) = (free_address(), free_address());
-        let settings = GatewaySettings {
-            instance: InstanceName::new("g1"),
-            domain: DomainName::new("a"),
-            environment: EnvironmentName::new("test"),
-            listen: front,
-            ready_listen: ready,
-            ready_path: READY_PATH.to_owned(),
-            metrics_listen: Some(metrics),
-            peer_listen: peers,
-            seeds: Vec::new(),
-            grace: plan.grace,
-            repeats: WindowOptions {
-                ratio: 0.2,
-                slack: plan.slack,
-                window: Duration::from_secs(10),
-            },
-            outage_reserve: Duration::from_secs(9),
-            ledger_shards: 1,
-            domains: 1,
-        };
-        let gateway = Gateway::bind(settings, header_names(), Arc::clone(&platform))
-            .await
-            .expect("gateway starts");
+        let (gateway, settings) = bind_gateway(plan, &platform).await;
         let world = Self {
             platform,
             gateway: Some(gateway),
-            front,
-            ready,
-            metrics,
+            front: settings.listen,
+            ready: settings.ready_listen,
+            metrics: settings.metrics_listen.expect("is set"),
             client: Client::builder().no_proxy().build().expect("client"),
         };
         world.wait_ready().await;
