--- a/crates/cornelarch/src/explain/cause.rs
+++ b/crates/cornelarch/src/explain/cause.rs
@@ -4,20 +4,22 @@
 
 use crate::explain::LogLine;
 
-/// Numbers of the events that tell how a request went, as in the catalogue of events.
+/// Numbers of the events that tell how a request went.
 pub(super) mod event {
-    pub(crate) const GATEWAY_STARTED: u16 = 2000;
-    pub(crate) const DRAIN_STARTED: u16 = 2001;
-    pub(crate) const DEPENDENCY_LOST: u16 = 2101;
-    pub(crate) const DEPENDENCY_BACK: u16 = 2102;
-    pub(crate) const BUDGET_SHORT: u16 = 2202;
-    pub(crate) const UPSTREAM_CHANGED: u16 = 2300;
-    pub(crate) const REQUEST_REFUSED: u16 = 2400;
-    pub(crate) const ATTEMPT_FAILED: u16 = 2401;
-    pub(crate) const REQUEST_FAILED: u16 = 2402;
-    pub(crate) const STREAM_BROKEN: u16 = 2404;
-    pub(crate) const REQUEST_ANSWERED: u16 = 2405;
-    pub(crate) const STREAM_ENDED: u16 = 2407;
+    use cornelarch_gateway::LogEvent;
+
+    pub(crate) const GATEWAY_STARTED: u16 = LogEvent::GatewayStarted.number();
+    pub(crate) const DRAIN_STARTED: u16 = LogEvent::DrainStarted.number();
+    pub(crate) const DEPENDENCY_LOST: u16 = LogEvent::DependencyLost.number();
+    pub(crate) const DEPENDENCY_BACK: u16 = LogEvent::DependencyBack.number();
+    pub(crate) const BUDGET_SHORT: u16 = LogEvent::BudgetShort.number();
+    pub(crate) const UPSTREAM_CHANGED: u16 = LogEvent::UpstreamChanged.number();
+    pub(crate) const REQUEST_REFUSED: u16 = LogEvent::RequestRefused.number();
+    pub(crate) const ATTEMPT_FAILED: u16 = LogEvent::AttemptFailed.number();
+    pub(crate) const REQUEST_FAILED: u16 = LogEvent::RequestFailed.number();
+    pub(crate) const STREAM_BROKEN: u16 = LogEvent::StreamBroken.number();
+    pub(crate) const REQUEST_ANSWERED: u16 = LogEvent::RequestAnswered.number();
+    pub(crate) const STREAM_ENDED: u16 = LogEvent::StreamEnded.number();
 }
 
 /// Lists how a request ended.
