Exchange whole member tables after a start

News of eight members travel with 1.3 pings a second. Until then several instances of a domain take themselves for the owner of a budget, and each draws a reserve.

Ruled out: more records in a ping, which would make every ping of a calm fleet larger.

Change: an instance asks a live member (a seed at first) for all live members four times a second in its first 10 s, and each 30 s afterwards; an equal digest gets no answer, and an instance answers at most 50 times a second.

Tests: large_fleet_knows_itself_soon_after_its_start saw 12 to 15 of 295 known after 5 s, now all; with 5% loss all after 10 s. new_instance_knows_a_large_fleet_within_two_seconds saw 22 to 30, now all.

--- a/crates/core/src/membership/detect.rs
+++ b/crates/core/src/membership/detect.rs
@@ -34,6 +34,10 @@
             let target = self.next_target(false, rng);
             self.probe(target, now, rng, effects);
         }
+        if now >= self.next_sync {
+            self.next_sync = now + self.sync_wait(now);
+            self.ask_sync(rng, effects);
+        }
         if now >= self.next_contact {
             self.next_contact = now + self.contact_wait();
             self.contact(rng, effects);
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -37,6 +37,18 @@
         /// The member to ping.
         target: HolderId,
     },
+    /// Asks for all live members, unless the receiver knows the same ones.
+    TableRequest {
+        /// The member that asks.
+        sender: MemberRecord,
+        /// The digest of the live members that it knows.
+        digest: u64,
+    },
+    /// Carries a part of the live members.
+    TableChunk {
+        /// Records of the sender and of other members.
+        records: Vec<MemberRecord>,
+    },
     /// Tells that the sender is being stopped.
     Leaving {
         /// The incarnation of the sender from which it is leaving.
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -11,6 +11,7 @@
 mod record;
 mod rendezvous;
 mod spread;
+mod sync;
 mod table;
 mod update;
 
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -23,6 +23,15 @@
     pub burst_interval: Duration,
     /// The time after which a member is expected to know the others.
     pub settle_time: Duration,
+    /// The time after the start in which an instance asks for all members in quick succession.
+    pub join_time: Duration,
+    /// The time between two requests for all members within `join_time`.
+    pub join_interval: Duration,
+    /// The time between two requests for all members afterwards, in case news were missed.
+    pub sync_interval: Duration,
+    /// The least time between two answers with all members. When a whole fleet starts, the few
+    /// instances that everyone knows would otherwise fill their links with the same records.
+    pub sync_gap: Duration,
     /// The time for which a dead member is remembered, so that old news does not revive it.
     pub dead_retention: Duration,
     /// The largest number of records in one message.
@@ -43,6 +52,10 @@
             contact_interval: Duration::from_secs(5),
             burst_interval: Duration::from_millis(200),
             settle_time: Duration::from_secs(60),
+            join_time: Duration::from_secs(10),
+            join_interval: Duration::from_millis(250),
+            sync_interval: Duration::from_secs(30),
+            sync_gap: Duration::from_millis(20),
             dead_retention: Duration::from_secs(86_400),
             max_updates: 8,
             max_bytes: 600,
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -54,8 +54,10 @@
     pub(super) next_remote: MonotonicTime,
     pub(super) next_contact: MonotonicTime,
     pub(super) next_expire: MonotonicTime,
+    pub(super) next_sync: MonotonicTime,
+    pub(super) synced_at: Option<MonotonicTime>,
     pub(super) now: MonotonicTime,
-    started: MonotonicTime,
+    pub(super) started: MonotonicTime,
     pub(super) live: Vec<HolderId>,
     pub(super) live_changed: bool,
 }
@@ -95,6 +97,8 @@
             next_remote: MonotonicTime::START,
             next_contact: MonotonicTime::START,
             next_expire: MonotonicTime::START,
+            next_sync: MonotonicTime::START,
+            synced_at: None,
             now: MonotonicTime::START,
             started: MonotonicTime::START,
             live: Vec::new(),
@@ -208,6 +212,15 @@
             MemberMessage::PingRequest { nonce, target } => {
                 self.relay(from, nonce, &target, now, rng, effects);
             }
+            MemberMessage::TableRequest { sender, digest } => {
+                self.learn(sender.clone(), now, effects);
+                self.answer_sync(&sender, digest, now, effects);
+            }
+            MemberMessage::TableChunk { records } => {
+                for record in records {
+                    self.learn(record, now, effects);
+                }
+            }
             MemberMessage::Leaving { incarnation } => {
                 let Some(member) = self.members.get(&from.instance) else {
                     return;
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -175,6 +175,8 @@
                 20 + record(&body.sender) + body.updates.iter().map(record).sum::<usize>()
             }
             MemberMessage::PingRequest { target, .. } => 12 + holder(target),
+            MemberMessage::TableRequest { sender, .. } => 11 + record(sender),
+            MemberMessage::TableChunk { records } => 4 + records.iter().map(record).sum::<usize>(),
             MemberMessage::Leaving { .. } => 6,
         }
 }
@@ -192,6 +194,35 @@
     assert_eq!(fleet.deaths, Vec::<String>::new());
 }
 
+/// Guards against instances of a large fleet that know only a part of the others when traffic
+/// starts, so that several of a domain take themselves for the owner of a budget and each draws a
+/// reserve. Traffic starts 10 s after the instances.
+#[rstest]
+#[case::calm(0.0, 5)]
+#[case::lossy(0.05, 10)]
+fn large_fleet_knows_itself_soon_after_its_start(
+    #[case] loss: f64,
+    #[case] seconds: u64,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut fleet = Fleet::new(seed, 295);
+    fleet.loss = loss;
+    fleet.run_s(seconds);
+    let least = (0..295).map(|index| fleet.live_count(index)).min();
+    assert_eq!(least, Some(295));
+}
+
+/// Guards against an instance that is replaced and takes itself for the owner of everything for
+/// long.
+#[rstest]
+fn new_instance_knows_a_large_fleet_within_two_seconds(#[values(1, 2)] seed: u64) {
+    let mut fleet = Fleet::new(seed, 295);
+    fleet.run_s(30);
+    fleet.start(200, 11);
+    fleet.run_s(2);
+    assert_eq!(fleet.live_count(200), 295);
+}
+
 /// Guards against a failed member that keeps its roles, and against others that lose theirs.
 #[rstest]
 fn failed_member_is_found_dead(#[values(1, 2, 3)] seed: u64) {
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -96,6 +96,16 @@
   1: required i64 incarnation
 }
 
+// Asks for all live members, unless the receiver's digest of them is the same.
+struct WireTableRequest {
+  1: required WireMember sender
+  2: required i64 digest
+}
+
+struct WireTableChunk {
+  1: required list<WireMember> records
+}
+
 union WireBody {
   1: WirePing ping
   2: WireAck ack
@@ -109,6 +119,8 @@
   10: WireCrashReport crash_report
   11: WireUnblock unblock
   12: WireLeaving leaving
+  13: WireTableRequest table_request
+  14: WireTableChunk table_chunk
 }
 
 // One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
--- a/crates/wire/src/message/member.rs
+++ b/crates/wire/src/message/member.rs
@@ -7,7 +7,7 @@
 
 use crate::peer::{
     WireAck, WireBody, WireHolder, WireLeaving, WireMember, WireMemberState, WirePing,
-    WirePingRequest,
+    WirePingRequest, WireTableChunk, WireTableRequest,
 };
 
 impl From<&MemberRecord> for WireMember {
@@ -47,6 +47,12 @@
             MemberMessage::PingRequest { nonce, target } => Self::PingRequest(
                 WirePingRequest::new(nonce.cast_signed(), WireHolder::from(target)),
             ),
+            MemberMessage::TableRequest { sender, digest } => Self::TableRequest(
+                WireTableRequest::new(WireMember::from(sender), digest.cast_signed()),
+            ),
+            MemberMessage::TableChunk { records } => Self::TableChunk(WireTableChunk::new(
+                records.iter().map(WireMember::from).collect(),
+            )),
             MemberMessage::Leaving { incarnation } => {
                 Self::Leaving(WireLeaving::new(incarnation.cast_signed()))
             }
@@ -92,6 +98,13 @@
             nonce: request.nonce.cast_unsigned(),
             target: HolderId::from(&request.target),
         },
+        WireBody::TableRequest(request) => MemberMessage::TableRequest {
+            sender: decode_record(&request.sender)?,
+            digest: request.digest.cast_unsigned(),
+        },
+        WireBody::TableChunk(chunk) => MemberMessage::TableChunk {
+            records: chunk.records.iter().filter_map(decode_record).collect(),
+        },
         WireBody::Leaving(leaving) => MemberMessage::Leaving {
             incarnation: leaving.incarnation.cast_unsigned(),
         },
