Lend exactly what is needed to instances that rarely see a customer

Owners without the platform remembered each other's questions and passed the same tokens round.

Change: an instance keeps tokens only for a customer of whom it expects a request within a second, otherwise it borrows per request. Questions in vain back off up to 32 times. A search asks two neighbours and one owner of another domain, the one that held most when the shard was read. An owner without tokens at the platform does not remember questions of other domains. An owner without the platform does not answer, so that a borrower that reaches it draws for itself; one that looks for tokens is asked up to 20 times first. A single lost message no longer makes a borrower draw for itself. A loan counts as partial only if it is less than was asked for; requests that came after the question had marked hot customers as scarce, which lent them one request at a time.

--- a/crates/core/src/budget/ledger/account.rs
+++ b/crates/core/src/budget/ledger/account.rs
@@ -66,13 +66,19 @@
     pub(super) wanted_at: MonotonicTime,
     /// When the shard owner was asked; cleared by any transfer.
     pub(super) asked_at: Option<MonotonicTime>,
+    /// The tokens that the shard owner was asked for last.
+    pub(super) asked_amount: TokenCount,
     /// The requests to the shard owner since the last transfer.
     pub(super) asks: u8,
+    /// Whether a request found too few tokens since the shard owner was asked.
+    pub(super) is_new_need: bool,
     pub(super) silent_until: MonotonicTime,
     /// When every neighbour and the owners of other domains were asked.
     pub(super) searched_at: Option<MonotonicTime>,
-    /// The number of such searches, which picks the lender among the owners of other domains.
+    /// The number of such searches, which picks whom to ask.
     pub(super) searches: u32,
+    /// The searches since another instance last gave tokens.
+    pub(super) vain_searches: u8,
     pub(super) surplus_since: Option<MonotonicTime>,
     pub(super) dirty_since: Option<MonotonicTime>,
     pub(super) scarce_until: MonotonicTime,
@@ -166,7 +172,9 @@
 
     pub(super) fn add_wanted(&mut self, amount: TokenCount, now: MonotonicTime) {
         self.wanted = self.wanted.saturating_add(amount);
-        self.work().wanted_at = now;
+        let work = self.work();
+        work.wanted_at = now;
+        work.is_new_need = true;
     }
 
     fn observe_size(&mut self, amount: TokenCount) {
--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -1,17 +1,37 @@
 //! Lending between instances, and the steps for a budget that runs short.
 
+use std::time::Duration;
+
 use super::{
     BudgetKey, BudgetLedger,
     account::{Account, BorrowDemand},
 };
 use crate::{
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
-    budget::{BudgetMessage, BudgetTotals, DrawGoal, LedgerEffect, policy::IDLE_PERIOD},
+    budget::{
+        BudgetMessage, BudgetTotals, DrawGoal, HolderRow, LedgerEffect, ShardNumber,
+        policy::IDLE_PERIOD,
+    },
 };
 
 /// Time for which a budget counts as scarce after a sign of it, in units of the end wait.
 const SCARCE_WAITS: u32 = 40;
 
+/// Requests to a shard owner from which nothing is heard before a borrower draws for itself. A single
+/// message is lost now and then.
+const UNHEARD_ASKS: u8 = 2;
+
+/// Neighbours that a search asks. Further ones are asked by the next searches; they hold tokens only
+/// if they use the budget all the time.
+const ASKED_NEIGHBOURS: usize = 2;
+
+/// Times what is asked for that the owner of another domain should hold to lend for more than the
+/// requests that wait.
+const PLENTY_FACTOR: f64 = 4.0;
+
+/// Largest factor on the time between two questions that bring no tokens.
+const MAX_BACKOFF: u32 = 32;
+
 /// Requests that an answer to another domain covers if there are enough idle tokens.
 const GIVEN_REQUESTS: u64 = 8;
 
@@ -61,8 +81,9 @@
         let given = self.lendable(key).min(amount);
         self.lend(key, from, given, now);
         let rest = amount.saturating_sub(given);
-        if given.is_zero() {
-            // Tells the borrower that this instance is alive and looks for tokens.
+        if given.is_zero() && !self.platform.is_away() {
+            // Tells the borrower that this instance looks for tokens. Without the platform it says
+            // nothing, so that a borrower that reaches it draws for itself.
             let message = BudgetMessage::TransferAck { sequence: 0 };
             self.effects.push(LedgerEffect::Send {
                 to: from.clone(),
@@ -72,6 +93,11 @@
         if !self.is_owner(&self.accounts[key]) || rest.is_zero() {
             return;
         }
+        // Without tokens at the platform, they come only from other instances. Owners that remember
+        // each other's questions would pass the same few tokens round for as long as they do.
+        if !self.is_neighbour(from) && !self.can_draw(&self.accounts[key]) {
+            return;
+        }
         let work = self.accounts[key].work();
         work.borrowers.retain(|demand| demand.holder != *from);
         work.borrowers.push(BorrowDemand {
@@ -112,12 +138,14 @@
             }
             let balance = account.balance;
             let work = account.work();
+            let is_partial = amount < work.asked_amount;
             // Who has tokens to give needs none; two instances that remember what the other asked
             // for would pass the same tokens back and forth.
             work.borrowers.retain(|demand| demand.holder != *from);
             work.borrowed = work.borrowed.saturating_add(amount);
-            (work.asked_at, work.asks) = (None, 0);
-            if !is_owner && balance < wanted {
+            (work.asked_at, work.asks, work.vain_searches) = (None, 0, 0);
+            // Requests that came after the question make no loan a partial one.
+            if !is_owner && is_partial && balance < wanted {
                 work.scarce_until = scarce_until;
             }
         }
@@ -147,26 +175,28 @@
         let given = share.max(TokenCount::new(few)).min(idle);
         self.transfer(key, from, given, TokenCount::ZERO, now);
         self.urgent.insert(key);
-        let is_neighbour = self.peers.members(&self.options.domain).contains(from);
-        if is_asking && !is_neighbour && self.is_owner(&self.accounts[key]) {
-            self.accounts[key].work().searched_at = Some(now);
-            self.ask_neighbours_back(key);
+        if is_asking && !self.is_neighbour(from) && self.is_owner(&self.accounts[key]) {
+            let work = self.accounts[key].work();
+            work.searched_at = Some(now);
+            work.searches = work.searches.wrapping_add(1);
+            let message = BudgetMessage::ReturnIdle {
+                budget: self.accounts[key].budget.clone(),
+            };
+            // On behalf of the other domain.
+            self.ask_neighbours(key, &message);
         }
     }
 
-    /// Asks the neighbours for their idle tokens, on behalf of another domain.
-    fn ask_neighbours_back(&mut self, key: BudgetKey) {
-        let budget = self.accounts[key].budget.clone();
-        for to in self.peers.members(&self.options.domain) {
-            if *to != self.holder {
-                let message = BudgetMessage::ReturnIdle {
-                    budget: budget.clone(),
-                };
-                self.effects.push(LedgerEffect::Send {
-                    to: to.clone(),
-                    message,
-                });
-            }
+    /// Sends a question to a few neighbours, to other ones in each search.
+    fn ask_neighbours(&mut self, key: BudgetKey, message: &BudgetMessage) {
+        let turn = self.accounts[key].work().searches as usize;
+        let members = self.peers.members(&self.options.domain);
+        let others = members.iter().filter(|to| **to != self.holder);
+        for to in take_turn(others, turn, ASKED_NEIGHBOURS) {
+            self.effects.push(LedgerEffect::Send {
+                to: to.clone(),
+                message: message.clone(),
+            });
         }
     }
 
@@ -216,6 +246,17 @@
         });
     }
 
+    /// Returns whether the platform is there and is not known to have no tokens left.
+    fn can_draw(&self, account: &Account) -> bool {
+        let totals = self.totals(account);
+        let is_empty = totals.is_some_and(|totals| totals.available.is_zero());
+        !self.platform.is_away() && !is_empty
+    }
+
+    fn is_neighbour(&self, holder: &HolderId) -> bool {
+        self.peers.members(&self.options.domain).contains(holder)
+    }
+
     /// Returns whether this instance is the shard owner of its domain for a budget.
     pub(super) fn is_owner(&self, account: &Account) -> bool {
         self.owner(account)
@@ -295,13 +336,18 @@
         // An owner that answers may be waiting for the platform itself.
         let asks = match is_heard {
             true => self.options.owner_asks,
-            false => 1,
+            false => UNHEARD_ASKS,
         };
         let (timeout, silence) = (self.options.borrow_timeout, self.options.owner_silence);
         let is_waiting = account.wanted > account.balance;
         let work = self.accounts[key].work();
+        // A request that just arrived is not made to wait because earlier questions were in vain.
+        let wait = match work.is_new_need {
+            true => timeout,
+            false => back_off(timeout, work.asks),
+        };
         match work.asked_at {
-            Some(at) if now.since(at) < timeout => {}
+            Some(at) if now.since(at) < wait => {}
             Some(_) if is_waiting && work.asks >= asks => {
                 (work.asked_at, work.asks) = (None, 0);
                 work.silent_until = now + silence;
@@ -309,7 +355,9 @@
             }
             _ => {
                 work.asked_at = Some(now);
+                work.asked_amount = amount;
                 work.asks = work.asks.saturating_add(1);
+                work.is_new_need = false;
                 let budget = self.accounts[key].budget.clone();
                 let message = BudgetMessage::BorrowRequest { budget, amount };
                 self.effects.push(LedgerEffect::Send { to: owner, message });
@@ -327,8 +375,10 @@
         if shortfall.is_zero() || (is_covered && !self.platform.is_away()) {
             return;
         }
-        let searched_at = account.work.as_ref().and_then(|work| work.searched_at);
-        if searched_at.is_some_and(|at| now.since(at) < self.options.borrow_timeout) {
+        if let Some(work) = &account.work
+            && let Some(at) = work.searched_at
+            && now.since(at) < back_off(self.options.borrow_timeout, work.vain_searches)
+        {
             return;
         }
         let (budget, shard) = (account.budget.clone(), account.shard);
@@ -338,47 +388,59 @@
         work.searched_at = Some(now);
         work.scarce_until = scarce_until;
         work.searches = work.searches.wrapping_add(1);
-        let turn = work.searches;
-        let domain = &self.options.domain;
-        for to in self
-            .peers
-            .members(domain)
-            .iter()
-            .filter(|to| **to != self.holder)
-        {
+        // The richest lender comes first again once tokens came.
+        let turn = usize::from(work.vain_searches);
+        work.vain_searches = work.vain_searches.saturating_add(1);
+        let message = BudgetMessage::BorrowRequest {
+            budget: budget.clone(),
+            amount: shortfall,
+        };
+        self.ask_neighbours(key, &message);
+        let lenders = self.rank_lenders(key, shard);
+        let turn = turn % lenders.len().max(1);
+        let (lender, idle) = (lenders.get(turn), lenders.get(turn + 1));
+        if let Some((to, held)) = lender {
+            // Another domain's reserve is taken only where there is plenty of it.
+            let wish = shortfall.saturating_add(soon);
+            let amount = match *held >= wish.scaled(PLENTY_FACTOR) {
+                true => wish,
+                false => shortfall,
+            };
             let message = BudgetMessage::BorrowRequest {
                 budget: budget.clone(),
-                amount: shortfall,
+                amount,
             };
-            self.effects.push(LedgerEffect::Send {
-                to: to.clone(),
-                message,
-            });
+            let to = to.clone();
+            self.effects.push(LedgerEffect::Send { to, message });
         }
-        let others: Vec<&HolderId> = self.peers.other_owners(domain, shard).collect();
-        // Only this instance may have lost the platform. Another owner then draws for it, even if
-        // it does not use the budget itself.
-        let lender = match self.platform.is_away() {
-            true => others.get(turn as usize % others.len().max(1)).copied(),
-            false => None,
-        };
-        for to in others {
-            let message = match lender == Some(to) {
-                true => BudgetMessage::BorrowRequest {
-                    budget: budget.clone(),
-                    amount: shortfall.saturating_add(soon),
-                },
-                false => BudgetMessage::ReturnIdle {
-                    budget: budget.clone(),
-                },
-            };
-            self.effects.push(LedgerEffect::Send {
-                to: to.clone(),
-                message,
-            });
+        if let Some((to, _)) = idle {
+            let to = to.clone();
+            let message = BudgetMessage::ReturnIdle { budget };
+            self.effects.push(LedgerEffect::Send { to, message });
         }
     }
 
+    /// Returns the owners of other domains with the tokens that they held when the shard was read
+    /// last, most first.
+    fn rank_lenders(&self, key: BudgetKey, shard: ShardNumber) -> Vec<(HolderId, TokenCount)> {
+        let cached = self
+            .shards
+            .get(&shard)
+            .and_then(|sync| sync.cached.as_ref());
+        let entry = cached.and_then(|cached| cached.value.budgets.get(&self.accounts[key].budget));
+        let held = |holder: &HolderId| {
+            let rows = entry.into_iter().flat_map(|entry| &entry.rows);
+            let own = rows.filter(|row| row.holder == *holder);
+            own.map(HolderRow::remainder).sum()
+        };
+        let owners = self.peers.other_owners(&self.options.domain, shard);
+        let mut lenders: Vec<(HolderId, TokenCount)> = owners
+            .map(|holder| (holder.clone(), held(holder)))
+            .collect();
+        lenders.sort_by_key(|(_, held)| std::cmp::Reverse(*held));
+        lenders
+    }
+
     /// Notes since when the balance exceeds its goal, and hands surplus and reports of a neighbour
     /// to the shard owner.
     fn note_surplus(&mut self, key: BudgetKey, now: MonotonicTime) {
@@ -462,3 +524,24 @@
         owner.or(neighbour).or(distant)
     }
 }
+
+/// Returns the time until a question that brought no tokens `vain` times is repeated.
+fn back_off(timeout: Duration, vain: u8) -> Duration {
+    let doublings = u32::from(vain.saturating_sub(1)).min(MAX_BACKOFF.ilog2());
+    timeout * (1 << doublings)
+}
+
+/// Returns the `count` candidates whose turn it is.
+fn take_turn<'a>(
+    candidates: impl Iterator<Item = &'a HolderId>,
+    turn: usize,
+    count: usize,
+) -> Vec<&'a HolderId> {
+    let mut candidates: Vec<&HolderId> = candidates.collect();
+    if !candidates.is_empty() {
+        let first = turn * count % candidates.len();
+        candidates.rotate_left(first);
+    }
+    candidates.truncate(count);
+    candidates
+}
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -98,6 +98,19 @@
     pub is_scarce: bool,
 }
 
+impl DrawGoal {
+    /// Covers what is waited for and nothing more.
+    const fn exact(need: TokenCount) -> Self {
+        Self {
+            refill_below: need,
+            target: need,
+            surplus_target: need,
+            keep: need,
+            is_scarce: false,
+        }
+    }
+}
+
 impl DrawPolicy {
     /// Returns whether instances lend to each other.
     #[must_use]
@@ -126,13 +139,7 @@
                     is_scarce: false,
                 }
             }
-            Self::PerRequest => DrawGoal {
-                refill_below: need,
-                target: need,
-                surplus_target: need,
-                keep: need,
-                is_scarce: false,
-            },
+            Self::PerRequest => DrawGoal::exact(need),
             Self::LowWater { low, high } => DrawGoal {
                 refill_below: low.saturating_add(need),
                 target: high.saturating_add(need),
@@ -155,24 +162,23 @@
         let need = input.need;
         if input.is_scarce {
             return DrawGoal {
-                refill_below: need,
-                target: need,
-                surplus_target: need,
-                keep: need,
                 is_scarce: true,
+                ..DrawGoal::exact(need)
             };
         }
         let (low, high) = match self {
             Self::LowWater { low, high } => (low, high),
             Self::StaticSplit { .. } | Self::PerRequest => (TokenCount::ZERO, TokenCount::ZERO),
             Self::Predictive => {
-                let few = match is_busy(input, forecast) {
-                    true => input
-                        .request_size
-                        .get()
-                        .saturating_mul(options.loan_requests),
-                    false => 0,
-                };
+                // Many instances that each keep a request's tokens for a customer whom they rarely
+                // see would hold a whole budget without being able to serve anyone.
+                if forecast.predict(options.borrow_horizon) < input.request_size {
+                    return DrawGoal::exact(need);
+                }
+                let few = input
+                    .request_size
+                    .get()
+                    .saturating_mul(options.loan_requests);
                 let few = TokenCount::new(few);
                 let lead = options.borrow_timeout * DELAY_MARGIN + options.flush_period;
                 (
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,4 +14,4 @@
     DirectoryChange, DirectoryEvent, DirectoryList, DocumentChange, EdgeError, HeaderNames,
     PlatformEdge, StoredObject, Versioned,
 };
-pub use process::{Gateway, GatewayError, GatewaySettings, LogEvent, open_log};
+pub use process::{Gateway, GatewayError, GatewaySettings, LogEvent, ledger_options, open_log};
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -39,9 +39,10 @@
 /// Longest time between two sendings of a transfer. Tokens that were sent into a cut are usable only
 /// after the next sending.
 const RESEND_MAX: Duration = Duration::from_secs(1);
-/// Requests to the shard owner before an instance draws for itself: the owner alone may have lost
-/// the platform.
-const OWNER_ASKS: u8 = 2;
+/// Requests to a shard owner that says that it looks for tokens before an instance draws for itself.
+/// They cover a slow platform; an instance that draws for itself hides its burn from the owner, which
+/// then holds no reserve for it.
+const OWNER_ASKS: u8 = 20;
 /// How long an instance then draws for itself.
 const OWNER_SILENCE: Duration = Duration::from_secs(2);
 /// Least time between two regular writes of an instance. Calls to the platform are limited.
@@ -55,6 +56,40 @@
 /// budget from a held one.
 const IDLE_FLUSH: Duration = Duration::from_secs(2);
 
+/// Returns the options of the ledger of an instance.
+#[must_use]
+pub fn ledger_options(settings: &GatewaySettings) -> LedgerOptions {
+    let has_others = settings
+        .seeds
+        .iter()
+        .any(|seed| *seed != settings.peer_listen);
+    LedgerOptions {
+        warm_up: if has_others { WARM_UP } else { Duration::ZERO },
+        environment: settings.environment.clone(),
+        domain: settings.domain.clone(),
+        shards: settings.ledger_shards,
+        domains: settings.domains,
+        horizon: HORIZON,
+        borrow_horizon: BORROW_HORIZON,
+        draw_requests: DRAW_REQUESTS,
+        loan_requests: LOAN_REQUESTS,
+        need_factor: NEED_FACTOR,
+        hold_cap: HOLD_CAP,
+        borrow_timeout: BORROW_TIMEOUT,
+        resend_max: RESEND_MAX,
+        owner_asks: OWNER_ASKS,
+        owner_silence: OWNER_SILENCE,
+        outage_reserve: settings.outage_reserve,
+        reserve_rate: ReserveRate::Recent,
+        end_wait: TOKEN_WAIT,
+        flush_period: FLUSH_PERIOD,
+        idle_flush: IDLE_FLUSH,
+        idle_return: settings.outage_reserve,
+        platform_retry_max: PLATFORM_RETRY_MAX,
+        ..LedgerOptions::default()
+    }
+}
+
 /// Holds the ledger and the requests that wait for tokens.
 #[derive(Debug)]
 pub(crate) struct LedgerCell {
@@ -65,35 +100,7 @@
 impl LedgerCell {
     /// Opens the ledger of one incarnation.
     pub(crate) fn open(settings: &GatewaySettings, holder: HolderId) -> Self {
-        let has_others = settings
-            .seeds
-            .iter()
-            .any(|seed| *seed != settings.peer_listen);
-        let options = LedgerOptions {
-            warm_up: if has_others { WARM_UP } else { Duration::ZERO },
-            environment: settings.environment.clone(),
-            domain: settings.domain.clone(),
-            shards: settings.ledger_shards,
-            domains: settings.domains,
-            horizon: HORIZON,
-            borrow_horizon: BORROW_HORIZON,
-            draw_requests: DRAW_REQUESTS,
-            loan_requests: LOAN_REQUESTS,
-            need_factor: NEED_FACTOR,
-            hold_cap: HOLD_CAP,
-            borrow_timeout: BORROW_TIMEOUT,
-            resend_max: RESEND_MAX,
-            owner_asks: OWNER_ASKS,
-            owner_silence: OWNER_SILENCE,
-            outage_reserve: settings.outage_reserve,
-            reserve_rate: ReserveRate::Recent,
-            end_wait: TOKEN_WAIT,
-            flush_period: FLUSH_PERIOD,
-            idle_flush: IDLE_FLUSH,
-            idle_return: settings.outage_reserve,
-            platform_retry_max: PLATFORM_RETRY_MAX,
-            ..LedgerOptions::default()
-        };
+        let options = ledger_options(settings);
         Self {
             ledger: Mutex::new(BudgetLedger::new(holder, options)),
             waiters: Mutex::default(),
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub use event::LogEvent;
 pub(crate) use event::log_event;
 pub use gateway::{Gateway, GatewayError};
+pub use ledger::ledger_options;
 pub(crate) use ledger::{LedgerCell, TOKEN_WAIT, run_ledger};
 pub use log::open_log;
 pub(crate) use log::{dropped_lines, has_room};
