Tell upstreams that left from entries that lapsed

Change: where at least as many entries of a service are listed as are missing, the missing ones are gone; so is one that was already leaving. The decision is MissingUpstreams::sort in the core.

The entries of a real outage keep their grace (lapsed_upstreams_serve_for_a_while_after_an_outage).

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,10 +6,12 @@
 //! that cannot begin in time is refused before it is sent.
 
 mod entry;
+mod missing;
 mod options;
 mod request;
 mod table;
 
+pub use missing::MissingUpstreams;
 pub use options::PlacementOptions;
 pub use request::{
     FlightEnd, Placement, PlacementRefusal, PlacementRequest, PromptPart, UpstreamRecord, WorkSize,
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -81,9 +81,9 @@
         }
     }
 
-    /// Returns the names of all listed upstreams.
-    pub fn names(&self) -> impl Iterator<Item = &UpstreamName> {
-        self.names.keys()
+    /// Iterates over the records of the known upstreams.
+    pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        self.names.values().map(|key| &self.entries[*key].record)
     }
 
     /// Returns the record of an upstream.
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use cornelarch_core::{base::UpstreamName, placement::UpstreamRecord};
+use cornelarch_core::{
+    base::UpstreamName,
+    placement::{MissingUpstreams, UpstreamRecord},
+};
 use rand::Rng;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -227,14 +230,16 @@
     records: Vec<UpstreamRecord>,
     lapsed: &mut HashSet<UpstreamName>,
 ) {
-    let listed: HashSet<UpstreamName> = records.iter().map(|r| r.name.clone()).collect();
+    let missing = MissingUpstreams::sort(state.placement.lock().records(), &records);
     for record in records {
         lapsed.remove(&record.name);
         add(state, record);
     }
-    let placement = state.placement.lock();
-    let missing = placement.names().filter(|name| !listed.contains(*name));
-    lapsed.extend(missing.cloned());
+    for name in missing.gone {
+        lapsed.remove(&name);
+        remove(state, &name);
+    }
+    lapsed.extend(missing.lapsed);
 }
 
 fn apply_events(
--- a/crates/gateway/tests/platform.rs
+++ b/crates/gateway/tests/platform.rs
@@ -138,6 +138,32 @@
     wait_status(&world, "/again/x", 503, Duration::from_millis(3_000)).await;
 }
 
+/// Guards against requests at an upstream that left while this instance alone was cut off from the
+/// platform: where the others are still listed, the missing one did not lapse.
+#[tokio::test]
+async fn upstream_that_left_during_a_cut_is_gone() {
+    let runners = [
+        FakeRunner::start(vec![]).await,
+        FakeRunner::start(vec![]).await,
+        FakeRunner::start(vec![]).await,
+    ];
+    let services = runners.each_ref().map(|runner| ("plain", runner));
+    let world = World::start(&Plan::default(), &services).await;
+    world.platform.set_down(true);
+    tokio::time::sleep(OUTAGE).await;
+    world.platform.unlist("u0");
+    let lists = world.platform.lists.load(Ordering::SeqCst);
+    world.platform.set_down(false);
+    while world.platform.lists.load(Ordering::SeqCst) == lists {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for _ in 0..20 {
+        assert_eq!(status(&world, "/again/x").await, 200);
+    }
+    assert_eq!(runners[0].seen().len(), 0);
+}
+
 /// Guards against requests at an upstream that is gone although the platform said so, because its
 /// removal a moment after an outage counted as a lapsed entry.
 #[tokio::test]
