Read the platform cheaply at most instances

Ruled out: longer watches alone, because changes end them; one instance that reads for a domain and passes everything on, which needs a protocol and a failover of its own for what the store offers by itself.

Change: reads state how new they have to be. The three instances of a domain with the highest rendezvous score read the latest state; the others take one that may be old, at a tenth of the price. Pings tell the configuration in force, and an instance that hears of a newer one reads the latest state 300 ms later. First lists and reads of ledger objects before a conditional write may be old; a list after a failure, the resolution of a write and a read after an outdated one may not. A missing configuration is watched for instead of read 20 times a second.

--- a/crates/core/src/budget/ledger/sync.rs
+++ b/crates/core/src/budget/ledger/sync.rs
@@ -55,6 +55,8 @@
     pub(super) is_own: bool,
     call: ShardCall,
     attempt: Option<WriteAttempt>,
+    /// Whether the last read returned an older value than was known.
+    was_outdated: bool,
     wrote_at: Option<MonotonicTime>,
 }
 
@@ -193,7 +195,9 @@
             return false;
         }
         sync.call = ShardCall::Reading { since: now };
-        self.effects.push(LedgerEffect::ReadShard { shard });
+        let is_latest = sync.attempt.is_some() || sync.was_outdated;
+        self.effects
+            .push(LedgerEffect::ReadShard { is_latest, shard });
         true
     }
 
@@ -262,11 +266,9 @@
         sync.call = ShardCall::Idle;
         self.platform.observe(since, now);
         // A read that was delayed shows an old version, on which nothing may depend.
-        if sync
-            .cached
-            .as_ref()
-            .is_none_or(|cached| cached.version <= version)
-        {
+        let known = sync.cached.as_ref().map(|cached| cached.version);
+        sync.was_outdated = known.is_some_and(|known| version < known);
+        if !sync.was_outdated {
             sync.cached = Some(CachedShard {
                 version,
                 value,
--- a/crates/core/src/budget/message.rs
+++ b/crates/core/src/budget/message.rs
@@ -112,6 +112,9 @@
 pub enum LedgerEffect {
     /// Read a shard object.
     ReadShard {
+        /// Whether the value must be the newest one. Otherwise a cheaper read may return one that is
+        /// seconds old; a write that builds on it is conditional.
+        is_latest: bool,
         /// The shard.
         shard: ShardNumber,
     },
--- a/crates/core/tests/budget/ledger.rs
+++ b/crates/core/tests/budget/ledger.rs
@@ -50,7 +50,13 @@
 /// Answers the read that follows a refused reservation and returns the write that it leads to.
 fn read_and_write(ledger: &mut BudgetLedger, value: &ShardValue, millis: u64) -> ShardValue {
     let effects = ledger.handle(LedgerEvent::Tick, at(millis));
-    assert_eq!(effects, [LedgerEffect::ReadShard { shard: SHARD }]);
+    assert_eq!(
+        effects,
+        [LedgerEffect::ReadShard {
+            is_latest: false,
+            shard: SHARD
+        }]
+    );
     let value = value.clone();
     let read = LedgerEvent::ShardRead {
         shard: SHARD,
@@ -127,7 +133,13 @@
     let before = paid_shard(10_000);
     let written = read_and_write(&mut ledger, &before, 0);
     let effects = ledger.handle(LedgerEvent::WriteUnknown { shard: SHARD }, at(5));
-    assert_eq!(effects, [LedgerEffect::ReadShard { shard: SHARD }]);
+    assert_eq!(
+        effects,
+        [LedgerEffect::ReadShard {
+            is_latest: true,
+            shard: SHARD
+        }]
+    );
     let read = LedgerEvent::ShardRead {
         shard: SHARD,
         version: 1,
@@ -186,7 +198,12 @@
         // Every request is refused; only the reads matter.
         let _ = ledger.reserve(key, tokens(100), at(millis));
         for effect in ledger.handle(LedgerEvent::Tick, at(millis)) {
-            if effect == (LedgerEffect::ReadShard { shard: SHARD }) {
+            if effect
+                == (LedgerEffect::ReadShard {
+                    is_latest: false,
+                    shard: SHARD,
+                })
+            {
                 reads += 1;
                 let value = paid_shard(0);
                 let read = LedgerEvent::ShardRead {
@@ -275,7 +292,12 @@
     let mut value = None;
     for second in 1..2_000 {
         for effect in ledger.handle(LedgerEvent::Tick, at(second * 1_000)) {
-            if effect == (LedgerEffect::ReadShard { shard: SHARD }) {
+            if effect
+                == (LedgerEffect::ReadShard {
+                    is_latest: false,
+                    shard: SHARD,
+                })
+            {
                 let mut shard = paid_shard(10_000);
                 let row = HolderRow {
                     sequence: 1,
@@ -423,7 +445,10 @@
     let effects = ledger.handle(transfer(3), due);
     assert!(!effects.iter().any(is_transfer), "{effects:?}");
     assert!(
-        effects.contains(&LedgerEffect::ReadShard { shard: SHARD }),
+        effects.contains(&LedgerEffect::ReadShard {
+            is_latest: false,
+            shard: SHARD
+        }),
         "{effects:?}"
     );
     assert!(ledger.reserve(key, tokens(1), due).is_err());
--- a/crates/core/tests/budget/random_fleet.rs
+++ b/crates/core/tests/budget/random_fleet.rs
@@ -179,7 +179,7 @@
                     to,
                     message,
                 },
-                LedgerEffect::ReadShard { shard } | LedgerEffect::WriteShard { shard, .. }
+                LedgerEffect::ReadShard { shard, .. } | LedgerEffect::WriteShard { shard, .. }
                     if is_cut =>
                 {
                     Item::Answer {
@@ -187,7 +187,7 @@
                         event: LedgerEvent::PlatformDown { shard },
                     }
                 }
-                LedgerEffect::ReadShard { shard } => Item::Read { holder, shard },
+                LedgerEffect::ReadShard { shard, .. } => Item::Read { holder, shard },
                 LedgerEffect::WriteShard {
                     shard,
                     expected_version: expected,
--- a/crates/core/tests/budget/seconds.rs
+++ b/crates/core/tests/budget/seconds.rs
@@ -60,12 +60,13 @@
         while let Some(event) = events.pop() {
             for effect in ledger.handle(event, now) {
                 match effect {
-                    LedgerEffect::ReadShard { shard } | LedgerEffect::WriteShard { shard, .. }
+                    LedgerEffect::ReadShard { shard, .. }
+                    | LedgerEffect::WriteShard { shard, .. }
                         if self.is_away =>
                     {
                         events.push(LedgerEvent::PlatformDown { shard });
                     }
-                    LedgerEffect::ReadShard { shard } => events.push(LedgerEvent::ShardRead {
+                    LedgerEffect::ReadShard { shard, .. } => events.push(LedgerEvent::ShardRead {
                         shard,
                         version: self.version,
                         value: self.value.clone(),
--- a/crates/core/tests/protocol_matrix/fleet/network.rs
+++ b/crates/core/tests/protocol_matrix/fleet/network.rs
@@ -41,7 +41,7 @@
         match effect {
             LedgerEffect::Wake { .. } => {}
             LedgerEffect::Send { to, message } => self.send((holder, to, message), passage),
-            LedgerEffect::ReadShard { shard } | LedgerEffect::WriteShard { shard, .. }
+            LedgerEffect::ReadShard { shard, .. } | LedgerEffect::WriteShard { shard, .. }
                 if is_cut =>
             {
                 self.push(
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -36,6 +36,15 @@
     pub reserved: Vec<HeaderName>,
 }
 
+/// Tells how new the result of a read has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadAge {
+    /// The state at the time of the call.
+    Latest,
+    /// A state that may be seconds old, for a smaller price.
+    Any,
+}
+
 /// Carries a value with the revision at which it was read.
 #[derive(Clone, Debug)]
 pub struct Versioned<T> {
@@ -119,6 +128,7 @@
     /// Returns why the call failed.
     fn read_document(
         &self,
+        age: ReadAge,
     ) -> impl Future<Output = Result<Versioned<Option<RouteDocument>>, EdgeError>> + Send;
 
     /// Waits at most `wait` for a configuration after `revision`.
@@ -130,6 +140,7 @@
         &self,
         revision: u64,
         wait: Duration,
+        age: ReadAge,
     ) -> impl Future<Output = Result<Versioned<DocumentChange>, EdgeError>> + Send;
 
     /// Reads all upstreams.
@@ -137,7 +148,10 @@
     /// # Errors
     ///
     /// Returns why the call failed.
-    fn read_directory(&self) -> impl Future<Output = Result<DirectoryList, EdgeError>> + Send;
+    fn read_directory(
+        &self,
+        age: ReadAge,
+    ) -> impl Future<Output = Result<DirectoryList, EdgeError>> + Send;
 
     /// Waits at most `wait` for changes of the upstreams after `revision`.
     ///
@@ -148,6 +162,7 @@
         &self,
         revision: u64,
         wait: Duration,
+        age: ReadAge,
     ) -> impl Future<Output = Result<DirectoryChange, EdgeError>> + Send;
 
     /// Reads an object of the gateway's own.
@@ -158,6 +173,7 @@
     fn read_object(
         &self,
         name: &str,
+        age: ReadAge,
     ) -> impl Future<Output = Result<StoredObject, EdgeError>> + Send;
 
     /// Writes an object if it has the expected revision (0: it does not exist) and returns the new
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use edge::{
     DirectoryChange, DirectoryEvent, DirectoryList, DocumentChange, EdgeError, HeaderNames,
-    PlatformEdge, StoredObject, Versioned,
+    PlatformEdge, ReadAge, StoredObject, Versioned,
 };
 pub use process::{Gateway, GatewayError, GatewaySettings, LogEvent, ledger_options, open_log};
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
-    edge::{EdgeError, PlatformEdge},
+    edge::{EdgeError, PlatformEdge, ReadAge},
     process::{GatewaySettings, GatewayState, PeerOrder, PlatformCall, log_event},
 };
 
@@ -149,9 +149,13 @@
 fn run_effect<P: PlatformEdge>(state: &Arc<GatewayState>, edge: &Arc<P>, effect: LedgerEffect) {
     let (state, edge) = (Arc::clone(state), Arc::clone(edge));
     match effect {
-        LedgerEffect::ReadShard { shard } => {
+        LedgerEffect::ReadShard { is_latest, shard } => {
+            let age = match is_latest {
+                true => ReadAge::Latest,
+                false => ReadAge::Any,
+            };
             tokio::spawn(async move {
-                let event = read_shard(&state, &*edge, shard).await;
+                let event = read_shard(&state, &*edge, shard, age).await;
                 state.tell_ledger(event);
             });
         }
@@ -178,9 +182,10 @@
     state: &GatewayState,
     edge: &P,
     shard: ShardNumber,
+    age: ReadAge,
 ) -> LedgerEvent {
     let name = object_name(state, shard);
-    let result = edge.read_object(&name).await;
+    let result = edge.read_object(&name, age).await;
     state.metrics.count_call(PlatformCall::LedgerRead, &result);
     match result {
         Ok(object) if object.revision == 0 => LedgerEvent::ShardRead {
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -5,7 +5,7 @@
 use cornelarch_core::{
     base::HolderId,
     budget::{BudgetMessage, DomainPeer, LedgerEvent},
-    membership::{MemberEffect, MemberEvent, MemberOptions, MemberTable},
+    membership::{MemberEffect, MemberEvent, MemberOptions, MemberTable, choose_owners},
 };
 use cornelarch_wire::{
     decode_budget_message, decode_envelope, decode_member_event, encode_budget_message,
@@ -19,6 +19,11 @@
 
 /// Time between two ticks of the member table.
 const MEMBER_TICK: Duration = Duration::from_millis(200);
+/// Instances of a domain that read the latest state of the platform. With three, two may be cut off or
+/// slow.
+const LATEST_READERS: usize = 3;
+/// Key by which they are chosen among the live ones.
+const READERS_KEY: &str = "readers";
 /// Largest datagram that is received, in bytes. Sent ones stay far below.
 const DATAGRAM_MAX: usize = 16 * 1024;
 
@@ -85,7 +90,11 @@
                 // An unreachable peer is reported by a later call; the member table notices it.
                 Err(error) => log::trace!("datagram cannot be received: {error}"),
             },
-            _ = interval.tick() => desk.apply(MemberEvent::Tick).await,
+            _ = interval.tick() => {
+                let version = desk.state.version();
+                desk.apply(MemberEvent::ConfigVersion(version)).await;
+                desk.apply(MemberEvent::Tick).await;
+            }
         }
     }
 }
@@ -125,7 +134,7 @@
                 MemberEffect::StateChanged { holder, state, .. } => {
                     log_event!(PeerChanged, "peer={holder} state={state:?}");
                 }
-                MemberEffect::PeerVersion { .. } => {}
+                MemberEffect::PeerVersion { version, .. } => self.state.hear_version(version),
             }
         }
     }
@@ -142,6 +151,11 @@
         self.state
             .instances
             .fetch_max(live.len(), Ordering::Relaxed);
+        let domain = self.table.live_members(&self.state.settings.domain);
+        let names = domain.map(|record| &record.holder.instance);
+        let readers = choose_owners(READERS_KEY, names, LATEST_READERS);
+        self.state
+            .set_reads_latest(readers.contains(&&self.holder.instance));
         self.state.tell_ledger(LedgerEvent::PeersChanged(live));
     }
 
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -58,10 +58,13 @@
     /// Changes whenever the platform confirms the configuration.
     pub(crate) confirmed: watch::Sender<()>,
     pub(crate) outage: Mutex<PlatformOutage>,
+    /// The newest configuration version that a peer told, if it is newer than the own one.
+    pub(crate) told_version: watch::Sender<u64>,
+    reads_latest: AtomicBool,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
     peer_orders: mpsc::UnboundedSender<PeerOrder>,
     repeats: Mutex<HashMap<ServiceName, WindowBudget>>,
-    has_directory: std::sync::atomic::AtomicBool,
+    has_directory: AtomicBool,
     confirmed_us: AtomicU64,
     phase: AtomicU8,
     running: AtomicUsize,
@@ -89,10 +92,12 @@
             instances: AtomicUsize::new(INSTANCES_PRIOR),
             confirmed: watch::Sender::new(()),
             outage: Mutex::default(),
+            told_version: watch::Sender::new(0),
+            reads_latest: AtomicBool::new(false),
             ledger_events,
             peer_orders,
             repeats: Mutex::default(),
-            has_directory: std::sync::atomic::AtomicBool::new(false),
+            has_directory: AtomicBool::new(false),
             confirmed_us: AtomicU64::new(0),
             phase: AtomicU8::new(GatewayPhase::Serving as u8),
             running: AtomicUsize::new(0),
@@ -165,6 +170,33 @@
         self.now().since(confirmed) < CONFIRM_MAX
     }
 
+    /// Returns the version in force, 0 without one.
+    pub(crate) fn version(&self) -> u64 {
+        let document = self.document.load();
+        document.as_ref().map_or(0, |document| document.version)
+    }
+
+    /// Returns whether this instance is one of those of its domain that read the latest state of the
+    /// platform.
+    pub(crate) fn reads_latest(&self) -> bool {
+        self.reads_latest.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_reads_latest(&self, reads_latest: bool) {
+        self.reads_latest.store(reads_latest, Ordering::Release);
+    }
+
+    /// Records that a peer has a version in force.
+    pub(crate) fn hear_version(&self, version: u64) {
+        if version > self.version() {
+            self.told_version.send_if_modified(|told| {
+                let is_newer = version > *told;
+                *told = version.max(*told);
+                is_newer
+            });
+        }
+    }
+
     /// Records that the upstreams are known.
     pub(crate) fn confirm_directory(&self) {
         self.has_directory.store(true, Ordering::Release);
@@ -228,8 +260,7 @@
 
     /// Returns the metrics as text.
     pub(crate) fn render_metrics(&self) -> String {
-        let document = self.document.load();
-        let version = document.as_ref().map_or(0, |document| document.version);
+        let version = self.version();
         let upstreams = self.placement.lock().listed_count();
         self.metrics.render(self.running(), version, upstreams)
     }
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -11,10 +11,10 @@
     placement::{MissingUpstreams, UpstreamRecord},
 };
 use rand::Rng;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::{
-    edge::{DirectoryEvent, DocumentChange, EdgeError, PlatformEdge, Versioned},
+    edge::{DirectoryEvent, DocumentChange, EdgeError, PlatformEdge, ReadAge, Versioned},
     process::{GatewayState, PlatformCall, log_event},
 };
 
@@ -40,6 +40,8 @@
 /// Shortest time without an answer that counts as an outage, in which entries may have lapsed. A
 /// watch that is cut is repeated sooner.
 const OUTAGE_MIN: Duration = Duration::from_millis(300);
+/// Time after the news of a newer configuration in which the own watch may still report it.
+const OUTDATED_GRACE: Duration = Duration::from_millis(300);
 /// Failures in a row after which a dependency counts as lost.
 const LOST_FAILURES: u32 = 2;
 
@@ -71,6 +73,8 @@
     wait: Duration,
     failed_at: Option<Instant>,
     lost_since: Option<Instant>,
+    /// Whether any call succeeded since the start.
+    has_read: bool,
     state: Arc<GatewayState>,
 }
 
@@ -82,11 +86,13 @@
             wait: RETRY_MIN,
             failed_at: None,
             lost_since: None,
+            has_read: false,
             state,
         }
     }
 
     fn record_success(&mut self) {
+        self.has_read = true;
         self.failures = 0;
         self.wait = RETRY_MIN;
         if let Some(at) = self.failed_at.take() {
@@ -123,8 +129,15 @@
     let mut is_storm = false;
     loop {
         let result = match revision {
-            None => read_newest(&*edge).await,
-            Some(revision) => edge.watch_document(revision, WATCH_WAIT).await,
+            None if is_storm => read_newest(&*edge, routine_age(&state)).await,
+            None => read_newest(&*edge, list_age(&track)).await,
+            Some(revision) => {
+                let age = routine_age(&state);
+                tokio::select! {
+                    result = edge.watch_document(revision, WATCH_WAIT, age) => result,
+                    () = wait_outdated(&state) => read_newest(&*edge, ReadAge::Latest).await,
+                }
+            }
         };
         state.metrics.count_call(PlatformCall::Document, &result);
         match result {
@@ -145,11 +158,6 @@
                     revision = None;
                     tokio::time::sleep(STORM_PERIOD).await;
                 }
-                // Without any configuration there is nothing to watch for long.
-                if state.document.load().is_none() {
-                    revision = None;
-                    tokio::time::sleep(RETRY_MIN).await;
-                }
             }
             Err(EdgeError::HistoryGone) => revision = None,
             Err(error) => {
@@ -162,9 +170,50 @@
     }
 }
 
+/// Returns how new the next list has to be. The first one is followed by a watch from its revision at
+/// once. A list after a failure must not go back behind the history that was dropped meanwhile.
+fn list_age(track: &DependencyTrack) -> ReadAge {
+    match track.has_read {
+        true => ReadAge::Latest,
+        false => ReadAge::Any,
+    }
+}
+
+/// Returns how new the next routine read has to be. In a domain of many instances only a few read the
+/// latest state, and the others hear of newer configurations from them.
+fn routine_age(state: &GatewayState) -> ReadAge {
+    match state.reads_latest() {
+        true => ReadAge::Latest,
+        false => ReadAge::Any,
+    }
+}
+
+/// Waits until a peer has had a newer configuration in force for longer than the own watch takes.
+async fn wait_outdated(state: &GatewayState) {
+    let mut told = state.told_version.subscribe();
+    loop {
+        let version = *told.borrow_and_update();
+        if version > state.version() {
+            sleep(OUTDATED_GRACE).await;
+            if version > state.version() {
+                // Told again by the next message if the read does not find it.
+                state.told_version.send_replace(0);
+                return;
+            }
+            continue;
+        }
+        if told.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Reads the newest configuration.
-async fn read_newest<P: PlatformEdge>(edge: &P) -> Result<Versioned<DocumentChange>, EdgeError> {
-    let read = edge.read_document().await?;
+async fn read_newest<P: PlatformEdge>(
+    edge: &P,
+    age: ReadAge,
+) -> Result<Versioned<DocumentChange>, EdgeError> {
+    let read = edge.read_document(age).await?;
     Ok(Versioned {
         revision: read.revision,
         value: DocumentChange {
@@ -189,14 +238,21 @@
         let grace_end = grace_end.filter(|_| !lapsed.is_empty());
         let wait = grace_end.map_or(WATCH_WAIT, |end| end - Instant::now());
         let result = match revision {
-            None => edge.read_directory().await.map(|list| {
-                apply_list(&state, list.value, &mut lapsed);
-                list.revision
-            }),
-            Some(revision) => edge.watch_directory(revision, wait).await.map(|change| {
-                apply_events(&state, change.value, &mut lapsed);
-                change.revision
-            }),
+            None => {
+                let listed = edge.read_directory(list_age(&track)).await;
+                listed.map(|list| {
+                    apply_list(&state, list.value, &mut lapsed);
+                    list.revision
+                })
+            }
+            Some(revision) => {
+                let age = routine_age(&state);
+                let watched = edge.watch_directory(revision, wait, age).await;
+                watched.map(|change| {
+                    apply_events(&state, change.value, &mut lapsed);
+                    change.revision
+                })
+            }
         };
         state.metrics.count_call(PlatformCall::Directory, &result);
         match result {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Fakes at the edges of a gateway: a platform in memory and upstreams on loopback.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod platform;
 mod runner;
@@ -35,6 +35,7 @@
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    pub(crate) peers: SocketAddr,
     pub(crate) client: Client,
 }
 
@@ -206,12 +207,24 @@
             front: settings.listen,
             ready: settings.ready_listen,
             metrics: settings.metrics_listen.expect("is set"),
+            peers: settings.peer_listen,
             client: Client::builder().no_proxy().build().expect("client"),
         };
         world.wait_ready().await;
         world
     }
 
+    /// Returns the configuration version in force as the metrics tell it.
+    pub(crate) async fn version(&self) -> u64 {
+        let url = format!("http://{}/metrics", self.metrics);
+        let response = self.client.get(url).send().await.expect("metrics");
+        let text = response.text().await.expect("text");
+        let mut lines = text.lines();
+        let line = lines.find(|line| line.contains("version") && !line.starts_with('#'));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value.expect("line").parse().expect("number")
+    }
+
     pub(crate) async fn wait_ready(&self) {
         let url = format!("http://{}{READY_PATH}", self.ready);
         for _ in 0..200 {
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -10,7 +10,7 @@
 use cornelarch_core::{placement::UpstreamRecord, route::RouteDocument};
 use cornelarch_gateway::{
     DirectoryChange, DirectoryEvent, DirectoryList, DocumentChange, EdgeError, PlatformEdge,
-    StoredObject, Versioned,
+    ReadAge, StoredObject, Versioned,
 };
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -30,6 +30,8 @@
 pub(crate) struct FakePlatform {
     content: Mutex<Content>,
     is_down: AtomicBool,
+    /// Whether watches of any age hear nothing.
+    pub(crate) is_stale: AtomicBool,
     /// Revisions up to which the history was dropped; a watch from there hangs for its whole wait.
     dropped: AtomicU64,
     changed: watch::Sender<u64>,
@@ -45,6 +47,7 @@
         Self {
             content: Mutex::default(),
             is_down: AtomicBool::new(false),
+            is_stale: AtomicBool::new(false),
             dropped: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             transfer_ms: AtomicU64::new(0),
@@ -163,7 +166,10 @@
 }
 
 impl PlatformEdge for FakePlatform {
-    async fn read_document(&self) -> Result<Versioned<Option<RouteDocument>>, EdgeError> {
+    async fn read_document(
+        &self,
+        _age: ReadAge,
+    ) -> Result<Versioned<Option<RouteDocument>>, EdgeError> {
         self.check()?;
         let (revision, value) = {
             let content = self.content.lock();
@@ -181,7 +187,15 @@
         &self,
         revision: u64,
         wait: Duration,
+        age: ReadAge,
     ) -> Result<Versioned<DocumentChange>, EdgeError> {
+        if age == ReadAge::Any && self.is_stale.load(Ordering::SeqCst) {
+            tokio::time::sleep(wait).await;
+            return Ok(Versioned {
+                revision,
+                value: DocumentChange::default(),
+            });
+        }
         let found = self
             .wait(revision, wait, |content| {
                 let (changed, document) = content.document.as_ref()?;
@@ -206,7 +220,7 @@
         })
     }
 
-    async fn read_directory(&self) -> Result<DirectoryList, EdgeError> {
+    async fn read_directory(&self, _age: ReadAge) -> Result<DirectoryList, EdgeError> {
         self.check()?;
         self.lists.fetch_add(1, Ordering::SeqCst);
         let content = self.content.lock();
@@ -220,6 +234,7 @@
         &self,
         revision: u64,
         wait: Duration,
+        _age: ReadAge,
     ) -> Result<DirectoryChange, EdgeError> {
         let found = self
             .wait(revision, wait, |content| {
@@ -232,7 +247,7 @@
         Ok(Versioned { revision, value })
     }
 
-    async fn read_object(&self, name: &str) -> Result<StoredObject, EdgeError> {
+    async fn read_object(&self, name: &str, _age: ReadAge) -> Result<StoredObject, EdgeError> {
         self.check()?;
         self.reads.fetch_add(1, Ordering::SeqCst);
         let stored = self.content.lock().objects.get(name).cloned();
--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -346,13 +346,13 @@
         let is_away = self.is_away();
         for effect in effects {
             match effect {
-                LedgerEffect::ReadShard { shard } | LedgerEffect::WriteShard { shard, .. }
+                LedgerEffect::ReadShard { shard, .. } | LedgerEffect::WriteShard { shard, .. }
                     if is_away =>
                 {
                     let event = LedgerEvent::PlatformDown { shard };
                     self.push(self.now + FAIL_TIME, Event::Answer(index, event));
                 }
-                LedgerEffect::ReadShard { shard } => {
+                LedgerEffect::ReadShard { shard, .. } => {
                     self.push(self.now + CALL_TIME / 2, Event::Read(index, shard));
                 }
                 LedgerEffect::WriteShard {
--- a/crates/gateway/tests/platform.rs
+++ b/crates/gateway/tests/platform.rs
@@ -237,7 +237,12 @@
         events.concat()
     );
     closing.await.expect("gateway ends");
-    let object = cornelarch_gateway::PlatformEdge::read_object(&*world.platform, "test-0").await;
+    let object = cornelarch_gateway::PlatformEdge::read_object(
+        &*world.platform,
+        "test-0",
+        cornelarch_gateway::ReadAge::Latest,
+    )
+    .await;
     let value: cornelarch_core::budget::ShardValue =
         serde_json::from_slice(&object.expect("object").value).expect("shard");
     let totals = value.totals(&"acme".into());
--- /dev/null
+++ b/crates/gateway/tests/readers.rs
@@ -0,0 +1,76 @@
+//! Reads of a large domain: most instances take states that may be old, and hear of newer ones.
+
+mod common;
+
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+
+use common::{FakeRunner, Plan, World, document};
+use cornelarch_core::{
+    base::{DomainName, HolderId, InstanceName},
+    membership::{MemberMessage, MemberRecord, MemberState, PingBody},
+};
+use cornelarch_wire::{
+    encode_envelope,
+    peer::{WireBody, WireEnvelope, WireHolder},
+};
+use tokio::net::UdpSocket;
+
+/// Members besides the gateway. Enough that others of them read the latest state.
+const MEMBERS: u64 = 40;
+/// Time after which a configuration that a peer has must be in force. Users allow two seconds.
+const IN_FORCE: Duration = Duration::from_millis(1_500);
+
+fn member(number: u64, address: SocketAddr) -> MemberRecord {
+    MemberRecord {
+        holder: HolderId::new(InstanceName::new(&format!("member-{number}")), 1),
+        domain: DomainName::new("a"),
+        address: address.to_string(),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, from: &MemberRecord, message: &MemberMessage) {
+    let sender = WireHolder::from(&from.holder);
+    let envelope = WireEnvelope::new(sender, None, WireBody::from(message));
+    let bytes = encode_envelope(&envelope).expect("encode");
+    socket.send_to(&bytes, to).await.expect("send");
+}
+
+/// Guards against an instance that reads cheaply and keeps an outdated configuration although its
+/// peers have a newer one.
+#[tokio::test]
+async fn version_of_a_peer_leads_to_a_read_of_the_latest_state() {
+    let runner = FakeRunner::start(vec![]).await;
+    let plan = Plan::default();
+    let world = World::start(&plan, &[("plain", &runner)]).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
+    let address = socket.local_addr().expect("address");
+    let records: Vec<MemberRecord> = (0..MEMBERS).map(|n| member(n, address)).collect();
+    for part in records.chunks(4) {
+        let records = part.to_vec();
+        let message = MemberMessage::TableChunk { records };
+        send(&socket, world.peers, &part[0], &message).await;
+    }
+    // The watch that was opened before the members were known ends with the next version.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    world.platform.publish(document(2, &plan));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    world.platform.is_stale.store(true, Ordering::SeqCst);
+    // The watch that is open already hears of this version, the next one of nothing.
+    world.platform.publish(document(3, &plan));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    world.platform.publish(document(4, &plan));
+    tokio::time::sleep(IN_FORCE).await;
+    assert_eq!(world.version().await, 3, "the stale watch heard of it");
+    let ping = MemberMessage::Ping(PingBody {
+        nonce: 1,
+        sender: records[0].clone(),
+        config_version: 4,
+        load_permille: 0,
+        updates: Vec::new(),
+    });
+    send(&socket, world.peers, &records[0], &ping).await;
+    tokio::time::sleep(IN_FORCE).await;
+    assert_eq!(world.version().await, 4);
+}
--- a/crates/measure/src/budgets/fleet/mod.rs
+++ b/crates/measure/src/budgets/fleet/mod.rs
@@ -310,7 +310,7 @@
         for effect in effects {
             let holder = holder.clone();
             match effect {
-                LedgerEffect::ReadShard { shard } if is_cut => {
+                LedgerEffect::ReadShard { shard, .. } if is_cut => {
                     let event = LedgerEvent::PlatformDown { shard };
                     self.push(timeout, Event::Answer { holder, event });
                 }
@@ -318,7 +318,7 @@
                     let event = LedgerEvent::WriteUnknown { shard };
                     self.push(timeout, Event::Answer { holder, event });
                 }
-                LedgerEffect::ReadShard { shard } => {
+                LedgerEffect::ReadShard { shard, .. } => {
                     self.push(arrival, Event::Read { holder, shard });
                 }
                 LedgerEffect::WriteShard {
--- a/crates/measure/src/slopes/ledger.rs
+++ b/crates/measure/src/slopes/ledger.rs
@@ -157,7 +157,7 @@
 
     fn answer(&mut self, effect: LedgerEffect) -> Option<LedgerEvent> {
         match effect {
-            LedgerEffect::ReadShard { shard } => {
+            LedgerEffect::ReadShard { shard, .. } => {
                 let (version, value) = self.shards.get(&shard)?.clone();
                 Some(LedgerEvent::ShardRead {
                     shard,
--- a/crates/router/src/process/ledger.rs
+++ b/crates/router/src/process/ledger.rs
@@ -102,7 +102,7 @@
     fn run_effect(&self, effect: LedgerEffect, actor: &ActorRef<Self>) {
         let state = Arc::clone(&self.state);
         match effect {
-            LedgerEffect::ReadShard { shard } => {
+            LedgerEffect::ReadShard { shard, .. } => {
                 let actor = actor.clone();
                 self.state.tasks.spawn(async move {
                     let event = read_shard(&state, shard).await;
