--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -388,11 +388,17 @@
 
     fn wake(&mut self, index: usize, budget: BudgetKey) {
         let waiting = std::mem::take(&mut self.instances[index].waiting);
+        let mut is_short = false;
         for request in waiting {
-            let is_due = self.instances[index].keys[request.customer] == budget;
-            if !is_due || self.reserve(index, request.customer).is_err() {
+            if self.instances[index].keys[request.customer] != budget {
                 self.instances[index].waiting.push(request);
+            } else if self.reserve(index, request.customer).is_err() {
+                self.instances[index].waiting.push(request);
+                is_short = true;
             }
         }
+        if is_short {
+            self.feed(index, LedgerEvent::Tick);
+        }
     }
 }
