Give up answers without end

The gateway's relay kept the bytes of an event until its end, without a bound, up to the time limit of the route: at 200 Mbit/s 300 MB in 12 s, on instances of 120 MB. The bound on whole answers was 16 MB each.

Ruled out: heads, which hyper bounds at 64 KB here.

Change: an event above 1 MB counts as a lost upstream, so that the stream goes on elsewhere where its route allows it; whole answers are read up to 4 MB, the size of the largest request. The router's stream path had its bound already.

Test: endless_answer_is_given_up, for heads and bodies of streams and calls. The body of a stream and that of a call failed before (the whole answer did not come; 20.6 MB were taken).

--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -19,8 +19,9 @@
     },
 };
 
-/// Largest answer that is read completely, in bytes.
-const ANSWER_MAX: usize = 16 * 1024 * 1024;
+/// Largest answer that is read completely, in bytes: as large as the requests that callers may send. An
+/// upstream in trouble may send bytes without end, and an instance may have 120 MB.
+const ANSWER_MAX: usize = 4 * 1024 * 1024;
 
 /// Holds a complete answer of an upstream.
 struct WholeAnswer {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -126,7 +126,15 @@
                 return None;
             }
             match self.next_chunk().await {
-                NextChunk::Data(chunk) => self.take_chunk(chunk),
+                NextChunk::Data(chunk) => {
+                    self.take_chunk(chunk);
+                    // Bytes without the end of an event would be kept until the time limit.
+                    if self.splitter.is_oversized()
+                        && let Err(error) = self.resume(FlightEnd::Lost, "endless event").await
+                    {
+                        return Some((Err(error), self));
+                    }
+                }
                 NextChunk::End if self.splitter.is_torn() => {
                     if let Err(error) = self.resume(FlightEnd::Lost, "torn event").await {
                         return Some((Err(error), self));
--- a/crates/gateway/tests/common/runner.rs
+++ b/crates/gateway/tests/common/runner.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -41,6 +41,10 @@
     Unsealed,
     /// Sends fewer bytes than announced and closes.
     Short,
+    /// Sends bytes that are no event until the gateway closes the connection.
+    EndlessBody,
+    /// Sends header lines until the gateway closes the connection.
+    EndlessHead,
 }
 
 /// One request as an upstream got it.
@@ -68,6 +72,8 @@
     connections: AtomicU32,
     /// Requests whose connection the gateway closed before the answer.
     abandoned: AtomicU32,
+    /// Bytes of endless answers that were sent.
+    endless_bytes: AtomicUsize,
 }
 
 pub(crate) struct FakeRunner {
@@ -107,6 +113,10 @@
         self.shared.connections.load(Ordering::SeqCst)
     }
 
+    pub(crate) fn endless_bytes(&self) -> usize {
+        self.shared.endless_bytes.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn abandoned(&self) -> u32 {
         self.shared.abandoned.load(Ordering::SeqCst)
     }
@@ -200,6 +210,12 @@
             let _ = stream.set_zero_linger();
             return false;
         }
+        Reply::EndlessBody => {
+            return send_endless(stream, shared, &stream_head, &chunk(&"x".repeat(16_384))).await;
+        }
+        Reply::EndlessHead => {
+            return send_endless(stream, shared, "HTTP/1.1 200 OK\r\n", "a: b\r\n").await;
+        }
         Reply::Paced(events, pause) => {
             if stream.write_all(stream_head.as_bytes()).await.is_err() {
                 return false;
@@ -218,6 +234,17 @@
     stream.write_all(text.as_bytes()).await.is_ok() && !is_short
 }
 
+/// Repeats `part` until the connection is closed; the connection does not go on.
+async fn send_endless(stream: &mut TcpStream, shared: &Shared, start: &str, part: &str) -> bool {
+    let mut text = start;
+    while stream.write_all(text.as_bytes()).await.is_ok() {
+        shared.endless_bytes.fetch_add(text.len(), Ordering::SeqCst);
+        text = part;
+    }
+    shared.abandoned.fetch_add(1, Ordering::SeqCst);
+    false
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{FakeRunner, Plan, Reply, World};
+use rstest::rstest;
 
 fn events(range: std::ops::Range<u32>) -> Vec<String> {
     range
@@ -45,6 +46,49 @@
     assert_eq!(second.seen()[0].header("last-event-id"), Some("3"));
 }
 
+/// Most bytes that an instance takes of an answer that never ends: half of the 32 MB of a node, with
+/// what the sockets of both sides hold.
+const ENDLESS_MAX: usize = 16 * 1024 * 1024;
+
+/// Guards against an upstream in trouble that sends bytes without end, which would fill the memory of
+/// an instance until the time limit of the request.
+#[rstest]
+#[case::event(Reply::EndlessBody, "/stream/a")]
+#[case::stream_head(Reply::EndlessHead, "/stream/a")]
+#[case::body(Reply::EndlessBody, "/again/a")]
+#[case::head(Reply::EndlessHead, "/again/a")]
+#[tokio::test]
+async fn endless_answer_is_given_up(#[case] reply: Reply, #[case] path: &str) {
+    let bad = FakeRunner::start(vec![reply; 20]).await;
+    let good = FakeRunner::start(vec![]).await;
+    let service = if path == "/again/a" {
+        "plain"
+    } else {
+        "engine"
+    };
+    let world = World::start(&Plan::default(), &[(service, &bad), (service, &good)]).await;
+    good.script(vec![Reply::Events(events(1..4)); 20]);
+    let started = std::time::Instant::now();
+    let send = async |number: usize| {
+        let id = format!("r{number}");
+        let request = world.post(path, &id).header("t-tokens", "100,50");
+        let request = request.header("t-parts", format!("a{number}:40"));
+        let response = request.send().await.expect("answer");
+        assert_eq!(response.status(), 200);
+        let text = response.text().await.expect("whole answer");
+        assert_eq!(text, events(1..4).concat());
+    };
+    // Requests at the same time go to both upstreams.
+    tokio::join!(send(0), send(1), send(2), send(3));
+    let tried = bad.seen().len();
+    assert!(tried > 0, "the bad upstream is never chosen");
+    // Well before the limit of the route, 3 s.
+    assert!(started.elapsed() < Duration::from_secs(2));
+    assert_eq!(bad.abandoned() as usize, tried);
+    let bytes = bad.endless_bytes();
+    assert!(bytes <= tried * ENDLESS_MAX, "{bytes}");
+}
+
 /// Guards against a broken stream that looks complete where no other run may continue it.
 #[tokio::test]
 async fn broken_stream_does_not_look_complete() {
