--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -89,6 +89,42 @@
     assert!(bytes <= tried * ENDLESS_MAX, "{bytes}");
 }
 
+/// Guards against a stalled stream that is kept open by a byte now and then.
+#[tokio::test]
+async fn trickling_stream_ends_at_the_time_limit() {
+    let plan = Plan {
+        timeout: Duration::from_secs(1),
+        ..Plan::default()
+    };
+    let trickle = vec!["x".to_owned(); 100];
+    let reply = Reply::Paced(trickle, Duration::from_millis(100));
+    let runner = FakeRunner::start(vec![reply]).await;
+    let world = World::start(&plan, &[("engine", &runner)]).await;
+    let request = world.post("/stream/a", "r1").header("t-tokens", "100,50");
+    let started = std::time::Instant::now();
+    let text = match request.send().await {
+        Ok(response) => response.text().await.ok(),
+        Err(_) => None,
+    };
+    assert_eq!(text, None);
+    // Users allow half a second beyond the limit.
+    assert!(started.elapsed() < Duration::from_millis(1_500));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(runner.abandoned(), 1);
+}
+
+/// Guards against a slow stream that is cut although it makes progress within its time limit.
+#[tokio::test]
+async fn slow_stream_is_whole() {
+    let pause = Duration::from_millis(700);
+    let runner = FakeRunner::start(vec![Reply::Paced(events(1..5), pause)]).await;
+    let world = World::start(&Plan::default(), &[("engine", &runner)]).await;
+    let request = world.post("/stream/a", "r1").header("t-tokens", "100,50");
+    let response = request.send().await.expect("answer");
+    let text = response.text().await.expect("whole stream");
+    assert_eq!(text, events(1..5).concat());
+}
+
 /// Guards against a broken stream that looks complete where no other run may continue it.
 #[tokio::test]
 async fn broken_stream_does_not_look_complete() {
