Write one log line for a first list and for several peers

Change: E2301 stands for all upstreams of a first list, E2203 for the peers that one message changes, and E2300 is written only for a record that differs from the known one.

Test: first_list_is_one_line.

--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Returns the record of a known upstream.
+    #[must_use]
+    pub fn find(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
+        let key = self.names.get(name)?;
+        self.record(*key)
+    }
+
     /// Iterates over the records of the known upstreams.
     pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
         self.names.values().map(|key| &self.entries[*key].record)
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -25,8 +25,12 @@
     PeerChanged => 2201, Info, "peer changed";
     /// A request does not fit into the balance of its budget.
     BudgetShort => 2202, Info, "balance is too small";
+    /// Several peers were learnt or changed their state at once.
+    PeersChanged => 2203, Info, "peers changed";
     /// An upstream was added, changed or removed.
     UpstreamChanged => 2300, Info, "upstream changed";
+    /// All upstreams were read.
+    DirectoryRead => 2301, Info, "directory read";
     /// A request was refused without being sent.
     RequestRefused => 2400, Info, "request refused";
     /// An attempt at an upstream did not lead to an answer.
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -99,6 +99,27 @@
     }
 }
 
+/// Logs what changed about peers, in one line for each event that changed it.
+fn log_changes(effects: &[MemberEffect]) {
+    let changes = effects.iter().filter_map(|effect| match effect {
+        MemberEffect::StateChanged { holder, state, .. } => Some((holder, state)),
+        _ => None,
+    });
+    let changes: Vec<_> = changes.collect();
+    match changes.as_slice() {
+        [] => {}
+        [(holder, state)] => log_event!(PeerChanged, "peer={holder} state={state:?}"),
+        several => {
+            let peers: Vec<String> = several
+                .iter()
+                .map(|(holder, state)| format!("{holder}:{state:?}"))
+                .collect();
+            let (count, peers) = (peers.len(), peers.join(","));
+            log_event!(PeersChanged, "count={count} peers={peers}");
+        }
+    }
+}
+
 impl PeerDesk {
     async fn receive(&mut self, bytes: &[u8]) {
         let envelope = match decode_envelope(bytes) {
@@ -120,6 +141,7 @@
     async fn apply(&mut self, event: MemberEvent) {
         let now = self.state.now();
         let effects = self.table.handle(event, now, &mut self.generator);
+        log_changes(&effects);
         for effect in effects {
             match effect {
                 MemberEffect::Send {
@@ -131,9 +153,7 @@
                     self.send(&address, to.as_ref(), body).await;
                 }
                 MemberEffect::MembersChanged { .. } => self.tell_members(),
-                MemberEffect::StateChanged { holder, state, .. } => {
-                    log_event!(PeerChanged, "peer={holder} state={state:?}");
-                }
+                MemberEffect::StateChanged { .. } => {}
                 MemberEffect::PeerVersion { version, .. } => self.state.hear_version(version),
             }
         }
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -287,8 +287,20 @@
     lapsed: &mut HashSet<UpstreamName>,
 ) {
     let missing = MissingUpstreams::sort(state.placement.lock().records(), &records);
+    let is_first = state.placement.lock().records().next().is_none();
+    log_event!(
+        DirectoryRead,
+        "upstreams={} gone={} lapsed={}",
+        records.len(),
+        missing.gone.len(),
+        missing.lapsed.len()
+    );
     for record in records {
         lapsed.remove(&record.name);
+        // The line above stands for all upstreams of a first list.
+        if !is_first {
+            log_change(state, &record);
+        }
         add(state, record);
     }
     for name in missing.gone {
@@ -307,6 +319,7 @@
         match event {
             DirectoryEvent::Listed(record) => {
                 lapsed.remove(&record.name);
+                log_change(state, &record);
                 add(state, record);
             }
             // The list after the outage still had the entry, so that it did not lapse in it.
@@ -318,7 +331,11 @@
     }
 }
 
-fn add(state: &GatewayState, record: UpstreamRecord) {
+/// Logs a record that differs from the known one.
+fn log_change(state: &GatewayState, record: &UpstreamRecord) {
+    if state.placement.lock().find(&record.name) == Some(record) {
+        return;
+    }
     log_event!(
         UpstreamChanged,
         "upstream={} service={} address={} leaving={}",
@@ -327,6 +344,9 @@
         record.address,
         record.is_leaving
     );
+}
+
+fn add(state: &GatewayState, record: UpstreamRecord) {
     if record.is_leaving {
         state.pool.forget(&record.name);
     }
--- a/crates/gateway/tests/causes.rs
+++ b/crates/gateway/tests/causes.rs
@@ -147,3 +147,33 @@
     assert_eq!(send(&world, "/once/a", "cause-none").await, 503);
     assert_line("cause-none", "E2400", "reason=no_upstream");
 }
+
+/// Guards against a log in which each instance of a large fleet writes a line for each upstream at its
+/// start.
+#[tokio::test]
+async fn first_list_is_one_line() {
+    collect_lines();
+    let plan = Plan::default();
+    let platform = std::sync::Arc::new(common::FakePlatform::default());
+    platform.publish(document(1, &plan));
+    let runner = FakeRunner::start(vec![]).await;
+    for number in 0..17 {
+        let name = format!("first-list-{number}");
+        platform.list(common::record(&name, "plain", runner.address));
+    }
+    let world = World::start_with(&plan, platform).await;
+    let lines = |event: &str, text: &str| {
+        let lines = LINES.lock().expect("lock");
+        let found = lines.iter().filter(|line| line.starts_with(event));
+        found.filter(|line| line.contains(text)).count()
+    };
+    assert_eq!(lines("E2301", "upstreams=17"), 1);
+    assert_eq!(lines("E2300", "first-list-"), 0);
+    let mut leaving = common::record("first-list-3", "plain", runner.address);
+    leaving.is_leaving = true;
+    world.platform.list(leaving.clone());
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    world.platform.list(leaving);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(lines("E2300", "first-list-3 "), 1);
+}
