Let lists after a failure be old if they do not go back

Ruled out: watching on from the known revision, which may hang if its history was dropped.

Change: such a list may be old like any routine read. One that goes back behind the newest known revision, and one after the history is gone, is followed by a list of the latest state.

Test: outdated_list_after_a_compaction_is_not_used (fails without the check of the revision).

--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -126,11 +126,11 @@
 pub(crate) async fn sync_document<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
     let mut track = DependencyTrack::new("configuration", Arc::clone(&state));
     let mut revision = None;
+    let mut lists = ListAge::default();
     let mut is_storm = false;
     loop {
         let result = match revision {
-            None if is_storm => read_newest(&*edge, routine_age(&state)).await,
-            None => read_newest(&*edge, list_age(&track)).await,
+            None => read_newest(&*edge, lists.next_age(&state, &track)).await,
             Some(revision) => {
                 let age = routine_age(&state);
                 tokio::select! {
@@ -143,6 +143,10 @@
         match result {
             Ok(change) => {
                 track.record_success();
+                if !lists.accept(change.revision) {
+                    revision = None;
+                    continue;
+                }
                 let is_read = revision.is_none();
                 revision = Some(change.revision);
                 let DocumentChange {
@@ -159,7 +163,10 @@
                     tokio::time::sleep(STORM_PERIOD).await;
                 }
             }
-            Err(EdgeError::HistoryGone) => revision = None,
+            Err(EdgeError::HistoryGone) => {
+                lists.demand_latest();
+                revision = None;
+            }
             Err(error) => {
                 track.record_failure(&error).await;
                 // A watch from a revision whose history was dropped meanwhile may hang until its
@@ -170,12 +177,37 @@
     }
 }
 
-/// Returns how new the next list has to be. The first one is followed by a watch from its revision at
-/// once. A list after a failure must not go back behind the history that was dropped meanwhile.
-fn list_age(track: &DependencyTrack) -> ReadAge {
-    match track.has_read {
-        true => ReadAge::Latest,
-        false => ReadAge::Any,
+/// Decides how new the next list has to be. A list may be old as long as it does not go back behind
+/// what is known; a watch from its revision follows at once.
+#[derive(Debug, Default)]
+struct ListAge {
+    /// The newest revision that was seen.
+    known: u64,
+    is_latest: bool,
+}
+
+impl ListAge {
+    fn next_age(&self, state: &GatewayState, track: &DependencyTrack) -> ReadAge {
+        match (self.is_latest, track.has_read) {
+            (true, _) => ReadAge::Latest,
+            (false, false) => ReadAge::Any,
+            (false, true) => routine_age(state),
+        }
+    }
+
+    /// Demands the latest state, because the history of an older one is gone.
+    const fn demand_latest(&mut self) {
+        self.is_latest = true;
+    }
+
+    /// Returns whether a result may be used. An outdated one is followed by a list of the latest state.
+    const fn accept(&mut self, revision: u64) -> bool {
+        let is_accepted = self.is_latest || revision >= self.known;
+        self.is_latest = !is_accepted;
+        if is_accepted {
+            self.known = revision;
+        }
+        is_accepted
     }
 }
 
@@ -227,6 +259,7 @@
 pub(crate) async fn sync_directory<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
     let mut track = DependencyTrack::new("directory", Arc::clone(&state));
     let mut revision = None;
+    let mut lists = ListAge::default();
     let mut lapsed: HashSet<UpstreamName> = HashSet::new();
     let mut confirmed = state.confirmed.subscribe();
     loop {
@@ -239,10 +272,14 @@
         let wait = grace_end.map_or(WATCH_WAIT, |end| end - Instant::now());
         let result = match revision {
             None => {
-                let listed = edge.read_directory(list_age(&track)).await;
+                let age = lists.next_age(&state, &track);
+                let listed = edge.read_directory(age).await;
                 listed.map(|list| {
-                    apply_list(&state, list.value, &mut lapsed);
-                    list.revision
+                    let is_accepted = lists.accept(list.revision);
+                    if is_accepted {
+                        apply_list(&state, list.value, &mut lapsed);
+                    }
+                    is_accepted.then_some(list.revision)
                 })
             }
             Some(revision) => {
@@ -250,13 +287,18 @@
                 let watched = edge.watch_directory(revision, wait, age).await;
                 watched.map(|change| {
                     apply_events(&state, change.value, &mut lapsed);
-                    change.revision
+                    lists.known = lists.known.max(change.revision);
+                    Some(change.revision)
                 })
             }
         };
         state.metrics.count_call(PlatformCall::Directory, &result);
         match result {
-            Ok(new) => {
+            Ok(None) => {
+                track.record_success();
+                revision = None;
+            }
+            Ok(Some(new)) => {
                 track.record_success();
                 state.confirm_directory();
                 revision = Some(new);
@@ -268,7 +310,10 @@
                     None => sleep_until(pause).await,
                 }
             }
-            Err(EdgeError::HistoryGone) => revision = None,
+            Err(EdgeError::HistoryGone) => {
+                lists.demand_latest();
+                revision = None;
+            }
             Err(error) => {
                 track.record_failure(&error).await;
                 // A watch from a revision whose history was dropped meanwhile may hang until its
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -214,13 +214,13 @@
         world
     }
 
-    /// Returns the configuration version in force as the metrics tell it.
-    pub(crate) async fn version(&self) -> u64 {
+    /// Returns the value of a gauge, such as the configuration version in force.
+    pub(crate) async fn gauge(&self, name: &str) -> u64 {
         let url = format!("http://{}/metrics", self.metrics);
         let response = self.client.get(url).send().await.expect("metrics");
         let text = response.text().await.expect("text");
         let mut lines = text.lines();
-        let line = lines.find(|line| line.contains("version") && !line.starts_with('#'));
+        let line = lines.find(|line| line.contains(name) && !line.starts_with('#'));
         let value = line.and_then(|line| line.rsplit(' ').next());
         value.expect("line").parse().expect("number")
     }
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -32,6 +32,8 @@
     is_down: AtomicBool,
     /// Whether watches of any age hear nothing.
     pub(crate) is_stale: AtomicBool,
+    /// What lists of any age return, if anything but the latest state.
+    frozen: Mutex<Option<DirectoryList>>,
     /// Revisions up to which the history was dropped; a watch from there hangs for its whole wait.
     dropped: AtomicU64,
     changed: watch::Sender<u64>,
@@ -48,6 +50,7 @@
             content: Mutex::default(),
             is_down: AtomicBool::new(false),
             is_stale: AtomicBool::new(false),
+            frozen: Mutex::new(None),
             dropped: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             transfer_ms: AtomicU64::new(0),
@@ -94,6 +97,19 @@
         self.notify();
     }
 
+    /// Lets lists of any age return the present state from now on.
+    pub(crate) fn freeze(&self) {
+        *self.frozen.lock() = Some(self.current_list());
+    }
+
+    fn current_list(&self) -> DirectoryList {
+        let content = self.content.lock();
+        Versioned {
+            revision: content.revision,
+            value: content.upstreams.values().cloned().collect(),
+        }
+    }
+
     /// Changes the content without telling the watches.
     pub(crate) fn publish_silently(&self, document: RouteDocument) {
         let mut content = self.content.lock();
@@ -220,14 +236,13 @@
         })
     }
 
-    async fn read_directory(&self, _age: ReadAge) -> Result<DirectoryList, EdgeError> {
+    async fn read_directory(&self, age: ReadAge) -> Result<DirectoryList, EdgeError> {
         self.check()?;
         self.lists.fetch_add(1, Ordering::SeqCst);
-        let content = self.content.lock();
-        Ok(Versioned {
-            revision: content.revision,
-            value: content.upstreams.values().cloned().collect(),
-        })
+        match (age, self.frozen.lock().clone()) {
+            (ReadAge::Any, Some(frozen)) => Ok(frozen),
+            _ => Ok(self.current_list()),
+        }
     }
 
     async fn watch_directory(
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -37,13 +37,8 @@
     socket.send_to(&bytes, to).await.expect("send");
 }
 
-/// Guards against an instance that reads cheaply and keeps an outdated configuration although its
-/// peers have a newer one.
-#[tokio::test]
-async fn version_of_a_peer_leads_to_a_read_of_the_latest_state() {
-    let runner = FakeRunner::start(vec![]).await;
-    let plan = Plan::default();
-    let world = World::start(&plan, &[("plain", &runner)]).await;
+/// Tells the gateway of many members of its domain.
+async fn join_members(world: &World) -> (UdpSocket, Vec<MemberRecord>) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
     let address = socket.local_addr().expect("address");
     let records: Vec<MemberRecord> = (0..MEMBERS).map(|n| member(n, address)).collect();
@@ -52,6 +47,17 @@
         let message = MemberMessage::TableChunk { records };
         send(&socket, world.peers, &part[0], &message).await;
     }
+    (socket, records)
+}
+
+/// Guards against an instance that reads cheaply and keeps an outdated configuration although its
+/// peers have a newer one.
+#[tokio::test]
+async fn version_of_a_peer_leads_to_a_read_of_the_latest_state() {
+    let runner = FakeRunner::start(vec![]).await;
+    let plan = Plan::default();
+    let world = World::start(&plan, &[("plain", &runner)]).await;
+    let (socket, records) = join_members(&world).await;
     // The watch that was opened before the members were known ends with the next version.
     tokio::time::sleep(Duration::from_millis(100)).await;
     world.platform.publish(document(2, &plan));
@@ -62,7 +68,11 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     world.platform.publish(document(4, &plan));
     tokio::time::sleep(IN_FORCE).await;
-    assert_eq!(world.version().await, 3, "the stale watch heard of it");
+    assert_eq!(
+        world.gauge("version").await,
+        3,
+        "the stale watch heard of it"
+    );
     let ping = MemberMessage::Ping(PingBody {
         nonce: 1,
         sender: records[0].clone(),
@@ -72,5 +82,29 @@
     });
     send(&socket, world.peers, &records[0], &ping).await;
     tokio::time::sleep(IN_FORCE).await;
-    assert_eq!(world.version().await, 4);
+    assert_eq!(world.gauge("version").await, 4);
+}
+
+/// Guards against a list that goes back behind what is known, which brings an upstream back that has
+/// left.
+#[tokio::test]
+async fn outdated_list_after_a_compaction_is_not_used() {
+    let runners = [
+        FakeRunner::start(vec![]).await,
+        FakeRunner::start(vec![]).await,
+    ];
+    let services = [("plain", &runners[0]), ("plain", &runners[1])];
+    let world = World::start(&Plan::default(), &services).await;
+    let _members = join_members(&world).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    world.platform.freeze();
+    world.platform.unlist("u0");
+    tokio::time::sleep(IN_FORCE).await;
+    // The next watch from an old revision hears nothing.
+    world.platform.compact();
+    world.platform.set_down(true);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    world.platform.set_down(false);
+    tokio::time::sleep(IN_FORCE).await;
+    assert_eq!(world.gauge("upstreams").await, 1);
 }
