--- a/crates/core/tests/protocol_matrix/fleet/network.rs
+++ b/crates/core/tests/protocol_matrix/fleet/network.rs
@@ -108,17 +108,30 @@
                 Step::IdleReturned if !account.returning.is_zero() => Some(Step::IdleReturned),
                 _ => None,
             },
-            LedgerEffect::Send { message, .. } => match message {
+            LedgerEffect::Send { to, message } => match message {
                 BudgetMessage::BorrowRequest { .. } => Some(Step::BorrowRequested),
                 BudgetMessage::Transfer { .. } if is_draining => Some(Step::DrainHandOver),
                 BudgetMessage::Transfer { .. } => Some(Step::TransferSent),
-                BudgetMessage::TransferAck { sequence: 1.. } => Some(Step::TransferAcknowledged),
+                // A transfer that only reports moves no tokens that could be taken back.
+                BudgetMessage::TransferAck { sequence: 1.. } => self
+                    .moved_tokens(to, index, message)
+                    .then_some(Step::TransferAcknowledged),
                 BudgetMessage::TransferAck { .. } | BudgetMessage::ReturnIdle { .. } => None,
             },
             LedgerEffect::Wake { .. } => None,
         }
     }
 
+    /// Returns whether an acknowledgement is that of a transfer with tokens.
+    fn moved_tokens(&self, sender: &HolderId, index: usize, message: &BudgetMessage) -> bool {
+        let BudgetMessage::TransferAck { sequence } = message else {
+            return false;
+        };
+        let receiver = self.processes[index].ledger.holder().clone();
+        let key = (sender.clone(), receiver, *sequence);
+        self.arrived.get(&key).is_some_and(|amount| *amount > 0)
+    }
+
     pub(super) fn find(&self, holder: &HolderId) -> Option<usize> {
         let mut processes = self.processes.iter();
         processes.position(|process| process.ledger.holder() == holder)
