--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -25,8 +25,8 @@
 /// if they use the budget all the time.
 const ASKED_NEIGHBOURS: usize = 2;
 
-/// Times what is asked for that the owner of another domain should hold to lend for more than the
-/// requests that wait.
+/// How many times the wish for a loan the owner of another domain must hold. One that holds less is
+/// asked only for what the waiting requests need.
 const PLENTY_FACTOR: f64 = 4.0;
 
 /// Largest factor on the time between two questions that bring no tokens.
--- a/crates/core/src/membership/sync.rs
+++ b/crates/core/src/membership/sync.rs
@@ -58,18 +58,15 @@
         self.synced_at = Some(now);
         let mut part = Vec::new();
         let mut bytes = CHUNK_BYTES;
-        let records = self.live_records().cloned().collect::<Vec<_>>();
-        for record in records {
-            if record.holder == receiver.holder {
-                continue;
-            }
+        let records = self.live_records();
+        for record in records.filter(|record| record.holder != receiver.holder) {
             if bytes + record.encoded_bytes() > self.options.max_bytes {
                 let records = std::mem::take(&mut part);
                 effects.push(send(receiver, MemberMessage::TableChunk { records }));
                 bytes = CHUNK_BYTES;
             }
             bytes += record.encoded_bytes();
-            part.push(record);
+            part.push(record.clone());
         }
         if !part.is_empty() {
             effects.push(send(receiver, MemberMessage::TableChunk { records: part }));
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -73,8 +73,6 @@
     wait: Duration,
     failed_at: Option<Instant>,
     lost_since: Option<Instant>,
-    /// Whether any call succeeded since the start.
-    has_read: bool,
     state: Arc<GatewayState>,
 }
 
@@ -86,13 +84,11 @@
             wait: RETRY_MIN,
             failed_at: None,
             lost_since: None,
-            has_read: false,
             state,
         }
     }
 
     fn record_success(&mut self) {
-        self.has_read = true;
         self.failures = 0;
         self.wait = RETRY_MIN;
         if let Some(at) = self.failed_at.take() {
@@ -130,7 +126,7 @@
     let mut is_storm = false;
     loop {
         let result = match revision {
-            None => read_newest(&*edge, lists.next_age(&state, &track)).await,
+            None => read_newest(&*edge, lists.next_age(&state)).await,
             Some(revision) => {
                 let age = routine_age(&state);
                 tokio::select! {
@@ -181,17 +177,17 @@
 /// what is known; a watch from its revision follows at once.
 #[derive(Debug, Default)]
 struct ListAge {
-    /// The newest revision that was seen.
-    known: u64,
+    /// The newest revision that was seen; `None` until a list was read.
+    known: Option<u64>,
     is_latest: bool,
 }
 
 impl ListAge {
-    fn next_age(&self, state: &GatewayState, track: &DependencyTrack) -> ReadAge {
-        match (self.is_latest, track.has_read) {
+    fn next_age(&self, state: &GatewayState) -> ReadAge {
+        match (self.is_latest, self.known) {
             (true, _) => ReadAge::Latest,
-            (false, false) => ReadAge::Any,
-            (false, true) => routine_age(state),
+            (false, None) => ReadAge::Any,
+            (false, Some(_)) => routine_age(state),
         }
     }
 
@@ -201,14 +197,19 @@
     }
 
     /// Returns whether a result may be used. An outdated one is followed by a list of the latest state.
-    const fn accept(&mut self, revision: u64) -> bool {
-        let is_accepted = self.is_latest || revision >= self.known;
+    fn accept(&mut self, revision: u64) -> bool {
+        let is_accepted = self.is_latest || Some(revision) >= self.known;
         self.is_latest = !is_accepted;
         if is_accepted {
-            self.known = revision;
+            self.known = Some(revision);
         }
         is_accepted
     }
+
+    /// Records the revision of a watch.
+    fn see(&mut self, revision: u64) {
+        self.known = self.known.max(Some(revision));
+    }
 }
 
 /// Returns how new the next routine read has to be. In a domain of many instances only a few read the
@@ -272,7 +273,7 @@
         let wait = grace_end.map_or(WATCH_WAIT, |end| end - Instant::now());
         let result = match revision {
             None => {
-                let age = lists.next_age(&state, &track);
+                let age = lists.next_age(&state);
                 let listed = edge.read_directory(age).await;
                 listed.map(|list| {
                     let is_accepted = lists.accept(list.revision);
@@ -287,7 +288,7 @@
                 let watched = edge.watch_directory(revision, wait, age).await;
                 watched.map(|change| {
                     apply_events(&state, change.value, &mut lapsed);
-                    lists.known = lists.known.max(change.revision);
+                    lists.see(change.revision);
                     Some(change.revision)
                 })
             }
@@ -331,8 +332,11 @@
     records: Vec<UpstreamRecord>,
     lapsed: &mut HashSet<UpstreamName>,
 ) {
-    let missing = MissingUpstreams::sort(state.placement.lock().records(), &records);
-    let is_first = state.placement.lock().records().next().is_none();
+    let (missing, is_first) = {
+        let placement = state.placement.lock();
+        let missing = MissingUpstreams::sort(placement.records(), &records);
+        (missing, placement.records().next().is_none())
+    };
     log_event!(
         DirectoryRead,
         "upstreams={} gone={} lapsed={}",
