Name prompt parts and the lost upstream in the request log

A stream that broke off did not say at which upstream, and no line named the prompt parts of a request, so that crashes under one part could not be told from crashes under load. E2406 now lists the digests of the shared parts, E2404 the upstream and the delivered events, E2403 the lost upstream.

--- a/crates/core/src/placement/entry.rs
+++ b/crates/core/src/placement/entry.rs
@@ -4,7 +4,9 @@
 
 use crate::{
     base::MonotonicTime,
-    placement::{FlightOutcome, PlacementOptions, PromptPart, RequestSize, UpstreamRecord},
+    placement::{
+        FlightOutcome, PlacementOptions, PromptPart, RequestSize, UpstreamRecord, shared_parts,
+    },
 };
 
 /// Maximum number of prompt parts tracked as cached per engine.
@@ -275,8 +277,3 @@
         self.cached.clear();
     }
 }
-
-/// Returns the parts of a prompt that it may share with other requests.
-pub(super) fn shared_parts(size: &RequestSize) -> &[PromptPart] {
-    size.parts.split_last().map_or(&[], |(_, shared)| shared)
-}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -17,6 +17,6 @@
 pub use options::PlacementOptions;
 pub use request::{
     FlightOutcome, Placement, PlacementRefusal, PlacementRequest, PromptPart, RequestSize,
-    UpstreamRecord,
+    UpstreamRecord, shared_parts,
 };
 pub use table::{FlightKey, PlacementKey, PlacementTable};
--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -56,6 +56,12 @@
     }
 }
 
+/// Returns the parts of a prompt that it may share with other requests.
+#[must_use]
+pub fn shared_parts(size: &RequestSize) -> &[PromptPart] {
+    size.parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
 /// A request to be placed on an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -9,8 +9,7 @@
     base::{MonotonicTime, ServiceName, UpstreamName},
     placement::{
         FlightOutcome, Placement, PlacementOptions, PlacementRefusal, PlacementRequest,
-        RequestSize, UpstreamRecord,
-        entry::{UpstreamEntry, shared_parts},
+        RequestSize, UpstreamRecord, entry::UpstreamEntry, shared_parts,
     },
 };
 
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -7,6 +7,7 @@
     error::ErrorKind,
     placement::{
         FlightOutcome, Placement, PlacementKey, PlacementRefusal, PlacementRequest, RequestSize,
+        shared_parts,
     },
     retry::AttemptOutcome,
     route::{RouteDocument, RouteRule, ServiceRecord},
@@ -39,6 +40,8 @@
 const ENGINE_PRIORITY_MAX: u8 = 9;
 /// Attempts that fail to reach an upstream before a request is refused.
 const UNREACHED_ATTEMPTS_MAX: u32 = 4;
+/// Maximum number of prompt parts in one log line.
+const LOGGED_PARTS_MAX: usize = 8;
 
 /// State of a request that does not change between attempts.
 pub(crate) struct RequestExchange {
@@ -87,6 +90,13 @@
     }
 }
 
+/// Returns the digests of the prompt parts that a request may share with others, for log lines.
+fn describe_parts(size: &RequestSize) -> String {
+    let parts = shared_parts(size).iter().take(LOGGED_PARTS_MAX);
+    let digests: Vec<String> = parts.map(|part| format!("{:x}", part.digest)).collect();
+    digests.join(",")
+}
+
 fn attempt_outcome(end: FlightOutcome) -> AttemptOutcome {
     match end {
         FlightOutcome::NotReached => AttemptOutcome::NotReached,
@@ -146,7 +156,7 @@
             let is_engine = self.service.is_engine;
             log_event!(
                 RequestPlaced,
-                "id={} route={} upstream={} expected_ms={} uncached={} version={} left_ms={} sent={}",
+                "id={} route={} upstream={} expected_ms={} uncached={} version={} left_ms={} sent={} parts={}",
                 self.id(),
                 self.rule.name,
                 placement.upstream,
@@ -156,7 +166,8 @@
                 self.hard_deadline
                     .saturating_duration_since(Instant::now())
                     .as_millis(),
-                history.sent
+                history.sent,
+                describe_parts(&self.size)
             );
             let flight = InFlightRequest::start(&self.state, &placement, &self.size, is_engine);
             history.tried.push(placement.key);
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -251,13 +251,19 @@
 
     /// Resumes a broken stream at another upstream if the route allows it.
     async fn resume(&mut self, end: FlightOutcome, reason: &str) -> io::Result<()> {
+        let lost = self.upstream.as_ref();
+        let lost = lost.map_or_else(String::new, |upstream| upstream.flight.upstream.to_string());
         self.finish_upstream(end, false);
         self.history.record_interruption(end);
         self.splitter = EventSplitter::default();
         let id = self.exchange.id().to_owned();
+        let events = self.events;
         let is_late = Instant::now() >= self.exchange.hard_deadline;
         let broken = |why: &str| {
-            log_event!(StreamBroken, "id={id} reason={reason} resumed={why}");
+            log_event!(
+                StreamBroken,
+                "id={id} upstream={lost} events={events} reason={reason} resumed={why}"
+            );
             let kind = Some(self.exchange.rule.kind);
             let metrics = &self.exchange.state.metrics;
             metrics.count_request(kind, RequestOutcome::Broken);
@@ -278,8 +284,7 @@
             Ok(opened) if opened.attempt.response.status() == StatusCode::OK => {
                 log_event!(
                     StreamResumed,
-                    "id={id} reason={reason} events={} upstream={}",
-                    self.events,
+                    "id={id} reason={reason} events={events} lost={lost} upstream={}",
                     opened.flight.upstream
                 );
                 self.exchange.state.metrics.count_resume();
