--- /dev/null
+++ b/crates/gateway/tests/crashes.rs
@@ -0,0 +1,127 @@
+//! Requests whose content crashes the upstreams that run them.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{FakePlatform, FakeUpstream, Fixture, FixtureOptions, document, record};
+use reqwest::StatusCode;
+use rstest::rstest;
+
+/// Crashes in the whole fleet by which their cause must be recognised.
+const CRASHES_MAX: usize = 5;
+const UPSTREAMS: usize = 12;
+/// Requests that crash an upstream, sent in each test.
+const DEADLY_REQUESTS: usize = 16;
+const DEADLY_PERIOD: Duration = Duration::from_millis(150);
+const INSTANCES: [&str; 3] = ["g1", "g2", "g3"];
+/// Time in which instances discover each other and their upstreams.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// Instances that know each other, in front of upstreams that crash under some requests.
+struct CrashFleet {
+    fixtures: Vec<Fixture>,
+    upstreams: Vec<FakeUpstream>,
+}
+
+impl CrashFleet {
+    /// Starts a fleet whose upstreams crash when a request head contains `deadly`.
+    async fn start(instances: usize, service: &str, deadly: &str) -> Self {
+        let platform = Arc::new(FakePlatform::default());
+        let mut options = FixtureOptions {
+            attempts: 1,
+            ..FixtureOptions::default()
+        };
+        platform.publish(document(1, &options));
+        let mut upstreams = Vec::new();
+        for number in 0..UPSTREAMS {
+            let upstream = FakeUpstream::start_fragile(deadly).await;
+            platform.list(record(&format!("u{number}"), service, upstream.address));
+            upstreams.push(upstream);
+        }
+        let mut fixtures: Vec<Fixture> = Vec::new();
+        for instance in &INSTANCES[..instances] {
+            options.instance = instance;
+            options.seeds = fixtures.iter().map(|fixture| fixture.peers).collect();
+            fixtures.push(Fixture::start_with(&options, Arc::clone(&platform)).await);
+        }
+        tokio::time::sleep(WARM_UP).await;
+        Self {
+            fixtures,
+            upstreams,
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        let crashed = self.upstreams.iter().filter(|u| u.has_crashed());
+        crashed.count()
+    }
+
+    /// Sends a request to one instance and returns the status, or `None` if the answer broke off.
+    async fn send(&self, number: usize, path: &str, parts: &str) -> Option<StatusCode> {
+        let fixture = &self.fixtures[number % self.fixtures.len()];
+        let request = fixture.post(path, &format!("r{number}-{parts}"));
+        let request = request.header("t-tokens", "100,50");
+        let response = request.header("t-parts", parts).body("same").send().await;
+        let response = response.ok()?;
+        let status = response.status();
+        response.text().await.ok().map(|_| status)
+    }
+
+    /// Sends the requests that crash upstreams, one after the other.
+    async fn send_deadly(&self, path: &str, parts: impl Fn(usize) -> String) {
+        for number in 0..DEADLY_REQUESTS {
+            self.send(number, path, &parts(number)).await;
+            tokio::time::sleep(DEADLY_PERIOD).await;
+        }
+    }
+}
+
+/// Guards against a prompt part that crashes one engine after the other, because no two requests
+/// with it are alike and each instance sees only some of them.
+#[rstest]
+#[case::one_instance(1)]
+#[case::three_instances(3)]
+#[tokio::test]
+async fn prompt_part_crashes_engine_after_engine(#[case] instances: usize) {
+    let fleet = CrashFleet::start(instances, "engine", "dead").await;
+    fleet
+        .send_deadly("/stream/a", |number| {
+            format!("a1:40,b{number}:20,dead:20,c{number}:20")
+        })
+        .await;
+    let crashes = fleet.crashes();
+    assert!(crashes > 0, "no upstream has crashed");
+    assert!(crashes <= CRASHES_MAX, "{crashes} upstreams have crashed");
+}
+
+/// Guards against refusing sound requests that share other parts with those that crash engines.
+#[tokio::test]
+async fn parts_beside_a_deadly_one_are_refused() {
+    let fleet = CrashFleet::start(3, "engine", "dead").await;
+    fleet
+        .send_deadly("/stream/a", |number| {
+            format!("a1:40,b2:20,dead:20,c{number}:20")
+        })
+        .await;
+    assert!(fleet.crashes() <= CRASHES_MAX);
+    for number in 0..6 {
+        let parts = format!("a1:40,b2:20,d{number}:20");
+        let status = fleet.send(number, "/stream/a", &parts).await;
+        assert_eq!(status, Some(StatusCode::OK));
+    }
+}
+
+/// Guards against a repeated request that crashes one upstream after the other.
+#[rstest]
+#[case::one_instance(1)]
+#[case::three_instances(3)]
+#[tokio::test]
+async fn repeated_request_crashes_upstream_after_upstream(#[case] instances: usize) {
+    let fleet = CrashFleet::start(instances, "plain", "/once/dead").await;
+    fleet.send_deadly("/once/dead", |_| String::new()).await;
+    let crashes = fleet.crashes();
+    assert!(crashes > 0, "no upstream has crashed");
+    assert!(crashes <= CRASHES_MAX, "{crashes} upstreams have crashed");
+    assert_eq!(fleet.send(0, "/once/sound", "").await, Some(StatusCode::OK));
+}
