--- /dev/null
+++ b/crates/core/src/blocklist/content/table.rs
@@ -0,0 +1,300 @@
+//! Table of content that is charged with crashes.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use crate::{
+    base::MonotonicTime,
+    blocklist::{
+        Fingerprint,
+        content::{
+            ContentKey, ContentLoss, ContentRank, ContentReport, CrashName, entry::ContentEntry,
+        },
+    },
+};
+
+/// Crashes after which content is blocked. Two may be a coincidence: a request that is lost with
+/// its upstream is often sent again, possibly to another upstream that fails for other reasons.
+const DEFAULT_LOSSES_MAX: u32 = 3;
+/// Time without a further crash after which one is forgiven.
+const DEFAULT_FORGIVE_AFTER: Duration = Duration::from_secs(900);
+/// Time between crashes below which they count as one.
+const DEFAULT_CRASH_GAP: Duration = Duration::from_millis(100);
+/// Time for which an answer speaks for the content of its request.
+const DEFAULT_ANSWER_AGE: Duration = Duration::from_secs(60);
+/// Default limit on the number of entries, and of pieces of content with answers.
+const DEFAULT_ENTRIES_MAX: usize = 4_096;
+/// Fraction of the crashes of the content with the most that a prompt part must have to be
+/// considered as their cause. The rest allows for lost reports and unrelated crashes. A whole
+/// request needs all of them, because it follows a series of crashes if it is sent again and again.
+const EXPLAINED_FRACTION: f64 = 0.75;
+
+/// Options of [`ContentTable`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct ContentOptions {
+    /// Crashes after which content is blocked.
+    pub losses_max: u32,
+    /// Time without a further crash after which one is forgiven. Blocked content then gets one more
+    /// chance: a single further crash blocks it again.
+    pub forgive_after: Duration,
+    /// Time between crashes below which they count as one.
+    pub crash_gap: Duration,
+    /// Time for which an answer speaks for the content of its request.
+    pub answer_age: Duration,
+    /// Maximum number of entries; the oldest are evicted first.
+    pub entries_max: usize,
+}
+
+impl Default for ContentOptions {
+    fn default() -> Self {
+        Self {
+            losses_max: DEFAULT_LOSSES_MAX,
+            forgive_after: DEFAULT_FORGIVE_AFTER,
+            crash_gap: DEFAULT_CRASH_GAP,
+            answer_age: DEFAULT_ANSWER_AGE,
+            entries_max: DEFAULT_ENTRIES_MAX,
+        }
+    }
+}
+
+/// A piece of blocked content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BlockedContent {
+    /// The content.
+    pub key: ContentKey,
+    /// Crashes charged to it.
+    pub crashes: usize,
+}
+
+/// Relates crashes of upstreams to the content of the requests that were in flight there.
+#[derive(Clone, Debug)]
+pub struct ContentTable {
+    options: ContentOptions,
+    entries: HashMap<Fingerprint, ContentEntry>,
+    answered: HashMap<Fingerprint, MonotonicTime>,
+    blocked: BTreeMap<Fingerprint, BlockedContent>,
+}
+
+impl ContentTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(options: ContentOptions) -> Self {
+        Self {
+            options,
+            entries: HashMap::new(),
+            answered: HashMap::new(),
+            blocked: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the blocked content of a request, if any.
+    #[must_use]
+    pub fn find_blocked(&self, keys: &[ContentKey]) -> Option<&BlockedContent> {
+        if self.blocked.is_empty() {
+            return None;
+        }
+        keys.iter()
+            .find_map(|key| self.blocked.get(&key.fingerprint))
+    }
+
+    /// Iterates over all blocked content.
+    pub fn blocked(&self) -> impl Iterator<Item = &BlockedContent> {
+        self.blocked.values()
+    }
+
+    /// Returns the number of charged pieces of content.
+    #[must_use]
+    pub fn charged_count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Records an answer of an upstream, which clears the content of the request. Returns the
+    /// report to the other instances.
+    pub fn record_answer(&mut self, keys: &[ContentKey], now: MonotonicTime) -> ContentReport {
+        let mut report = ContentReport::default();
+        for key in keys {
+            self.record_answered(key.fingerprint, now);
+            let Some(entry) = self.entries.get_mut(&key.fingerprint) else {
+                continue;
+            };
+            let cleared = entry.clear();
+            report
+                .losses
+                .extend(cleared.into_iter().map(|crash| ContentLoss {
+                    key: *key,
+                    crash,
+                    is_cleared: true,
+                }));
+        }
+        if !report.is_empty() {
+            self.update_blocked();
+        }
+        report
+    }
+
+    /// Charges a crash to the content of requests that were in flight there. Returns the report to
+    /// the other instances.
+    pub fn record_crash(
+        &mut self,
+        crash: &CrashName,
+        keys: &[ContentKey],
+        now: MonotonicTime,
+    ) -> ContentReport {
+        let report = ContentReport {
+            losses: keys
+                .iter()
+                .map(|key| ContentLoss {
+                    key: *key,
+                    crash: crash.clone(),
+                    is_cleared: false,
+                })
+                .collect(),
+            answered: Vec::new(),
+        };
+        let answered = self.merge(&report, now).answered;
+        ContentReport { answered, ..report }
+    }
+
+    /// Merges the report of another instance. Returns the answer to all instances, which speaks for
+    /// newly charged content of which this instance has served requests.
+    pub fn merge(&mut self, report: &ContentReport, now: MonotonicTime) -> ContentReport {
+        let mut answer = ContentReport::default();
+        for loss in &report.losses {
+            let fingerprint = loss.key.fingerprint;
+            let is_served = self.was_answered(fingerprint, now);
+            let entry = self.entry_mut(loss.key, now);
+            if entry.merge(&loss.crash, loss.is_cleared, now) && is_served && !entry.was_answered {
+                entry.was_answered = true;
+                answer.answered.push(loss.key);
+            }
+        }
+        for key in &report.answered {
+            self.entry_mut(*key, now).was_answered = true;
+        }
+        self.update_blocked();
+        answer
+    }
+
+    /// Returns what is known of the blocked content, for instances that may not know of it.
+    #[must_use]
+    pub fn blocked_report(&self) -> ContentReport {
+        let mut report = ContentReport::default();
+        for (fingerprint, blocked) in &self.blocked {
+            let uncleared = self.entries[fingerprint].uncleared();
+            report.losses.extend(uncleared.map(|charged| ContentLoss {
+                key: blocked.key,
+                crash: charged.crash.clone(),
+                is_cleared: false,
+            }));
+        }
+        report
+    }
+
+    /// Forgives crashes that were long ago.
+    pub fn expire(&mut self, now: MonotonicTime) {
+        let forgive_after = self.options.forgive_after;
+        let mut has_changed = false;
+        self.entries.retain(|_, entry| {
+            if now.since(entry.updated_at) < forgive_after {
+                return true;
+            }
+            has_changed = true;
+            entry.updated_at = now;
+            entry.crashes.retain(|charged| !charged.is_cleared);
+            if !entry.crashes.is_empty() {
+                let kept = self.options.losses_max.saturating_sub(1) as usize;
+                let excess = entry.crashes.len().saturating_sub(kept).max(1);
+                entry.crashes.drain(..excess);
+            }
+            !entry.crashes.is_empty()
+        });
+        if has_changed {
+            self.update_blocked();
+        }
+    }
+
+    fn was_answered(&self, fingerprint: Fingerprint, now: MonotonicTime) -> bool {
+        let answered = self.answered.get(&fingerprint);
+        answered.is_some_and(|at| now.since(*at) < self.options.answer_age)
+    }
+
+    fn record_answered(&mut self, fingerprint: Fingerprint, now: MonotonicTime) {
+        if self.answered.len() >= self.options.entries_max {
+            let mut times: Vec<MonotonicTime> = self.answered.values().copied().collect();
+            let middle = times.len() / 2;
+            let (_, median, _) = times.select_nth_unstable(middle);
+            let median = *median;
+            self.answered.retain(|_, at| *at > median);
+        }
+        self.answered.insert(fingerprint, now);
+    }
+
+    fn entry_mut(&mut self, key: ContentKey, now: MonotonicTime) -> &mut ContentEntry {
+        let is_known = self.entries.contains_key(&key.fingerprint);
+        if !is_known && self.entries.len() >= self.options.entries_max.max(1) {
+            self.evict_oldest();
+        }
+        let entry = self.entries.entry(key.fingerprint);
+        let entry = entry.or_insert_with(|| ContentEntry {
+            updated_at: now,
+            ..ContentEntry::default()
+        });
+        entry.rank = entry.rank.max(key.rank);
+        entry
+    }
+
+    /// Evicts the oldest entry that is not blocked, or the oldest if all are.
+    fn evict_oldest(&mut self) {
+        let oldest = self.entries.iter().min_by_key(|(fingerprint, entry)| {
+            (self.blocked.contains_key(fingerprint), entry.updated_at)
+        });
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.remove(&fingerprint);
+            self.blocked.remove(&fingerprint);
+        }
+    }
+
+    /// Chooses the content that explains the uncleared crashes: repeatedly the most probable of
+    /// those with the most unexplained crashes.
+    fn update_blocked(&mut self) {
+        let losses_max = self.options.losses_max;
+        let mut explained = BTreeSet::new();
+        let mut candidates: Vec<(Fingerprint, &ContentEntry)> = self
+            .entries
+            .iter()
+            .map(|(fingerprint, entry)| (*fingerprint, entry))
+            .filter(|(_, entry)| entry.uncleared().count() >= losses_max as usize)
+            .collect();
+        self.blocked.clear();
+        loop {
+            let gap = self.options.crash_gap;
+            candidates.retain(|(_, entry)| entry.unexplained(&explained, gap) >= losses_max);
+            let counts = candidates.iter();
+            let counts = counts.map(|(_, entry)| entry.unexplained(&explained, gap));
+            let Some(most) = counts.max() else { return };
+            let enough = f64::from(most) * EXPLAINED_FRACTION;
+            let probable = candidates.iter().filter(|(_, entry)| {
+                let count = entry.unexplained(&explained, gap);
+                let is_part = entry.rank != ContentRank::REQUEST;
+                count == most || is_part && f64::from(count) >= enough
+            });
+            let cause = probable.max_by_key(|(fingerprint, entry)| {
+                (!entry.was_answered, entry.rank, Reverse(*fingerprint))
+            });
+            let Some((fingerprint, entry)) = cause.copied() else {
+                return;
+            };
+            explained.extend(entry.uncleared().map(|charged| charged.crash.clone()));
+            let key = ContentKey {
+                fingerprint,
+                rank: entry.rank,
+            };
+            let crashes = entry.uncleared().count();
+            self.blocked
+                .insert(fingerprint, BlockedContent { key, crashes });
+        }
+    }
+}
--- a/crates/core/src/blocklist/fingerprint.rs
+++ b/crates/core/src/blocklist/fingerprint.rs
@@ -6,7 +6,7 @@
 use snafu::Snafu;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-use crate::base::{CustomerName, UpstreamName};
+use crate::base::{CustomerName, ServiceName, UpstreamName};
 
 /// Hash that identifies equal requests of one customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -16,9 +16,19 @@
     /// Computes the fingerprint of a request body for `target`, the model or service name.
     #[must_use]
     pub fn compute(customer: &CustomerName, target: &str, body: &[u8]) -> Self {
+        Self::hash_fields(&[customer.as_str().as_bytes(), target.as_bytes(), body])
+    }
+
+    /// Computes the fingerprint of a prompt part of requests to a service.
+    #[must_use]
+    pub fn of_part(service: &ServiceName, digest: u64) -> Self {
+        Self::hash_fields(&[service.as_str().as_bytes(), &digest.to_le_bytes()])
+    }
+
+    fn hash_fields(fields: &[&[u8]]) -> Self {
         let mut hasher = Xxh3::new();
-        // Length prefixes separate the fields, so that different requests give different inputs.
-        for field in [customer.as_str().as_bytes(), target.as_bytes(), body] {
+        // Length prefixes separate the fields, so that different content gives different inputs.
+        for field in fields {
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field);
         }
--- a/crates/core/src/blocklist/mod.rs
+++ b/crates/core/src/blocklist/mod.rs
@@ -1,5 +1,6 @@
 //! Detection and blocking of requests that crash upstreams, and the reports about them to peers.
 
+pub mod content;
 mod entry;
 mod fingerprint;
 mod report;
--- /dev/null
+++ b/crates/core/tests/content.rs
@@ -0,0 +1,344 @@
+//! Content that crashes upstreams is recognised, and other content is not.
+
+use cornelarch_core::{
+    base::{CustomerName, MonotonicTime, ServiceName, UpstreamName},
+    blocklist::content::{
+        ContentKey, ContentOptions, ContentRank, ContentReport, ContentTable, CrashName,
+    },
+    placement::{PromptPart, RequestSize},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
+use rstest::rstest;
+
+fn table() -> ContentTable {
+    ContentTable::new(ContentOptions::default())
+}
+
+fn seconds(seconds: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(seconds * 1_000)
+}
+
+fn crash(number: u64) -> CrashName {
+    CrashName::new(&UpstreamName::from(format!("u{number}")), Some(number))
+}
+
+/// Returns the keys of a request with these prompt parts and a body of its own.
+fn request(parts: &[u64], body: u64) -> Vec<ContentKey> {
+    let service = ServiceName::new("engine");
+    let own = body + 1_000_000;
+    let parts = parts.iter().chain([&own]);
+    let size = RequestSize {
+        prompt_tokens: 100,
+        answer_tokens: 10,
+        parts: parts
+            .map(|digest| PromptPart {
+                digest: *digest,
+                tokens: 10,
+            })
+            .collect(),
+    };
+    let customer = CustomerName::new("acme");
+    let whole = ContentKey::of_request(&customer, "POST /a", &body.to_le_bytes());
+    ContentKey::of_parts(&service, &size)
+        .chain([whole])
+        .collect()
+}
+
+fn is_blocked(table: &ContentTable, parts: &[u64], body: u64) -> bool {
+    table.find_blocked(&request(parts, body)).is_some()
+}
+
+const SYSTEM: u64 = 1;
+const SESSION: u64 = 2;
+const DEADLY: u64 = 3;
+
+/// Guards against refusing all requests of a session or an application, because they share parts
+/// with every request that crashes an engine.
+#[test]
+fn shared_parts_of_deadly_requests_are_blocked() {
+    let mut table = table();
+    for number in 0..3 {
+        let keys = request(&[SYSTEM, SESSION, DEADLY], number);
+        assert!(!is_blocked(&table, &[SYSTEM, SESSION, DEADLY], 90));
+        table.record_crash(&crash(number), &keys, seconds(number));
+    }
+    assert!(is_blocked(&table, &[SYSTEM, SESSION, DEADLY], 91));
+    assert!(is_blocked(&table, &[DEADLY], 92));
+    assert!(!is_blocked(&table, &[SYSTEM, SESSION], 93));
+    assert!(!is_blocked(&table, &[SYSTEM], 94));
+}
+
+/// Guards against blocking a specific part that happens to occur beside a deadly shared one.
+#[test]
+fn specific_part_is_blocked_for_a_shared_one() {
+    let mut table = table();
+    for number in 0..4 {
+        let keys = request(&[DEADLY, 10 + number], number);
+        table.record_crash(&crash(number), &keys, seconds(number));
+    }
+    assert!(is_blocked(&table, &[DEADLY, 20], 90));
+    assert!(!is_blocked(&table, &[SYSTEM, 10], 91));
+}
+
+/// Guards against blocking a rare session that is lost in one more, unrelated crash.
+#[test]
+fn session_with_one_more_crash_is_blocked() {
+    let mut table = table();
+    table.record_crash(&crash(9), &request(&[SYSTEM, SESSION], 50), seconds(0));
+    for number in 0..3 {
+        let keys = request(&[SYSTEM, SESSION, DEADLY], number);
+        table.record_crash(&crash(number), &keys, seconds(number + 1));
+    }
+    assert!(is_blocked(&table, &[SYSTEM, SESSION, DEADLY], 91));
+    assert!(!is_blocked(&table, &[SYSTEM, SESSION], 92));
+}
+
+/// Guards against blocking content of which requests are answered between the crashes.
+#[test]
+fn answered_content_is_blocked() {
+    let mut table = table();
+    for number in 0..10 {
+        table.record_crash(&crash(number), &request(&[SYSTEM], number), seconds(number));
+        let report = table.record_answer(&request(&[SYSTEM], 50 + number), seconds(number));
+        assert_eq!(report.losses.len(), 1);
+        assert!(report.losses[0].is_cleared);
+    }
+    assert!(!is_blocked(&table, &[SYSTEM], 90));
+}
+
+/// Guards against blocking a sound request that is resumed at one crashing upstream after the
+/// other, in place of the part that crashes them.
+#[test]
+fn resumed_request_is_blocked_for_a_deadly_part() {
+    let mut table = table();
+    let resumed = request(&[SYSTEM], 70);
+    for number in 0..4 {
+        let mut keys = request(&[SYSTEM, SESSION, DEADLY], number);
+        if number > 0 {
+            keys.extend(resumed.iter().copied());
+        }
+        table.record_crash(&crash(number), &keys, seconds(number));
+    }
+    assert!(is_blocked(&table, &[SYSTEM, SESSION, DEADLY], 90));
+    assert!(table.find_blocked(&resumed).is_none());
+}
+
+/// Guards against blocking what was in flight when a domain lost its power.
+#[test]
+fn simultaneous_crashes_count_as_several() {
+    let mut table = table();
+    for number in 0..10 {
+        let now = MonotonicTime::from_millis(5_000 + number * 5);
+        table.record_crash(&crash(number), &request(&[SYSTEM], number), now);
+    }
+    assert!(!is_blocked(&table, &[SYSTEM], 90));
+}
+
+/// Guards against counting the loss of one upstream once per instance that reports it.
+#[test]
+fn one_crash_counts_once_per_report() {
+    let mut table = table();
+    let keys = request(&[DEADLY], 1);
+    for second in 0..5 {
+        table.record_crash(&crash(1), &keys, seconds(second));
+    }
+    assert!(!is_blocked(&table, &[DEADLY], 1));
+}
+
+/// Guards against content that stays blocked for ever, and against several further crashes each
+/// time that it gets another chance.
+#[test]
+fn block_never_ends_or_forgets() {
+    let options = ContentOptions::default();
+    let mut table = table();
+    let keys = request(&[DEADLY], 1);
+    for number in 0..6 {
+        table.record_crash(&crash(number), &keys, seconds(number));
+    }
+    let forgiven = seconds(6) + options.forgive_after;
+    table.expire(seconds(6));
+    assert!(is_blocked(&table, &[DEADLY], 1));
+    table.expire(forgiven);
+    assert!(!is_blocked(&table, &[DEADLY], 1));
+    table.record_crash(&crash(7), &keys, forgiven);
+    assert!(is_blocked(&table, &[DEADLY], 1));
+    let mut now = forgiven;
+    for _ in 0..4 {
+        now = now + options.forgive_after;
+        table.expire(now);
+    }
+    assert!(!is_blocked(&table, &[DEADLY], 1));
+    assert_eq!(table.charged_count(), 0);
+}
+
+/// Guards against a table that grows with the number of crashes, or evicts what is blocked.
+#[test]
+fn unrelated_losses_fill_the_memory() {
+    let options = ContentOptions {
+        entries_max: 100,
+        ..ContentOptions::default()
+    };
+    let mut table = ContentTable::new(options);
+    for number in 0..3 {
+        table.record_crash(&crash(number), &request(&[DEADLY], number), seconds(number));
+    }
+    for number in 10..1_000 {
+        table.record_crash(&crash(number), &request(&[number], number), seconds(number));
+        table.record_answer(&request(&[number + 5_000], number), seconds(number));
+    }
+    assert!(is_blocked(&table, &[DEADLY], 5_000));
+    assert!(table.charged_count() <= 100);
+}
+
+/// Guards against instances that decide differently because reports arrive twice or in another
+/// order.
+#[rstest]
+fn order_of_reports_decides(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut generator = StdRng::seed_from_u64(seed);
+    let mut sender = table();
+    let mut reports: Vec<ContentReport> = Vec::new();
+    for number in 0..5 {
+        let keys = request(&[SYSTEM, SESSION, DEADLY], number);
+        reports.push(sender.record_crash(&crash(number), &keys, seconds(number)));
+        reports.push(sender.record_answer(&request(&[SYSTEM, SESSION], 50), seconds(number)));
+    }
+    reports.extend(reports.clone());
+    reports.shuffle(&mut generator);
+    let mut receiver = table();
+    for (second, report) in reports.iter().enumerate() {
+        receiver.merge(report, seconds(second as u64));
+    }
+    let keys = |table: &ContentTable| -> Vec<ContentKey> {
+        table.blocked().map(|blocked| blocked.key).collect()
+    };
+    assert_eq!(keys(&receiver), keys(&sender));
+    assert_eq!(keys(&receiver).len(), 1);
+}
+
+/// A fleet of instances that exchange reports, of which some are lost, while requests of several
+/// sessions run at engines that crash.
+struct CrashWorld {
+    generator: StdRng,
+    tables: Vec<ContentTable>,
+    /// Requests in flight: the instance, the engine and the content.
+    flights: Vec<(usize, usize, Vec<ContentKey>)>,
+    crashes: usize,
+    deadly_sent: usize,
+    sound_refused: usize,
+    sound_sent: usize,
+}
+
+const ENGINES: usize = 12;
+const SESSIONS: u64 = 60;
+/// Reports that are lost on the way, in percent.
+const LOST_REPORTS: u32 = 5;
+
+impl CrashWorld {
+    fn new(seed: u64, instances: usize) -> Self {
+        Self {
+            generator: StdRng::seed_from_u64(seed),
+            tables: vec![table(); instances],
+            flights: Vec::new(),
+            crashes: 0,
+            deadly_sent: 0,
+            sound_refused: 0,
+            sound_sent: 0,
+        }
+    }
+
+    fn broadcast(&mut self, from: usize, report: &ContentReport, now: MonotonicTime) {
+        let mut queue = vec![(from, report.clone())];
+        while let Some((from, report)) = queue.pop() {
+            for to in (0..self.tables.len()).filter(|to| *to != from) {
+                if report.is_empty() || self.generator.random_range(0..100) < LOST_REPORTS {
+                    continue;
+                }
+                let answer = self.tables[to].merge(&report, now);
+                queue.push((to, answer));
+            }
+        }
+    }
+
+    /// Starts one request at a random instance and engine; a deadly one crashes the engine.
+    fn step(&mut self, number: u64, is_deadly: bool, now: MonotonicTime) {
+        let instance = self.generator.random_range(0..self.tables.len());
+        let engine = self.generator.random_range(0..ENGINES);
+        let session = 100 + self.generator.random_range(0..SESSIONS);
+        let parts = match is_deadly {
+            true => vec![SYSTEM, 100, DEADLY],
+            false => vec![SYSTEM, session],
+        };
+        let keys = request(&parts, number);
+        if self.tables[instance].find_blocked(&keys).is_some() {
+            self.sound_refused += usize::from(!is_deadly);
+            return;
+        }
+        match is_deadly {
+            true => self.deadly_sent += 1,
+            false => self.sound_sent += 1,
+        }
+        self.flights.push((instance, engine, keys));
+        if is_deadly {
+            self.crash(engine, number, now);
+        }
+        while self.flights.len() > ENGINES * 3 {
+            let (instance, _, keys) = self.flights.remove(0);
+            let report = self.tables[instance].record_answer(&keys, now);
+            self.broadcast(instance, &report, now);
+        }
+    }
+
+    fn crash(&mut self, engine: usize, number: u64, now: MonotonicTime) {
+        self.crashes += 1;
+        let name = CrashName::new(&UpstreamName::from(format!("e{engine}")), Some(number));
+        let flights = std::mem::take(&mut self.flights).into_iter();
+        let (lost, kept): (Vec<_>, Vec<_>) = flights.partition(|(_, at, _)| *at == engine);
+        self.flights = kept;
+        for (instance, _, keys) in lost {
+            let report = self.tables[instance].record_crash(&name, &keys, now);
+            self.broadcast(instance, &report, now);
+        }
+    }
+}
+
+/// Guards against fleets in which some instances go on sending deadly requests, and against
+/// refusing more than a few sound requests. Engines also crash for other reasons.
+#[rstest]
+fn fleet_keeps_sending_deadly_requests(
+    #[values(1, 8, 40)] instances: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let mut world = CrashWorld::new(seed, instances);
+    for number in 0..4_000 {
+        // Requests are 20 ms apart; one in 20 is deadly from the fourth second on.
+        let now = MonotonicTime::from_millis(number * 20);
+        let is_deadly = number > 200 && number % 20 == 0;
+        world.step(number, is_deadly, now);
+        if number % 700 == 699 {
+            let engine = world.generator.random_range(0..ENGINES);
+            world.crash(engine, number, now);
+        }
+    }
+    // Each instance that has missed reports may send a few until it has seen enough by itself.
+    assert!(world.deadly_sent >= 3);
+    assert!(
+        world.deadly_sent <= 8,
+        "{} deadly requests were sent",
+        world.deadly_sent
+    );
+    let refused = world.sound_refused * 200;
+    assert!(
+        refused <= world.sound_sent,
+        "{} of {} sound requests were refused",
+        world.sound_refused,
+        world.sound_sent
+    );
+}
+
+/// Guards against prompt positions that take the rank of a whole request.
+#[test]
+fn part_ranks_as_a_whole_request() {
+    for position in [0, 5, 254, 255, 256, 100_000] {
+        assert!(ContentRank::of_part(position) < ContentRank::REQUEST);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/crash.rs
@@ -0,0 +1,158 @@
+//! Crashes of upstreams, and content that is blocked because of them.
+
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use cornelarch_core::{
+    base::UpstreamName,
+    blocklist::content::{
+        BlockedContent, ContentKey, ContentOptions, ContentReport, ContentTable, CrashName,
+    },
+};
+use parking_lot::Mutex;
+
+use crate::{
+    connection::connect,
+    process::{GatewayState, PeerCommand, log_event},
+};
+
+/// Time in which the other requests at a lost upstream notice the loss as well.
+const GATHER_TIME: Duration = Duration::from_millis(5);
+/// Connect timeout of the check whether an upstream has crashed.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A request that was lost in flight.
+#[derive(Clone, Debug)]
+pub(crate) struct LostRequest {
+    pub(crate) upstream: UpstreamName,
+    pub(crate) address: SocketAddr,
+    /// Names the crash, if the upstream has crashed.
+    pub(crate) crash: CrashName,
+    pub(crate) content: Arc<[ContentKey]>,
+}
+
+/// Relates crashes of upstreams to the content of the requests that were in flight there.
+pub(crate) struct CrashMonitor {
+    table: Mutex<ContentTable>,
+    /// Content that was lost at upstreams of which it is not known yet whether they have crashed.
+    unconfirmed: Mutex<HashMap<CrashName, Vec<ContentKey>>>,
+}
+
+impl CrashMonitor {
+    pub(crate) fn new() -> Self {
+        Self {
+            table: Mutex::new(ContentTable::new(ContentOptions::default())),
+            unconfirmed: Mutex::default(),
+        }
+    }
+
+    /// Returns the blocked content of a request, if any.
+    pub(crate) fn find_blocked(&self, content: &[ContentKey]) -> Option<BlockedContent> {
+        self.table.lock().find_blocked(content).cloned()
+    }
+
+    /// Returns what is known of the blocked content, for a peer that may not know of it.
+    pub(crate) fn blocked_report(&self) -> ContentReport {
+        self.table.lock().blocked_report()
+    }
+
+    /// Returns the number of pieces of blocked content.
+    pub(crate) fn blocked_count(&self) -> usize {
+        self.table.lock().blocked().count()
+    }
+}
+
+impl GatewayState {
+    /// Records an answer of an upstream to a request with this content.
+    pub(crate) fn record_answer(&self, content: &[ContentKey]) {
+        let now = self.now();
+        self.update_content(|table| table.record_answer(content, now));
+    }
+
+    /// Merges a report of a peer.
+    pub(crate) fn merge_content(&self, report: &ContentReport) {
+        let now = self.now();
+        self.update_content(|table| table.merge(report, now));
+    }
+
+    /// Forgives crashes that were long ago.
+    pub(crate) fn expire_content(&self) {
+        let now = self.now();
+        self.update_content(|table| {
+            table.expire(now);
+            ContentReport::default()
+        });
+    }
+
+    /// Records the loss of a request. If the upstream has crashed, its content is charged with it.
+    pub(crate) fn record_loss(self: &Arc<Self>, lost: LostRequest) {
+        let mut unconfirmed = self.crashes.unconfirmed.lock();
+        let keys = unconfirmed.entry(lost.crash.clone()).or_default();
+        let is_first = keys.is_empty();
+        keys.extend(
+            lost.content
+                .iter()
+                .filter(|key| !keys.contains(key))
+                .copied()
+                .collect::<Vec<_>>(),
+        );
+        drop(unconfirmed);
+        if is_first {
+            tokio::spawn(confirm_crash(Arc::clone(self), lost));
+        }
+    }
+
+    /// Changes the table, sends the resulting report to the peers and logs what is blocked.
+    fn update_content(&self, change: impl FnOnce(&mut ContentTable) -> ContentReport) {
+        let mut table = self.crashes.table.lock();
+        let before: Vec<BlockedContent> = table.blocked().cloned().collect();
+        let report = change(&mut table);
+        let after: Vec<BlockedContent> = table.blocked().cloned().collect();
+        drop(table);
+        log_blocked(&before, &after);
+        if !report.is_empty() {
+            self.send_peer_command(PeerCommand::Broadcast(report));
+        }
+    }
+}
+
+fn log_blocked(before: &[BlockedContent], after: &[BlockedContent]) {
+    let has = |list: &[BlockedContent], content: &BlockedContent| {
+        list.iter().any(|other| other.key == content.key)
+    };
+    for content in after.iter().filter(|content| !has(before, content)) {
+        let (key, crashes) = (content.key, content.crashes);
+        log_event!(
+            ContentBlocked,
+            "content={} rank={} crashes={crashes}",
+            key.fingerprint,
+            key.rank.bits()
+        );
+    }
+    for content in before.iter().filter(|content| !has(after, content)) {
+        log_event!(ContentUnblocked, "content={}", content.key.fingerprint);
+    }
+}
+
+/// Checks whether a lost upstream has crashed. A process that has ended refuses connections; one
+/// that lost a single answer or connection accepts them, and one behind a partition does neither.
+async fn confirm_crash(state: Arc<GatewayState>, lost: LostRequest) {
+    tokio::time::sleep(GATHER_TIME).await;
+    let checked = connect(lost.address, CONFIRM_TIMEOUT).await;
+    let content = state.crashes.unconfirmed.lock().remove(&lost.crash);
+    let content = content.unwrap_or_default();
+    let upstream = &lost.upstream;
+    match checked {
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            log_event!(
+                UpstreamCrashed,
+                "upstream={upstream} content={}",
+                content.len()
+            );
+            state.metrics.count_crash();
+            let now = state.now();
+            state.update_content(|table| table.record_crash(&lost.crash, &content, now));
+        }
+        Err(error) => log::debug!("unknown whether upstream {upstream} has crashed: {error}"),
+        Ok(_) => log::debug!("upstream {upstream} has lost a request, but runs"),
+    }
+}
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -31,6 +31,12 @@
     UpstreamChanged => 2300, Info, "upstream changed";
     /// The full list of upstreams was read.
     DirectoryRead => 2301, Info, "directory read";
+    /// An upstream ended while it ran requests.
+    UpstreamCrashed => 2302, Warn, "upstream crashed";
+    /// Requests with some content are refused from now on.
+    ContentBlocked => 2303, Warn, "content blocked";
+    /// Requests with this content are served again.
+    ContentUnblocked => 2304, Info, "content unblocked";
     /// A request was rejected before it was sent to an upstream.
     RequestRefused => 2400, Info, "request refused";
     /// An attempt at an upstream ended without a response.
@@ -49,6 +55,8 @@
     StreamEnded => 2407, Info, "stream ended";
     /// No upstream can start a request in time.
     PlacementRefused => 2408, Info, "no upstream fits";
+    /// A request has content that crashes upstreams.
+    ContentRefused => 2409, Info, "request has blocked content";
 }
 
 /// Writes a numbered event with details to the log, unless the event has reached its limit of lines
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -134,6 +134,19 @@
     }
 }
 
+/// Present values of the gauges.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MetricGauges {
+    pub(crate) running: usize,
+    pub(crate) version: u64,
+    pub(crate) upstreams: usize,
+    pub(crate) blocked: usize,
+}
+
+fn to_gauge(value: impl TryInto<i64>) -> i64 {
+    value.try_into().unwrap_or(i64::MAX)
+}
+
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
     registry: Registry,
@@ -142,6 +155,8 @@
     stages: Family<StageLabels, Histogram>,
     calls: Family<CallLabels, Counter>,
     resumes: Counter,
+    crashes: Counter,
+    blocked: Gauge,
     running: Gauge,
     version: Gauge,
     upstreams: Gauge,
@@ -159,6 +174,8 @@
             stages: Family::new_with_constructor(buckets),
             calls: Family::default(),
             resumes: Counter::default(),
+            crashes: Counter::default(),
+            blocked: Gauge::default(),
             running: Gauge::default(),
             version: Gauge::default(),
             upstreams: Gauge::default(),
@@ -170,6 +187,9 @@
         registry.register("seconds", "Time by stage", metrics.stages.clone());
         registry.register("calls", "Calls to the platform", metrics.calls.clone());
         registry.register("resumes", "Streams resumed", metrics.resumes.clone());
+        let (crashes, blocked) = (metrics.crashes.clone(), metrics.blocked.clone());
+        registry.register("upstream_crashes", "Upstream crashes", crashes);
+        registry.register("blocked_content", "Blocked content", blocked);
         registry.register("running", "Requests in progress", metrics.running.clone());
         registry.register("version", "Configuration version", metrics.version.clone());
         registry.register("upstreams", "Usable upstreams", metrics.upstreams.clone());
@@ -209,14 +229,17 @@
         self.resumes.inc();
     }
 
+    pub(crate) fn count_crash(&self) {
+        self.crashes.inc();
+    }
+
     /// Updates the gauges and encodes all metrics in the Prometheus text format.
-    pub(crate) fn render(&self, running: usize, version: u64, upstreams: usize) -> String {
-        self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
-        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.upstreams
-            .set(i64::try_from(upstreams).unwrap_or(i64::MAX));
-        let dropped = i64::try_from(dropped_lines()).unwrap_or(i64::MAX);
-        self.dropped_lines.set(dropped);
+    pub(crate) fn render(&self, gauges: MetricGauges) -> String {
+        self.running.set(to_gauge(gauges.running));
+        self.version.set(to_gauge(gauges.version));
+        self.upstreams.set(to_gauge(gauges.upstreams));
+        self.blocked.set(to_gauge(gauges.blocked));
+        self.dropped_lines.set(to_gauge(dropped_lines()));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::warn!("metrics cannot be encoded: {error}");
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! Process-wide state and background tasks of a gateway.
 
+mod crash;
 mod event;
 mod gateway;
 mod ledger;
@@ -10,6 +11,7 @@
 mod state;
 mod sync;
 
+pub(crate) use crash::{CrashMonitor, LostRequest};
 pub use event::LogEvent;
 pub(crate) use event::log_event;
 pub use gateway::{Gateway, GatewayError};
@@ -17,7 +19,7 @@
 pub(crate) use ledger::{SharedLedger, TOKEN_WAIT, run_ledger};
 pub use log::open_log;
 pub(crate) use log::{allows_line, dropped_lines};
-pub(crate) use metrics::{GatewayMetrics, PlatformCall, RequestOutcome, TimedStage};
+pub(crate) use metrics::{GatewayMetrics, MetricGauges, PlatformCall, RequestOutcome, TimedStage};
 pub(crate) use peers::{PeerCommand, run_peers};
 pub use settings::GatewaySettings;
 pub(crate) use state::{GatewayPhase, GatewayState, RunningGuard};
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -4,15 +4,18 @@
 
 use cornelarch_core::{
     base::HolderId,
+    blocklist::content::ContentReport,
     budget::{BudgetMessage, DomainPeer, LedgerEvent},
-    membership::{MemberEffect, MemberEvent, MemberOptions, MemberTable, choose_owners},
+    membership::{
+        MemberEffect, MemberEvent, MemberOptions, MemberState, MemberTable, choose_owners,
+    },
 };
 use cornelarch_wire::{
-    decode_budget_message, decode_envelope, decode_member_event, encode_budget_message,
-    encode_envelope,
+    decode_budget_message, decode_content_report, decode_envelope, decode_member_event,
+    encode_budget_message, encode_content_report, encode_envelope,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::process::{GatewayState, log_event};
@@ -24,6 +27,12 @@
 const LATEST_READERS: usize = 3;
 /// Hash key for selecting these instances among the live members.
 const READER_SELECTION_KEY: &str = "readers";
+/// Number of instances that tell a new one what is blocked; datagrams may be lost.
+const INFORMANTS: usize = 3;
+/// Interval at which an instance tells a random peer what is blocked.
+const REPEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Maximum number of entries of a report in one datagram, which then has about 4 kB.
+const REPORT_ENTRIES_MAX: usize = 48;
 /// Size of the receive buffer, in bytes. Sent datagrams are far smaller.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 
@@ -35,6 +44,8 @@
         to: HolderId,
         message: BudgetMessage,
     },
+    /// Sends a report about content that crashes upstreams to all peers.
+    Broadcast(ContentReport),
     /// Announces to the peers that this instance leaves the fleet.
     Leave,
 }
@@ -73,6 +84,7 @@
         generator: StdRng::from_os_rng(),
     };
     let mut interval = tokio::time::interval(MEMBER_TICK);
+    let mut repeat = tokio::time::interval(REPEAT_PERIOD);
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
         tokio::select! {
@@ -80,6 +92,7 @@
                 Some(PeerCommand::Send { to, message }) => {
                     task.send_budget(&to, message).await;
                 }
+                Some(PeerCommand::Broadcast(report)) => task.broadcast(&report).await,
                 Some(PeerCommand::Leave) => task.apply(MemberEvent::LeaveStarted).await,
                 None => return,
             },
@@ -89,6 +102,7 @@
                 // member table detects unreachable peers by itself.
                 Err(error) => log::trace!("failed to receive datagram: {error}"),
             },
+            _ = repeat.tick() => task.repeat_blocked().await,
             _ = interval.tick() => {
                 let version = task.state.version();
                 task.apply(MemberEvent::ConfigVersion(version)).await;
@@ -98,6 +112,21 @@
     }
 }
 
+/// Splits a report into parts that fit into one datagram each.
+fn split_report(report: &ContentReport) -> Vec<ContentReport> {
+    let losses = report.losses.chunks(REPORT_ENTRIES_MAX);
+    let losses = losses.map(|losses| ContentReport {
+        losses: losses.to_vec(),
+        answered: Vec::new(),
+    });
+    let answered = report.answered.chunks(REPORT_ENTRIES_MAX);
+    let answered = answered.map(|answered| ContentReport {
+        losses: Vec::new(),
+        answered: answered.to_vec(),
+    });
+    losses.chain(answered).collect()
+}
+
 /// Logs the changes of peer states, in one line per membership event.
 fn log_changes(effects: &[MemberEffect]) {
     let changes = effects.iter().filter_map(|effect| match effect {
@@ -129,6 +158,9 @@
         if let Some(event) = decode_member_event(&from, &envelope.body) {
             return self.apply(event).await;
         }
+        if let Some(report) = decode_content_report(&envelope.body) {
+            return self.state.merge_content(&report);
+        }
         // Without a recipient the ledger cannot check that a message is meant for this incarnation,
         // so that it must not change any balance.
         let to = envelope.recipient.as_ref().map(HolderId::from);
@@ -142,6 +174,9 @@
         let now = self.state.now();
         let effects = self.table.handle(event, now, &mut self.generator);
         log_changes(&effects);
+        for peer in self.informed_peers(&effects) {
+            self.send_blocked(&peer).await;
+        }
         for effect in effects {
             match effect {
                 MemberEffect::Send {
@@ -181,6 +216,71 @@
         self.state.notify_ledger(LedgerEvent::PeersChanged(live));
     }
 
+    /// Sends a report to all live peers, in datagrams of limited size.
+    async fn broadcast(&self, report: &ContentReport) {
+        let peers: Vec<(HolderId, String)> = self
+            .table
+            .live_records()
+            .filter(|record| record.holder != self.holder)
+            .map(|record| (record.holder.clone(), record.address.clone()))
+            .collect();
+        for part in split_report(report) {
+            let body = encode_content_report(&part);
+            for (holder, address) in &peers {
+                self.send(address, Some(holder), body.clone()).await;
+            }
+        }
+    }
+
+    /// Tells a peer what is blocked.
+    async fn send_blocked(&self, to: &HolderId) {
+        let report = self.state.crashes.blocked_report();
+        let member = self.table.member(&to.instance);
+        let Some(address) = member.map(|member| member.record.address.clone()) else {
+            return;
+        };
+        for part in split_report(&report) {
+            self.send(&address, Some(to), encode_content_report(&part))
+                .await;
+        }
+    }
+
+    /// Tells a random live peer what is blocked, because datagrams may be lost.
+    async fn repeat_blocked(&mut self) {
+        self.state.expire_content();
+        let peers = self.table.live_records();
+        let peers = peers.filter(|record| record.holder != self.holder);
+        let peer = peers
+            .map(|record| record.holder.clone())
+            .choose(&mut self.generator);
+        if let Some(peer) = peer {
+            self.send_blocked(&peer).await;
+        }
+    }
+
+    /// Returns the peers among those that came to life which this instance has to inform: each is
+    /// informed by some members only.
+    fn informed_peers(&self, effects: &[MemberEffect]) -> Vec<HolderId> {
+        let joined = effects.iter().filter_map(|effect| match effect {
+            MemberEffect::StateChanged {
+                holder,
+                state: MemberState::Alive,
+                ..
+            } if *holder != self.holder => Some(holder),
+            _ => None,
+        });
+        let joined = joined.filter(|holder| {
+            let others = self
+                .table
+                .live_records()
+                .map(|record| &record.holder.instance);
+            let others = others.filter(|instance| **instance != holder.instance);
+            let informants = choose_owners(holder.instance.as_str(), others, INFORMANTS);
+            informants.contains(&&self.holder.instance)
+        });
+        joined.cloned().collect()
+    }
+
     async fn send_budget(&self, to: &HolderId, message: BudgetMessage) {
         match self.table.member(&to.instance) {
             Some(member) => {
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -27,7 +27,8 @@
     connection::UpstreamPool,
     edge::HeaderNames,
     process::{
-        GatewayMetrics, GatewaySettings, PeerCommand, PlatformOutage, SharedLedger, log_event,
+        CrashMonitor, GatewayMetrics, GatewaySettings, MetricGauges, PeerCommand, PlatformOutage,
+        SharedLedger, log_event,
     },
 };
 
@@ -57,6 +58,7 @@
     pub(crate) ledger: SharedLedger,
     pub(crate) pool: UpstreamPool,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) crashes: CrashMonitor,
     pub(crate) instances: AtomicUsize,
     /// Notifies whenever the platform confirms the configuration.
     pub(crate) confirmed: watch::Sender<()>,
@@ -92,6 +94,7 @@
             ledger,
             pool: UpstreamPool::default(),
             metrics: GatewayMetrics::new(),
+            crashes: CrashMonitor::new(),
             instances: AtomicUsize::new(INSTANCES_INITIAL),
             confirmed: watch::Sender::new(()),
             outage: Mutex::default(),
@@ -265,7 +268,14 @@
     pub(crate) fn render_metrics(&self) -> String {
         let version = self.version();
         let upstreams = self.placement.lock().listed_count();
-        self.metrics.render(self.running(), version, upstreams)
+        let blocked = self.crashes.blocked_count();
+        let gauges = MetricGauges {
+            running: self.running(),
+            version,
+            upstreams,
+            blocked,
+        };
+        self.metrics.render(gauges)
     }
 
     /// Waits until no request is in progress.
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -4,11 +4,13 @@
 
 use bytes::Bytes;
 use cornelarch_core::{
-    base::ServiceName,
+    base::{CustomerName, ServiceName},
+    blocklist::content::ContentKey,
     error::{ErrorKind, RunState},
+    placement::RequestSize,
     route::{CustomerRecord, RouteDocument, RouteKind, RouteLookup, RouteRule, ServiceRecord},
 };
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use rand::Rng;
@@ -94,6 +96,7 @@
     let exchange = open_exchange(state, request, started).await?;
     *kind = Some(exchange.rule.kind);
     exchange.state.record_request(&exchange.service.name);
+    exchange.check_content(&RequestExchange::new_history())?;
     let bill = exchange.reserve().await?;
     let metrics = &state.metrics;
     metrics.observe(TimedStage::Reserve, started.elapsed());
@@ -137,8 +140,16 @@
     let size = read_size(&parts.headers, &state.headers);
     let uri = parts.uri.into_parts().path_and_query;
     let uri = uri.map_or_else(http::Uri::default, http::Uri::from);
+    let content = identify_content(
+        &service,
+        customer.as_ref(),
+        (&parts.method, &uri),
+        &body,
+        &size,
+    );
     Ok(RequestExchange {
         service: find_service(&document, service),
+        content,
         head: RequestHead {
             method: parts.method,
             uri,
@@ -161,6 +172,22 @@
     })
 }
 
+/// Returns the keys of the content by which the causes of crashes are recognised.
+fn identify_content(
+    service: &ServiceName,
+    customer: Option<&CustomerRecord>,
+    (method, uri): (&Method, &Uri),
+    body: &[u8],
+    size: &RequestSize,
+) -> Arc<[ContentKey]> {
+    let anonymous = CustomerName::new("");
+    let customer = customer.map_or(&anonymous, |customer| &customer.name);
+    let target = format!("{service} {method} {uri}");
+    let request = ContentKey::of_request(customer, &target, body);
+    let parts = ContentKey::of_parts(service, size);
+    parts.chain([request]).collect()
+}
+
 fn name_header(customer: &CustomerRecord) -> HeaderValue {
     HeaderValue::from_str(&customer.name).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cornelarch_core::{
+    blocklist::content::ContentKey,
     error::ErrorKind,
     placement::{
         FlightOutcome, Placement, PlacementKey, PlacementRefusal, PlacementRequest, RequestSize,
@@ -54,6 +55,8 @@
     pub(crate) customer: Option<HeaderValue>,
     pub(crate) priority: u8,
     pub(crate) size: RequestSize,
+    /// The prompt parts and the whole request, by which the causes of crashes are recognised.
+    pub(crate) content: Arc<[ContentKey]>,
     pub(crate) started: Instant,
     /// Deadline of the caller.
     pub(crate) deadline: Instant,
@@ -152,6 +155,7 @@
         last_event_id: Option<&str>,
     ) -> Result<OpenResponse, RequestRefusal> {
         loop {
+            self.check_content(history)?;
             let placement = self.place(history)?;
             let is_engine = self.service.is_engine;
             log_event!(
@@ -169,7 +173,8 @@
                 history.sent,
                 describe_parts(&self.size)
             );
-            let flight = InFlightRequest::start(&self.state, &placement, &self.size, is_engine);
+            let size = (&self.size, is_engine);
+            let flight = InFlightRequest::start(&self.state, &placement, size, &self.content);
             history.tried.push(placement.key);
             let request = self.build_attempt(history, last_event_id);
             let sent = send_attempt(&self.state, &request, &placement, &flight);
@@ -187,6 +192,32 @@
         }
     }
 
+    /// Checks that the request has no content that crashes upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller.
+    pub(crate) fn check_content(&self, history: &AttemptHistory) -> Result<(), RequestRefusal> {
+        let Some(blocked) = self.state.crashes.find_blocked(&self.content) else {
+            return Ok(());
+        };
+        let position = usize::from(blocked.key.rank.bits());
+        let part = shared_parts(&self.size).get(position);
+        log_event!(
+            ContentRefused,
+            "id={} content={} part={} crashes={} sent={}",
+            self.id(),
+            blocked.key.fingerprint,
+            part.map_or_else(|| "-".to_owned(), |part| format!("{:x}", part.digest)),
+            blocked.crashes,
+            history.sent
+        );
+        Err(match history.may_have_run {
+            true => self.final_refusal(history),
+            false => ErrorKind::RequestBlocked.into(),
+        })
+    }
+
     fn place(&self, history: &AttemptHistory) -> Result<Placement, RequestRefusal> {
         let remaining = self.hard_deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -4,11 +4,15 @@
 
 use cornelarch_core::{
     base::UpstreamName,
+    blocklist::content::{ContentKey, CrashName},
     placement::{FlightKey, FlightOutcome, Placement, PlacementKey, RequestSize},
 };
 use http::HeaderMap;
 
-use crate::{process::GatewayState, request::head::read_load};
+use crate::{
+    process::{GatewayState, LostRequest},
+    request::head::read_load,
+};
 
 /// Counts a request as in flight at an upstream. Dropping it without calling
 /// [`finish`](Self::finish) records that the request was cancelled.
@@ -17,6 +21,8 @@
     flight: Option<FlightKey>,
     pub(crate) key: PlacementKey,
     pub(crate) upstream: UpstreamName,
+    /// What the loss of this request is charged to if the upstream crashes.
+    lost: LostRequest,
 }
 
 impl InFlightRequest {
@@ -24,19 +30,27 @@
     pub(crate) fn start(
         state: &Arc<GatewayState>,
         placement: &Placement,
-        size: &RequestSize,
-        is_engine: bool,
+        (size, is_engine): (&RequestSize, bool),
+        content: &Arc<[ContentKey]>,
     ) -> Self {
         let now = state.now();
-        let flight = state
-            .placement
-            .lock()
-            .start(placement, size, is_engine, now);
+        let mut table = state.placement.lock();
+        let flight = table.start(placement, size, is_engine, now);
+        let started = table
+            .record(placement.key)
+            .and_then(|record| record.started_unix_ms);
+        drop(table);
         Self {
             state: Arc::clone(state),
             flight: Some(flight),
             key: placement.key,
             upstream: placement.upstream.clone(),
+            lost: LostRequest {
+                upstream: placement.upstream.clone(),
+                address: placement.address,
+                crash: CrashName::new(&placement.upstream, started),
+                content: Arc::clone(content),
+            },
         }
     }
 
@@ -71,7 +85,18 @@
         if let Some(flight) = self.flight.take() {
             let now = self.state.now();
             self.state.metrics.count_attempt(end);
-            self.state.placement.lock().finish(flight, end, now);
+            let mut placement = self.state.placement.lock();
+            // An upstream that is leaving may end while it still runs requests.
+            let is_listed = placement.is_listed(self.key);
+            placement.finish(flight, end, now);
+            drop(placement);
+            match end {
+                FlightOutcome::Answered | FlightOutcome::Failed => {
+                    self.state.record_answer(&self.lost.content);
+                }
+                FlightOutcome::Lost if is_listed => self.state.record_loss(self.lost.clone()),
+                _ => {}
+            }
         }
     }
 }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -62,7 +62,8 @@
         let fixture = &self.fixtures[number % self.fixtures.len()];
         let request = fixture.post(path, &format!("r{number}-{parts}"));
         let request = request.header("t-tokens", "100,50");
-        let response = request.header("t-parts", parts).body("same").send().await;
+        let request = request.header("t-parts", parts).body(parts.to_owned());
+        let response = request.send().await;
         let response = response.ok()?;
         let status = response.status();
         response.text().await.ok().map(|_| status)
@@ -84,10 +85,10 @@
 #[case::three_instances(3)]
 #[tokio::test]
 async fn prompt_part_crashes_engine_after_engine(#[case] instances: usize) {
-    let fleet = CrashFleet::start(instances, "engine", "dead").await;
+    let fleet = CrashFleet::start(instances, "engine", "bad0").await;
     fleet
         .send_deadly("/stream/a", |number| {
-            format!("a1:40,b{number}:20,dead:20,c{number}:20")
+            format!("a1:40,b{number}:20,bad0:20,c{number}:20")
         })
         .await;
     let crashes = fleet.crashes();
@@ -98,10 +99,10 @@
 /// Guards against refusing sound requests that share other parts with those that crash engines.
 #[tokio::test]
 async fn parts_beside_a_deadly_one_are_refused() {
-    let fleet = CrashFleet::start(3, "engine", "dead").await;
+    let fleet = CrashFleet::start(3, "engine", "bad0").await;
     fleet
         .send_deadly("/stream/a", |number| {
-            format!("a1:40,b2:20,dead:20,c{number}:20")
+            format!("a1:40,b2:20,bad0:20,c{number}:20")
         })
         .await;
     assert!(fleet.crashes() <= CRASHES_MAX);
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -92,6 +92,25 @@
   1: required string fingerprint
 }
 
+// A crash of an upstream charged to content that was in flight there, or cleared by an answer.
+struct WireContentLoss {
+  1: required string fingerprint
+  2: required i8 rank
+  3: required string crash
+  4: required bool is_cleared
+}
+
+// Content of which the sender has served requests recently.
+struct WireAnsweredContent {
+  1: required string fingerprint
+  2: required i8 rank
+}
+
+struct WireContentReport {
+  1: required list<WireContentLoss> losses
+  2: required list<WireAnsweredContent> answered
+}
+
 struct WireLeaving {
   1: required i64 incarnation
 }
@@ -121,6 +140,7 @@
   12: WireLeaving leaving
   13: WireTableRequest table_request
   14: WireTableChunk table_chunk
+  15: WireContentReport content_report
 }
 
 // One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,4 +14,7 @@
 pub mod peer;
 
 pub use connection::{FrameCodec, FrameError, MAX_FRAME_BYTES, decode_envelope, encode_envelope};
-pub use message::{decode_budget_message, decode_member_event, encode_budget_message};
+pub use message::{
+    decode_budget_message, decode_content_report, decode_member_event, encode_budget_message,
+    encode_content_report,
+};
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -1,7 +1,9 @@
 //! Conversions between the messages of the core crate and the wire types.
 
 mod budget;
+mod content;
 mod member;
 
 pub use budget::{decode_budget_message, encode_budget_message};
+pub use content::{decode_content_report, encode_content_report};
 pub use member::decode_member_event;
