Blame the content with the most crashes, on all reports of a crash

Cause: crashes came within 100 ms of each other. They counted as one in the comparison too, so that a sound stream resumed at three of them drew level with the part that had six, and a whole request won ties. Besides, each instance decided while the reports of the others on the same crash were still arriving, and changed its mind for some milliseconds.

Now only the threshold counts crashes that are 100 ms apart; the comparison counts all. A whole request comes after every part that nobody has served. Content is blocked 20 ms after the first report of a crash.

--- a/crates/core/src/blocklist/content/entry.rs
+++ b/crates/core/src/blocklist/content/entry.rs
@@ -68,14 +68,22 @@
             .collect()
     }
 
-    /// Counts the uncleared crashes outside `explained`. Crashes within `gap` of each other count
-    /// once, because a domain that loses power takes many upstreams with it.
-    pub(super) fn unexplained(&self, explained: &BTreeSet<CrashName>, gap: Duration) -> u32 {
+    /// Iterates over the uncleared crashes outside `explained`.
+    pub(super) fn unexplained(
+        &self,
+        explained: &BTreeSet<CrashName>,
+    ) -> impl Iterator<Item = &ChargedCrash> {
+        let uncleared = self.uncleared();
+        uncleared.filter(|charged| !explained.contains(&charged.crash))
+    }
+
+    /// Counts the uncleared crashes outside `explained` that are at least `gap` apart, because a
+    /// domain that loses power takes many upstreams with it at once.
+    pub(super) fn separate(&self, explained: &BTreeSet<CrashName>, gap: Duration) -> u32 {
         let mut count = 0;
         let mut last: Option<MonotonicTime> = None;
-        for charged in self.uncleared() {
-            let is_separate = last.is_none_or(|last| charged.at.since(last) >= gap);
-            if is_separate && !explained.contains(&charged.crash) {
+        for charged in self.unexplained(explained) {
+            if last.is_none_or(|last| charged.at.since(last) >= gap) {
                 count += 1;
                 last = Some(charged.at);
             }
--- a/crates/core/src/blocklist/content/report.rs
+++ b/crates/core/src/blocklist/content/report.rs
@@ -8,8 +8,9 @@
     placement::{RequestSize, shared_parts},
 };
 
-/// How specific content is. Of two that explain the same crashes, the higher rank is blocked,
-/// because it affects fewer requests.
+/// How probable content is as the cause of crashes that other content explains as well. Of prompt
+/// parts, the more specific one is blocked, because it affects fewer requests. A whole request comes
+/// last, because it follows a series of crashes if it is sent again and again.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -18,12 +19,18 @@
 
 impl ContentRank {
     /// A whole request of one customer.
-    pub const REQUEST: Self = Self(u8::MAX);
+    pub const REQUEST: Self = Self(0);
 
     /// Returns the rank of the prompt part at a position, counted from 0.
     #[must_use]
     pub fn of_part(position: usize) -> Self {
-        Self(u8::try_from(position).map_or(u8::MAX - 1, |rank| rank.min(u8::MAX - 1)))
+        Self(u8::try_from(position.saturating_add(1)).unwrap_or(u8::MAX))
+    }
+
+    /// Returns the position of a prompt part, counted from 0, or `None` for a whole request.
+    #[must_use]
+    pub const fn position(self) -> Option<usize> {
+        (self.0 as usize).checked_sub(1)
     }
 
     /// Creates a rank from its number.
--- a/crates/core/src/blocklist/content/table.rs
+++ b/crates/core/src/blocklist/content/table.rs
@@ -28,8 +28,7 @@
 /// Default limit on the number of entries, and of pieces of content with answers.
 const DEFAULT_ENTRIES_MAX: usize = 4_096;
 /// Fraction of the crashes of the content with the most that a prompt part must have to be
-/// considered as their cause. The rest allows for lost reports and unrelated crashes. A whole
-/// request needs all of them, because it follows a series of crashes if it is sent again and again.
+/// considered as their cause. The rest allows for lost reports and unrelated crashes.
 const EXPLAINED_FRACTION: f64 = 0.75;
 
 /// Options of [`ContentTable`].
@@ -76,6 +75,7 @@
     entries: HashMap<Fingerprint, ContentEntry>,
     answered: HashMap<Fingerprint, MonotonicTime>,
     blocked: BTreeMap<Fingerprint, BlockedContent>,
+    has_changed: bool,
 }
 
 impl ContentTable {
@@ -87,6 +87,7 @@
             entries: HashMap::new(),
             answered: HashMap::new(),
             blocked: BTreeMap::new(),
+            has_changed: false,
         }
     }
 
@@ -129,9 +130,7 @@
                     is_cleared: true,
                 }));
         }
-        if !report.is_empty() {
-            self.update_blocked();
-        }
+        self.has_changed |= !report.is_empty();
         report
     }
 
@@ -174,7 +173,7 @@
         for key in &report.answered {
             self.entry_mut(*key, now).was_answered = true;
         }
-        self.update_blocked();
+        self.has_changed = true;
         answer
     }
 
@@ -196,12 +195,12 @@
     /// Forgives crashes that were long ago.
     pub fn expire(&mut self, now: MonotonicTime) {
         let forgive_after = self.options.forgive_after;
-        let mut has_changed = false;
+        let has_changed = &mut self.has_changed;
         self.entries.retain(|_, entry| {
             if now.since(entry.updated_at) < forgive_after {
                 return true;
             }
-            has_changed = true;
+            *has_changed = true;
             entry.updated_at = now;
             entry.crashes.retain(|charged| !charged.is_cleared);
             if !entry.crashes.is_empty() {
@@ -211,9 +210,12 @@
             }
             !entry.crashes.is_empty()
         });
-        if has_changed {
-            self.update_blocked();
-        }
+    }
+
+    /// Returns whether [`evaluate`](Self::evaluate) is due.
+    #[must_use]
+    pub const fn has_changed(&self) -> bool {
+        self.has_changed
     }
 
     fn was_answered(&self, fingerprint: Fingerprint, now: MonotonicTime) -> bool {
@@ -259,7 +261,11 @@
 
     /// Chooses the content that explains the uncleared crashes: repeatedly the most probable of
     /// those with the most unexplained crashes.
-    fn update_blocked(&mut self) {
+    ///
+    /// The reports of one crash arrive one after the other, so that a decision before the last of
+    /// them may hit the wrong content.
+    pub fn evaluate(&mut self) {
+        self.has_changed = false;
         let losses_max = self.options.losses_max;
         let mut explained = BTreeSet::new();
         let mut candidates: Vec<(Fingerprint, &ContentEntry)> = self
@@ -271,15 +277,15 @@
         self.blocked.clear();
         loop {
             let gap = self.options.crash_gap;
-            candidates.retain(|(_, entry)| entry.unexplained(&explained, gap) >= losses_max);
+            candidates.retain(|(_, entry)| entry.separate(&explained, gap) >= losses_max);
             let counts = candidates.iter();
-            let counts = counts.map(|(_, entry)| entry.unexplained(&explained, gap));
+            let counts = counts.map(|(_, entry)| entry.unexplained(&explained).count());
             let Some(most) = counts.max() else { return };
-            let enough = f64::from(most) * EXPLAINED_FRACTION;
+            let enough = most as f64 * EXPLAINED_FRACTION;
             let probable = candidates.iter().filter(|(_, entry)| {
-                let count = entry.unexplained(&explained, gap);
+                let count = entry.unexplained(&explained).count();
                 let is_part = entry.rank != ContentRank::REQUEST;
-                count == most || is_part && f64::from(count) >= enough
+                count == most || is_part && count as f64 >= enough
             });
             let cause = probable.max_by_key(|(fingerprint, entry)| {
                 (!entry.was_answered, entry.rank, Reverse(*fingerprint))
--- a/crates/gateway/src/process/crash.rs
+++ b/crates/gateway/src/process/crash.rs
@@ -9,6 +9,7 @@
     },
 };
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::{
     connection::connect,
@@ -17,6 +18,9 @@
 
 /// Time in which the other requests at a lost upstream notice the loss as well.
 const GATHER_TIME: Duration = Duration::from_millis(5);
+/// Time from the first report of a crash until content is blocked, in which the reports of the
+/// other instances arrive.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Connect timeout of the check whether an upstream has crashed.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -35,6 +39,8 @@
     table: Mutex<ContentTable>,
     /// Content that was lost at upstreams of which it is not known yet whether they have crashed.
     unconfirmed: Mutex<HashMap<CrashName, Vec<ContentKey>>>,
+    /// Wakes the task that decides what is blocked.
+    changed: Notify,
 }
 
 impl CrashMonitor {
@@ -42,6 +48,7 @@
         Self {
             table: Mutex::new(ContentTable::new(ContentOptions::default())),
             unconfirmed: Mutex::default(),
+            changed: Notify::new(),
         }
     }
 
@@ -101,20 +108,35 @@
         }
     }
 
-    /// Changes the table, sends the resulting report to the peers and logs what is blocked.
+    /// Changes the table and sends the resulting report to the peers.
     fn update_content(&self, change: impl FnOnce(&mut ContentTable) -> ContentReport) {
         let mut table = self.crashes.table.lock();
-        let before: Vec<BlockedContent> = table.blocked().cloned().collect();
         let report = change(&mut table);
-        let after: Vec<BlockedContent> = table.blocked().cloned().collect();
+        let has_changed = table.has_changed();
         drop(table);
-        log_blocked(&before, &after);
+        if has_changed {
+            self.crashes.changed.notify_one();
+        }
         if !report.is_empty() {
             self.send_peer_command(PeerCommand::Broadcast(report));
         }
     }
 }
 
+/// Decides what content is blocked until the task is dropped.
+pub(crate) async fn run_blocking(state: Arc<GatewayState>) {
+    loop {
+        state.crashes.changed.notified().await;
+        tokio::time::sleep(SETTLE_TIME).await;
+        let mut table = state.crashes.table.lock();
+        let before: Vec<BlockedContent> = table.blocked().cloned().collect();
+        table.evaluate();
+        let after: Vec<BlockedContent> = table.blocked().cloned().collect();
+        drop(table);
+        log_blocked(&before, &after);
+    }
+}
+
 fn log_blocked(before: &[BlockedContent], after: &[BlockedContent]) {
     let has = |list: &[BlockedContent], content: &BlockedContent| {
         list.iter().any(|other| other.key == content.key)
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -11,7 +11,7 @@
 mod state;
 mod sync;
 
-pub(crate) use crash::{CrashMonitor, LostRequest};
+pub(crate) use crash::{CrashMonitor, LostRequest, run_blocking};
 pub use event::LogEvent;
 pub(crate) use event::log_event;
 pub use gateway::{Gateway, GatewayError};
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -201,8 +201,8 @@
         let Some(blocked) = self.state.crashes.find_blocked(&self.content) else {
             return Ok(());
         };
-        let position = usize::from(blocked.key.rank.bits());
-        let part = shared_parts(&self.size).get(position);
+        let position = blocked.key.rank.position();
+        let part = position.and_then(|position| shared_parts(&self.size).get(position));
         log_event!(
             ContentRefused,
             "id={} content={} part={} crashes={} sent={}",
