Tell instances when the crashes of blocked content were

An instance that joined after content was blocked sent it on: it learnt of all crashes in one message and, as they seemed to come at the same moment, took them for one. For the same reason a block would never have ended, because instances that had forgotten it learnt it again as new.

Reports now carry the age of each crash, and a block ends 15 minutes after its last crash, at all instances alike; for 30 minutes more a single crash renews it. joining_instance_sends_blocked_content and crashes_learnt_at_once_count_as_one fail before.

--- a/crates/core/src/blocklist/content/report.rs
+++ b/crates/core/src/blocklist/content/report.rs
@@ -1,5 +1,7 @@
 //! Keys of request content and the reports about it.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -115,6 +117,8 @@
     pub crash: CrashName,
     /// Whether an answer to a request with the content came later.
     pub is_cleared: bool,
+    /// Time since the crash was detected.
+    pub age: Duration,
 }
 
 /// Report to the other instances. Reports may be repeated, reordered and lost.
--- a/crates/core/src/blocklist/content/table.rs
+++ b/crates/core/src/blocklist/content/table.rs
@@ -11,7 +11,8 @@
     blocklist::{
         Fingerprint,
         content::{
-            ContentKey, ContentLoss, ContentRank, ContentReport, CrashName, entry::ContentEntry,
+            ContentKey, ContentLoss, ContentRank, ContentReport, CrashName,
+            entry::{ContentEntry, CrashTime, MergeEffect},
         },
     },
 };
@@ -19,8 +20,10 @@
 /// Crashes after which content is blocked. Two may be a coincidence: a request that is lost with
 /// its upstream is often sent again, possibly to another upstream that fails for other reasons.
 const DEFAULT_LOSSES_MAX: u32 = 3;
-/// Time without a further crash after which one is forgiven.
-const DEFAULT_FORGIVE_AFTER: Duration = Duration::from_secs(900);
+/// Time without a further crash after which requests with the content are served again.
+const DEFAULT_BLOCK: Duration = Duration::from_secs(900);
+/// Time without a further crash after which earlier ones are forgotten, in multiples of the block.
+const MEMORY_FACTOR: u32 = 3;
 /// Time between crashes below which they count as one.
 const DEFAULT_CRASH_GAP: Duration = Duration::from_millis(100);
 /// Time for which an answer speaks for the content of its request.
@@ -36,9 +39,9 @@
 pub struct ContentOptions {
     /// Crashes after which content is blocked.
     pub losses_max: u32,
-    /// Time without a further crash after which one is forgiven. Blocked content then gets one more
-    /// chance: a single further crash blocks it again.
-    pub forgive_after: Duration,
+    /// Time without a further crash after which requests with the content are served again. For two
+    /// more such times, a single crash blocks it again.
+    pub block: Duration,
     /// Time between crashes below which they count as one.
     pub crash_gap: Duration,
     /// Time for which an answer speaks for the content of its request.
@@ -51,7 +54,7 @@
     fn default() -> Self {
         Self {
             losses_max: DEFAULT_LOSSES_MAX,
-            forgive_after: DEFAULT_FORGIVE_AFTER,
+            block: DEFAULT_BLOCK,
             crash_gap: DEFAULT_CRASH_GAP,
             answer_age: DEFAULT_ANSWER_AGE,
             entries_max: DEFAULT_ENTRIES_MAX,
@@ -118,17 +121,11 @@
         let mut report = ContentReport::default();
         for key in keys {
             self.record_answered(key.fingerprint, now);
-            let Some(entry) = self.entries.get_mut(&key.fingerprint) else {
-                continue;
-            };
-            let cleared = entry.clear();
-            report
-                .losses
-                .extend(cleared.into_iter().map(|crash| ContentLoss {
-                    key: *key,
-                    crash,
-                    is_cleared: true,
-                }));
+            if let Some(entry) = self.entries.get_mut(&key.fingerprint) {
+                let cleared = entry.clear();
+                let losses = cleared.iter().map(|charged| charged.describe(*key, now));
+                report.losses.extend(losses);
+            }
         }
         self.has_changed |= !report.is_empty();
         report
@@ -142,15 +139,14 @@
         keys: &[ContentKey],
         now: MonotonicTime,
     ) -> ContentReport {
+        let losses = keys.iter().map(|key| ContentLoss {
+            key: *key,
+            crash: crash.clone(),
+            is_cleared: false,
+            age: Duration::ZERO,
+        });
         let report = ContentReport {
-            losses: keys
-                .iter()
-                .map(|key| ContentLoss {
-                    key: *key,
-                    crash: crash.clone(),
-                    is_cleared: false,
-                })
-                .collect(),
+            losses: losses.collect(),
             answered: Vec::new(),
         };
         let answered = self.merge(&report, now).answered;
@@ -161,55 +157,46 @@
     /// newly charged content of which this instance has served requests.
     pub fn merge(&mut self, report: &ContentReport, now: MonotonicTime) -> ContentReport {
         let mut answer = ContentReport::default();
-        for loss in &report.losses {
-            let fingerprint = loss.key.fingerprint;
-            let is_served = self.was_answered(fingerprint, now);
-            let entry = self.entry_mut(loss.key, now);
-            if entry.merge(&loss.crash, loss.is_cleared, now) && is_served && !entry.was_answered {
+        let memory = self.options.block * MEMORY_FACTOR;
+        for loss in report.losses.iter().filter(|loss| loss.age < memory) {
+            let is_served = self.was_answered(loss.key.fingerprint, now);
+            let at = CrashTime::before(now, loss.age);
+            let entry = self.entry_mut(loss.key);
+            let effect = entry.merge(&loss.crash, loss.is_cleared, at);
+            if effect == MergeEffect::Charged && is_served && !entry.was_answered {
                 entry.was_answered = true;
                 answer.answered.push(loss.key);
             }
+            self.has_changed |= effect != MergeEffect::Known;
         }
         for key in &report.answered {
-            self.entry_mut(*key, now).was_answered = true;
+            let entry = self.entry_mut(*key);
+            let is_new = !entry.was_answered;
+            entry.was_answered = true;
+            self.has_changed |= is_new;
         }
-        self.has_changed = true;
         answer
     }
 
     /// Returns what is known of the blocked content, for instances that may not know of it.
     #[must_use]
-    pub fn blocked_report(&self) -> ContentReport {
+    pub fn blocked_report(&self, now: MonotonicTime) -> ContentReport {
         let mut report = ContentReport::default();
         for (fingerprint, blocked) in &self.blocked {
-            let uncleared = self.entries[fingerprint].uncleared();
-            report.losses.extend(uncleared.map(|charged| ContentLoss {
-                key: blocked.key,
-                crash: charged.crash.clone(),
-                is_cleared: false,
-            }));
+            let uncleared = self.entries.get(fingerprint).into_iter();
+            let uncleared = uncleared.flat_map(ContentEntry::uncleared);
+            let losses = uncleared.map(|charged| charged.describe(blocked.key, now));
+            report.losses.extend(losses);
         }
         report
     }
 
-    /// Forgives crashes that were long ago.
+    /// Forgets crashes that were long ago. Blocked content needs a new decision as time passes.
     pub fn expire(&mut self, now: MonotonicTime) {
-        let forgive_after = self.options.forgive_after;
-        let has_changed = &mut self.has_changed;
-        self.entries.retain(|_, entry| {
-            if now.since(entry.updated_at) < forgive_after {
-                return true;
-            }
-            *has_changed = true;
-            entry.updated_at = now;
-            entry.crashes.retain(|charged| !charged.is_cleared);
-            if !entry.crashes.is_empty() {
-                let kept = self.options.losses_max.saturating_sub(1) as usize;
-                let excess = entry.crashes.len().saturating_sub(kept).max(1);
-                entry.crashes.drain(..excess);
-            }
-            !entry.crashes.is_empty()
-        });
+        let memory = self.options.block * MEMORY_FACTOR;
+        self.entries
+            .retain(|_, entry| entry.last_at().age(now) < memory);
+        self.has_changed |= !self.blocked.is_empty();
     }
 
     /// Returns whether [`evaluate`](Self::evaluate) is due.
@@ -234,16 +221,12 @@
         self.answered.insert(fingerprint, now);
     }
 
-    fn entry_mut(&mut self, key: ContentKey, now: MonotonicTime) -> &mut ContentEntry {
+    fn entry_mut(&mut self, key: ContentKey) -> &mut ContentEntry {
         let is_known = self.entries.contains_key(&key.fingerprint);
         if !is_known && self.entries.len() >= self.options.entries_max.max(1) {
             self.evict_oldest();
         }
-        let entry = self.entries.entry(key.fingerprint);
-        let entry = entry.or_insert_with(|| ContentEntry {
-            updated_at: now,
-            ..ContentEntry::default()
-        });
+        let entry = self.entries.entry(key.fingerprint).or_default();
         entry.rank = entry.rank.max(key.rank);
         entry
     }
@@ -251,7 +234,7 @@
     /// Evicts the oldest entry that is not blocked, or the oldest if all are.
     fn evict_oldest(&mut self) {
         let oldest = self.entries.iter().min_by_key(|(fingerprint, entry)| {
-            (self.blocked.contains_key(fingerprint), entry.updated_at)
+            (self.blocked.contains_key(fingerprint), entry.last_at())
         });
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.entries.remove(&fingerprint);
@@ -264,7 +247,7 @@
     ///
     /// The reports of one crash arrive one after the other, so that a decision before the last of
     /// them may hit the wrong content.
-    pub fn evaluate(&mut self) {
+    pub fn evaluate(&mut self, now: MonotonicTime) {
         self.has_changed = false;
         let losses_max = self.options.losses_max;
         let mut explained = BTreeSet::new();
@@ -272,7 +255,7 @@
             .entries
             .iter()
             .map(|(fingerprint, entry)| (*fingerprint, entry))
-            .filter(|(_, entry)| entry.uncleared().count() >= losses_max as usize)
+            .filter(|(_, entry)| entry.is_recent(now, self.options.block))
             .collect();
         self.blocked.clear();
         loop {
--- a/crates/core/tests/content.rs
+++ b/crates/core/tests/content.rs
@@ -1,5 +1,7 @@
 //! Content that crashes upstreams is recognised, and other content is not.
 
+use std::time::Duration;
+
 use cornelarch_core::{
     base::{CustomerName, MonotonicTime, ServiceName, UpstreamName},
     blocklist::content::{
@@ -45,7 +47,11 @@
 }
 
 fn is_blocked(table: &mut ContentTable, parts: &[u64], body: u64) -> bool {
-    table.evaluate();
+    is_blocked_at(table, parts, body, seconds(10))
+}
+
+fn is_blocked_at(table: &mut ContentTable, parts: &[u64], body: u64, now: MonotonicTime) -> bool {
+    table.evaluate(now);
     table.find_blocked(&request(parts, body)).is_some()
 }
 
@@ -150,30 +156,55 @@
     assert!(!is_blocked(&mut table, &[DEADLY], 1));
 }
 
-/// Guards against content that stays blocked for ever, and against several further crashes each
-/// time that it gets another chance.
+/// Guards against content that stays blocked for ever, because instances tell each other of it, and
+/// against several further crashes each time that it gets another chance.
 #[test]
 fn block_never_ends_or_forgets() {
     let options = ContentOptions::default();
-    let mut table = table();
+    let mut tables = [table(), table()];
     let keys = request(&[DEADLY], 1);
-    for number in 0..6 {
-        table.record_crash(&crash(number), &keys, seconds(number));
+    for number in 0..3 {
+        tables[0].record_crash(&crash(number), &keys, seconds(number));
     }
-    let forgiven = seconds(6) + options.forgive_after;
-    table.expire(seconds(6));
-    assert!(is_blocked(&mut table, &[DEADLY], 1));
-    table.expire(forgiven);
-    assert!(!is_blocked(&mut table, &[DEADLY], 1));
-    table.record_crash(&crash(7), &keys, forgiven);
-    assert!(is_blocked(&mut table, &[DEADLY], 1));
-    let mut now = forgiven;
-    for _ in 0..4 {
-        now = now + options.forgive_after;
-        table.expire(now);
+    let minute = Duration::from_secs(60);
+    let mut now = seconds(3);
+    let end = now + options.block;
+    while now + minute < end {
+        for (from, to) in [(0, 1), (1, 0)] {
+            assert!(is_blocked_at(&mut tables[0], &[DEADLY], 1, now));
+            let report = tables[from].blocked_report(now);
+            tables[to].merge(&report, now);
+            tables[to].expire(now);
+            tables[to].evaluate(now);
+        }
+        now = now + minute;
     }
-    assert!(!is_blocked(&mut table, &[DEADLY], 1));
-    assert_eq!(table.charged_count(), 0);
+    for table in &mut tables {
+        table.expire(end);
+        assert!(!is_blocked_at(table, &[DEADLY], 1, end));
+        table.record_crash(&crash(7), &keys, end);
+        assert!(is_blocked_at(table, &[DEADLY], 1, end));
+        table.expire(end + options.block * 3);
+        assert_eq!(table.charged_count(), 0);
+    }
+}
+
+/// Guards against an instance that takes the crashes that it is told about for a single one.
+#[test]
+fn crashes_learnt_at_once_count_as_one() {
+    let mut first = table();
+    for number in 0..3 {
+        first.record_crash(
+            &crash(number),
+            &request(&[DEADLY], number),
+            seconds(number + 20),
+        );
+    }
+    assert!(is_blocked_at(&mut first, &[DEADLY], 90, seconds(30)));
+    let report = first.blocked_report(seconds(30));
+    let mut second = table();
+    second.merge(&report, seconds(1));
+    assert!(is_blocked_at(&mut second, &[DEADLY], 90, seconds(1)));
 }
 
 /// Guards against a table that grows with the number of crashes, or evicts what is blocked.
@@ -187,7 +218,7 @@
     for number in 0..3 {
         table.record_crash(&crash(number), &request(&[DEADLY], number), seconds(number));
     }
-    table.evaluate();
+    table.evaluate(seconds(3));
     for number in 10..1_000 {
         table.record_crash(&crash(number), &request(&[number], number), seconds(number));
         table.record_answer(&request(&[number + 5_000], number), seconds(number));
@@ -215,7 +246,7 @@
         receiver.merge(report, seconds(second as u64));
     }
     let keys = |table: &mut ContentTable| -> Vec<ContentKey> {
-        table.evaluate();
+        table.evaluate(seconds(40));
         table.blocked().map(|blocked| blocked.key).collect()
     };
     assert_eq!(keys(&mut receiver), keys(&mut sender));
@@ -276,7 +307,7 @@
             false => vec![SYSTEM, session],
         };
         let keys = request(&parts, number);
-        self.tables[instance].evaluate();
+        self.tables[instance].evaluate(now);
         if self.tables[instance].find_blocked(&keys).is_some() {
             self.sound_refused += usize::from(!is_deadly);
             return;
--- a/crates/gateway/src/process/crash.rs
+++ b/crates/gateway/src/process/crash.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
-    base::UpstreamName,
+    base::{MonotonicTime, UpstreamName},
     blocklist::content::{
         BlockedContent, ContentKey, ContentOptions, ContentReport, ContentTable, CrashName,
     },
@@ -58,8 +58,8 @@
     }
 
     /// Returns what is known of the blocked content, for a peer that may not know of it.
-    pub(crate) fn blocked_report(&self) -> ContentReport {
-        self.table.lock().blocked_report()
+    pub(crate) fn blocked_report(&self, now: MonotonicTime) -> ContentReport {
+        self.table.lock().blocked_report(now)
     }
 
     /// Returns the number of pieces of blocked content.
@@ -81,7 +81,7 @@
         self.update_content(|table| table.merge(report, now));
     }
 
-    /// Forgives crashes that were long ago.
+    /// Forgets crashes that were long ago.
     pub(crate) fn expire_content(&self) {
         let now = self.now();
         self.update_content(|table| {
@@ -130,7 +130,7 @@
         tokio::time::sleep(SETTLE_TIME).await;
         let mut table = state.crashes.table.lock();
         let before: Vec<BlockedContent> = table.blocked().cloned().collect();
-        table.evaluate();
+        table.evaluate(state.now());
         let after: Vec<BlockedContent> = table.blocked().cloned().collect();
         drop(table);
         log_blocked(&before, &after);
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -234,7 +234,7 @@
 
     /// Tells a peer what is blocked.
     async fn send_blocked(&self, to: &HolderId) {
-        let report = self.state.crashes.blocked_report();
+        let report = self.state.crashes.blocked_report(self.state.now());
         let member = self.table.member(&to.instance);
         let Some(address) = member.map(|member| member.record.address.clone()) else {
             return;
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -20,16 +20,17 @@
 
 /// Instances that know each other, in front of upstreams that crash under some requests.
 struct CrashFleet {
+    platform: Arc<FakePlatform>,
     fixtures: Vec<Fixture>,
     upstreams: Vec<FakeUpstream>,
 }
 
 impl CrashFleet {
     /// Starts a fleet whose upstreams crash when a request head contains `deadly`.
-    async fn start(instances: usize, service: &str, deadly: &str) -> Self {
+    async fn start(instances: usize, attempts: u32, service: &str, deadly: &str) -> Self {
         let platform = Arc::new(FakePlatform::default());
-        let mut options = FixtureOptions {
-            attempts: 1,
+        let options = FixtureOptions {
+            attempts,
             ..FixtureOptions::default()
         };
         platform.publish(document(1, &options));
@@ -39,17 +40,28 @@
             platform.list(record(&format!("u{number}"), service, upstream.address));
             upstreams.push(upstream);
         }
-        let mut fixtures: Vec<Fixture> = Vec::new();
+        let mut fleet = Self {
+            platform,
+            fixtures: Vec::new(),
+            upstreams,
+        };
         for instance in &INSTANCES[..instances] {
-            options.instance = instance;
-            options.seeds = fixtures.iter().map(|fixture| fixture.peers).collect();
-            fixtures.push(Fixture::start_with(&options, Arc::clone(&platform)).await);
+            fleet.add_instance(instance).await;
         }
         tokio::time::sleep(WARM_UP).await;
-        Self {
-            fixtures,
-            upstreams,
-        }
+        fleet
+    }
+
+    /// Starts an instance that knows the others.
+    async fn add_instance(&mut self, instance: &'static str) {
+        let options = FixtureOptions {
+            instance,
+            seeds: self.fixtures.iter().map(|fixture| fixture.peers).collect(),
+            ..FixtureOptions::default()
+        };
+        let platform = Arc::clone(&self.platform);
+        self.fixtures
+            .push(Fixture::start_with(&options, platform).await);
     }
 
     fn crashes(&self) -> usize {
@@ -85,7 +97,7 @@
 #[case::three_instances(3)]
 #[tokio::test]
 async fn prompt_part_crashes_engine_after_engine(#[case] instances: usize) {
-    let fleet = CrashFleet::start(instances, "engine", "bad0").await;
+    let fleet = CrashFleet::start(instances, 1, "engine", "bad0").await;
     fleet
         .send_deadly("/stream/a", |number| {
             format!("a1:40,b{number}:20,bad0:20,c{number}:20")
@@ -96,10 +108,26 @@
     assert!(crashes <= CRASHES_MAX, "{crashes} upstreams have crashed");
 }
 
+/// Guards against an instance that joins and sends what the others have blocked.
+#[tokio::test]
+async fn joining_instance_sends_blocked_content() {
+    let mut fleet = CrashFleet::start(2, 1, "engine", "bad0").await;
+    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
+    fleet.send_deadly("/stream/a", parts).await;
+    let crashes = fleet.crashes();
+    fleet.add_instance("g3").await;
+    tokio::time::sleep(WARM_UP).await;
+    // The third instance gets every third of these.
+    fleet
+        .send_deadly("/stream/a", |number| parts(number + 50))
+        .await;
+    assert_eq!(fleet.crashes(), crashes);
+}
+
 /// Guards against refusing sound requests that share other parts with those that crash engines.
 #[tokio::test]
 async fn parts_beside_a_deadly_one_are_refused() {
-    let fleet = CrashFleet::start(3, "engine", "bad0").await;
+    let fleet = CrashFleet::start(3, 1, "engine", "bad0").await;
     fleet
         .send_deadly("/stream/a", |number| {
             format!("a1:40,b2:20,bad0:20,c{number}:20")
@@ -119,7 +147,7 @@
 #[case::three_instances(3)]
 #[tokio::test]
 async fn repeated_request_crashes_upstream_after_upstream(#[case] instances: usize) {
-    let fleet = CrashFleet::start(instances, "plain", "/once/dead").await;
+    let fleet = CrashFleet::start(instances, 1, "plain", "/once/dead").await;
     fleet.send_deadly("/once/dead", |_| String::new()).await;
     let crashes = fleet.crashes();
     assert!(crashes > 0, "no upstream has crashed");
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -98,6 +98,7 @@
   2: required i8 rank
   3: required string crash
   4: required bool is_cleared
+  5: required i64 age_ms
 }
 
 // Content of which the sender has served requests recently.
--- a/crates/wire/src/message/content.rs
+++ b/crates/wire/src/message/content.rs
@@ -1,5 +1,7 @@
 //! Conversions of reports about content that crashes upstreams.
 
+use std::time::Duration;
+
 use cornelarch_core::blocklist::content::{
     ContentKey, ContentLoss, ContentRank, ContentReport, CrashName,
 };
@@ -15,6 +17,7 @@
             loss.key.rank.bits().cast_signed(),
             loss.crash.as_str().to_owned(),
             loss.is_cleared,
+            i64::try_from(loss.age.as_millis()).unwrap_or(i64::MAX),
         )
     });
     let answered = report.answered.iter().map(|key| {
@@ -34,7 +37,7 @@
 }
 
 /// Decodes a report about content; returns `None` for other messages. Entries with an invalid
-/// fingerprint are ignored.
+/// fingerprint or age are ignored.
 #[must_use]
 pub fn decode_content_report(body: &WireBody) -> Option<ContentReport> {
     let WireBody::ContentReport(report) = body else {
@@ -45,6 +48,7 @@
             key: decode_key(&loss.fingerprint, loss.rank)?,
             crash: CrashName::from_text(&loss.crash),
             is_cleared: loss.is_cleared,
+            age: Duration::from_millis(u64::try_from(loss.age_ms).ok()?),
         })
     });
     let answered = report.answered.iter();
