Withdraw waiting requests when their content is blocked

Requests that were already waiting at an engine when their content was blocked still crashed it: 7 upstreams in the new test waiting_request_crashes_its_upstream_after_the_block, at most 5 may. An attempt without a first event now ends when its content is blocked, and the connection is closed, so that the upstream drops the request.

--- a/crates/gateway/src/process/crash.rs
+++ b/crates/gateway/src/process/crash.rs
@@ -9,7 +9,7 @@
     },
 };
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     connection::connect,
@@ -41,6 +41,8 @@
     unconfirmed: Mutex<HashMap<CrashName, Vec<ContentKey>>>,
     /// Wakes the task that decides what is blocked.
     changed: Notify,
+    /// Notifies whenever other content is blocked.
+    decided: watch::Sender<()>,
 }
 
 impl CrashMonitor {
@@ -49,6 +51,7 @@
             table: Mutex::new(ContentTable::new(ContentOptions::default())),
             unconfirmed: Mutex::default(),
             changed: Notify::new(),
+            decided: watch::Sender::new(()),
         }
     }
 
@@ -57,6 +60,15 @@
         self.table.lock().find_blocked(content).cloned()
     }
 
+    /// Waits until some content of a request is blocked.
+    pub(crate) async fn wait_blocked(&self, content: &[ContentKey]) {
+        let mut decided = self.decided.subscribe();
+        while self.find_blocked(content).is_none() {
+            // The sender lives as long as the monitor.
+            let _ = decided.changed().await;
+        }
+    }
+
     /// Returns whether a request that was lost must not be sent again.
     pub(crate) fn is_suspect(&self, content: &[ContentKey], now: MonotonicTime) -> bool {
         self.table.lock().is_suspect(content, now)
@@ -138,7 +150,10 @@
         table.evaluate(state.now());
         let after: Vec<BlockedContent> = table.blocked().cloned().collect();
         drop(table);
-        log_blocked(&before, &after);
+        if before != after {
+            log_blocked(&before, &after);
+            state.crashes.decided.send_replace(());
+        }
     }
 }
 
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -41,6 +41,8 @@
 const ENGINE_PRIORITY_MAX: u8 = 9;
 /// Attempts that fail to reach an upstream before a request is refused.
 const UNREACHED_ATTEMPTS_MAX: u32 = 4;
+/// Reason for which a request is withdrawn from its upstream.
+pub(crate) const CONTENT_BLOCKED: &str = "its content was blocked";
 /// Maximum number of prompt parts in one log line.
 const LOGGED_PARTS_MAX: usize = 8;
 
@@ -100,6 +102,11 @@
     digests.join(",")
 }
 
+/// Returns the failure of an attempt that is withdrawn before the upstream has begun an answer.
+fn withdrawn() -> AttemptFailure {
+    AttemptFailure::new(FlightOutcome::Cancelled, CONTENT_BLOCKED)
+}
+
 fn attempt_outcome(end: FlightOutcome) -> AttemptOutcome {
     match end {
         FlightOutcome::NotReached => AttemptOutcome::NotReached,
@@ -177,8 +184,11 @@
             let flight = InFlightRequest::start(&self.state, &placement, size, &self.content);
             history.tried.push(placement.key);
             let request = self.build_attempt(history, last_event_id);
-            let sent = send_attempt(&self.state, &request, &placement, &flight);
-            let failure = match sent.await {
+            let sent = tokio::select! {
+                sent = send_attempt(&self.state, &request, &placement, &flight) => sent,
+                () = self.state.crashes.wait_blocked(&self.content) => Err(withdrawn()),
+            };
+            let failure = match sent {
                 Ok(attempt) => {
                     history.sent += 1;
                     history.may_have_run = true;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -19,7 +19,7 @@
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
-        exchange::{AttemptHistory, OpenResponse, RequestExchange},
+        exchange::{AttemptHistory, CONTENT_BLOCKED, OpenResponse, RequestExchange},
         head::forwarded_headers,
         in_flight::InFlightRequest,
     },
@@ -187,7 +187,16 @@
         let Some(upstream) = &mut self.upstream else {
             return NextChunk::Broken(FlightOutcome::Lost, "no upstream is connected".to_owned());
         };
-        match timeout_at(end, upstream.body.frame()).await {
+        let crashes = &self.exchange.state.crashes;
+        let is_waiting = self.events == 0;
+        let frame = tokio::select! {
+            frame = timeout_at(end, upstream.body.frame()) => frame,
+            () = crashes.wait_blocked(&self.exchange.content), if is_waiting => {
+                let reason = CONTENT_BLOCKED.to_owned();
+                return NextChunk::Broken(FlightOutcome::Cancelled, reason);
+            }
+        };
+        match frame {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => NextChunk::Data(data),
                 // Trailers are not forwarded.
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -81,6 +81,8 @@
     /// Prompt part or path of the requests that crash the upstream.
     deadly: Mutex<Option<String>>,
     crashed: CancellationToken,
+    /// Time from a deadly request until the upstream crashes, unless the connection is closed.
+    crash_delay: Mutex<Duration>,
 }
 
 impl UpstreamState {
@@ -147,6 +149,11 @@
         upstream
     }
 
+    /// Makes deadly requests wait before they crash the upstream.
+    pub(crate) fn delay_crash(&self, delay: Duration) {
+        *self.state.crash_delay.lock() = delay;
+    }
+
     /// Returns whether the upstream has crashed.
     pub(crate) fn has_crashed(&self) -> bool {
         self.state.crashed.is_cancelled()
@@ -262,6 +269,13 @@
             return false;
         }
         Reply::Crash => {
+            let delay = *state.crash_delay.lock();
+            let mut byte = [0];
+            // A request whose connection is closed before it begins is dropped.
+            if let Ok(Ok(0)) = tokio::time::timeout(delay, stream.read(&mut byte)).await {
+                state.abandoned.fetch_add(1, Ordering::SeqCst);
+                return false;
+            }
             let _ = stream.write_all(stream_head.as_bytes()).await;
             let _ = stream.flush().await;
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -125,6 +125,35 @@
     assert_eq!(fleet.crashes(), crashes);
 }
 
+/// Guards against requests that wait at an upstream when their content is blocked, and crash it
+/// later.
+#[tokio::test]
+async fn waiting_request_crashes_its_upstream_after_the_block() {
+    let fleet = CrashFleet::start(1, 1, "engine", "bad0").await;
+    for upstream in &fleet.upstreams {
+        upstream.delay_crash(Duration::from_millis(600));
+    }
+    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
+    let send = async |number: usize| {
+        // The first ones crash their upstreams while the later ones still wait.
+        tokio::time::sleep(Duration::from_millis(150) * number as u32).await;
+        fleet.send(number, "/stream/a", &parts(number)).await;
+    };
+    tokio::join!(
+        send(0),
+        send(1),
+        send(2),
+        send(3),
+        send(4),
+        send(5),
+        send(6),
+        send(7)
+    );
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let crashes = fleet.crashes();
+    assert!(crashes <= CRASHES_MAX, "{crashes} upstreams have crashed");
+}
+
 /// Guards against refusing sound requests that share other parts with those that crash engines.
 #[tokio::test]
 async fn parts_beside_a_deadly_one_are_refused() {
