Keep blocked content at the platform

When all instances ended at once, they forgot what they had blocked, and the next three requests with it crashed an engine each: six crashes in the new test restarted_fleet_sends_blocked_content, three before the restart.

The blocked content is now stored as ledger/main-blocked, by the first of three instances chosen by rendezvous hashing (the others find it stored), and read at the start, before the instance is ready. An unreadable copy or a platform that is away does not stop the start.

--- a/crates/gateway/src/process/crash.rs
+++ b/crates/gateway/src/process/crash.rs
@@ -60,9 +60,14 @@
         self.table.lock().find_blocked(content).cloned()
     }
 
+    /// Returns a receiver of notifications that other content is blocked.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<()> {
+        self.decided.subscribe()
+    }
+
     /// Waits until some content of a request is blocked.
     pub(crate) async fn wait_blocked(&self, content: &[ContentKey]) {
-        let mut decided = self.decided.subscribe();
+        let mut decided = self.subscribe();
         while self.find_blocked(content).is_none() {
             // The sender lives as long as the monitor.
             let _ = decided.changed().await;
@@ -107,6 +112,19 @@
         });
     }
 
+    /// Decides what content is blocked.
+    pub(crate) fn decide_blocked(&self) {
+        let mut table = self.crashes.table.lock();
+        let before: Vec<BlockedContent> = table.blocked().cloned().collect();
+        table.evaluate(self.now());
+        let after: Vec<BlockedContent> = table.blocked().cloned().collect();
+        drop(table);
+        if before != after {
+            log_blocked(&before, &after);
+            self.crashes.decided.send_replace(());
+        }
+    }
+
     /// Records the loss of a request. If the upstream has crashed, its content is charged with it.
     pub(crate) fn record_loss(self: &Arc<Self>, lost: LostRequest) {
         let mut unconfirmed = self.crashes.unconfirmed.lock();
@@ -145,15 +163,7 @@
     loop {
         state.crashes.changed.notified().await;
         tokio::time::sleep(SETTLE_TIME).await;
-        let mut table = state.crashes.table.lock();
-        let before: Vec<BlockedContent> = table.blocked().cloned().collect();
-        table.evaluate(state.now());
-        let after: Vec<BlockedContent> = table.blocked().cloned().collect();
-        drop(table);
-        if before != after {
-            log_blocked(&before, &after);
-            state.crashes.decided.send_replace(());
-        }
+        state.decide_blocked();
     }
 }
 
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -20,7 +20,7 @@
     edge::{HeaderNames, PlatformEdge},
     process::{
         GatewayPhase, GatewaySettings, GatewayState, PeerCommand, SharedLedger, log_event,
-        run_blocking, run_ledger, run_peers, sync_directory, sync_document,
+        run_blocking, run_ledger, run_peers, sync_blocklist, sync_directory, sync_document,
     },
     request::{ResponseBody, empty_response, full_body, handle_request},
 };
@@ -96,6 +96,7 @@
         let tasks = &mut gateway.tasks;
         tasks.spawn(sync_document(Arc::clone(&state), Arc::clone(&edge)));
         tasks.spawn(sync_directory(Arc::clone(&state), Arc::clone(&edge)));
+        tasks.spawn(sync_blocklist(Arc::clone(&state), Arc::clone(&edge)));
         tasks.spawn(run_ledger(Arc::clone(&state), edge, events));
         tasks.spawn(run_peers(Arc::clone(&state), holder, socket, commands));
         tasks.spawn(run_blocking(Arc::clone(&state)));
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -88,6 +88,10 @@
     LedgerRead,
     /// Write of a ledger object.
     LedgerWrite,
+    /// Read of the blocked content.
+    BlocklistRead,
+    /// Write of the blocked content.
+    BlocklistWrite,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! Process-wide state and background tasks of a gateway.
 
+mod blocklist;
 mod crash;
 mod event;
 mod gateway;
@@ -11,6 +12,7 @@
 mod state;
 mod sync;
 
+pub(crate) use blocklist::sync_blocklist;
 pub(crate) use crash::{CrashMonitor, LostRequest, run_blocking};
 pub use event::LogEvent;
 pub(crate) use event::log_event;
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -27,6 +27,11 @@
 const LATEST_READERS: usize = 3;
 /// Hash key for selecting these instances among the live members.
 const READER_SELECTION_KEY: &str = "readers";
+/// Number of instances of the fleet that store the blocked content. With three, two may be
+/// partitioned or slow.
+const BLOCKLIST_WRITERS: usize = 3;
+/// Hash key for selecting these instances among the live members.
+const WRITER_SELECTION_KEY: &str = "blocklist";
 /// Number of instances that tell a new one what is blocked; datagrams may be lost.
 const INFORMANTS: usize = 3;
 /// Interval at which an instance tells a random peer what is blocked.
@@ -213,6 +218,14 @@
         let readers = choose_owners(READER_SELECTION_KEY, names, LATEST_READERS);
         self.state
             .set_reads_latest(readers.contains(&&self.holder.instance));
+        let names = self.table.live_records();
+        let names = names.map(|record| &record.holder.instance);
+        let writers = choose_owners(WRITER_SELECTION_KEY, names, BLOCKLIST_WRITERS);
+        let place = writers
+            .iter()
+            .position(|writer| **writer == self.holder.instance);
+        let place = place.and_then(|place| u32::try_from(place).ok());
+        self.state.set_writer_place(place);
         self.state.notify_ledger(LedgerEvent::PeersChanged(live));
     }
 
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -35,6 +35,8 @@
 /// Time without confirmation after which a configuration counts as possibly outdated, so that an
 /// unknown host or key may be valid.
 const CONFIRMATION_MAX_AGE: Duration = Duration::from_secs(6);
+/// Place of an instance that does not store the blocked content.
+const NO_WRITER: u32 = u32::MAX;
 /// Assumed number of instances that share the slack of the retry budget until the membership is
 /// known.
 const INSTANCES_INITIAL: usize = 8;
@@ -66,10 +68,12 @@
     /// Newest configuration version reported by a peer, if it is newer than the active one.
     pub(crate) peer_version: watch::Sender<u64>,
     reads_latest: AtomicBool,
+    writer_place: AtomicU32,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
     peer_commands: mpsc::UnboundedSender<PeerCommand>,
     retry_budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
     has_directory: AtomicBool,
+    has_blocklist: AtomicBool,
     confirmed_us: AtomicU64,
     phase: AtomicU8,
     running: AtomicUsize,
@@ -100,10 +104,12 @@
             outage: Mutex::default(),
             peer_version: watch::Sender::new(0),
             reads_latest: AtomicBool::new(false),
+            writer_place: AtomicU32::new(0),
             ledger_events,
             peer_commands,
             retry_budgets: Mutex::default(),
             has_directory: AtomicBool::new(false),
+            has_blocklist: AtomicBool::new(false),
             confirmed_us: AtomicU64::new(0),
             phase: AtomicU8::new(GatewayPhase::Serving as u8),
             running: AtomicUsize::new(0),
@@ -192,6 +198,18 @@
         self.reads_latest.store(reads_latest, Ordering::Release);
     }
 
+    /// Returns the place of this instance in the order of those that store the blocked content, or
+    /// `None` if it is not among them.
+    pub(crate) fn writer_place(&self) -> Option<u32> {
+        let place = self.writer_place.load(Ordering::Acquire);
+        (place != NO_WRITER).then_some(place)
+    }
+
+    pub(crate) fn set_writer_place(&self, place: Option<u32>) {
+        let place = place.unwrap_or(NO_WRITER);
+        self.writer_place.store(place, Ordering::Release);
+    }
+
     /// Records the active configuration version of a peer.
     pub(crate) fn record_peer_version(&self, version: u64) {
         if version > self.version() {
@@ -208,10 +226,16 @@
         self.has_directory.store(true, Ordering::Release);
     }
 
+    /// Records that the stored copy of the blocked content was read, or cannot be read now.
+    pub(crate) fn confirm_blocklist(&self) {
+        self.has_blocklist.store(true, Ordering::Release);
+    }
+
     /// Returns whether the instance should get new connections.
     pub(crate) fn is_ready(&self) -> bool {
         self.phase() == GatewayPhase::Serving
             && self.has_directory.load(Ordering::Acquire)
+            && self.has_blocklist.load(Ordering::Acquire)
             && self.document.load().is_some()
     }
 
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -4,7 +4,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use common::{FakePlatform, FakeUpstream, Fixture, FixtureOptions, document, record};
+use cornelarch_gateway::PlatformEdge;
 use reqwest::StatusCode;
 use rstest::rstest;
 
@@ -15,6 +17,8 @@
 const DEADLY_REQUESTS: usize = 16;
 const DEADLY_PERIOD: Duration = Duration::from_millis(150);
 const INSTANCES: [&str; 3] = ["g1", "g2", "g3"];
+/// Name of the stored copy of the blocked content.
+const STORED_NAME: &str = "test-blocked";
 /// Time in which instances discover each other and their upstreams.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
@@ -125,6 +129,47 @@
     assert_eq!(fleet.crashes(), crashes);
 }
 
+/// Guards against a fleet that forgets what it has blocked when all instances end at once.
+#[tokio::test]
+async fn restarted_fleet_sends_blocked_content() {
+    let mut fleet = CrashFleet::start(2, 1, "engine", "bad0").await;
+    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
+    fleet.send_deadly("/stream/a", parts).await;
+    let crashes = fleet.crashes();
+    fleet.fixtures.clear();
+    fleet.add_instance("g1").await;
+    fleet.add_instance("g2").await;
+    fleet
+        .send_deadly("/stream/a", |number| parts(number + 50))
+        .await;
+    assert_eq!(fleet.crashes(), crashes);
+}
+
+/// Guards against an instance that does not start, or forgets what it blocks, because the stored
+/// copy cannot be read or the platform is away.
+#[tokio::test]
+async fn unreadable_copy_of_the_blocked_content_is_fatal() {
+    let mut fleet = CrashFleet::start(1, 1, "engine", "bad0").await;
+    let garbage = Bytes::from_static(b"[1]");
+    let written = fleet.platform.write_object(STORED_NAME, 0, garbage).await;
+    written.expect("object is new");
+    fleet.fixtures.clear();
+    fleet.add_instance("g1").await;
+    fleet.platform.set_down(true);
+    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
+    fleet.send_deadly("/stream/a", parts).await;
+    let crashes = fleet.crashes();
+    assert!(crashes <= CRASHES_MAX, "{crashes} upstreams have crashed");
+    fleet.platform.set_down(false);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.fixtures.clear();
+    fleet.add_instance("g1").await;
+    fleet
+        .send_deadly("/stream/a", |number| parts(number + 50))
+        .await;
+    assert_eq!(fleet.crashes(), crashes);
+}
+
 /// Guards against requests that wait at an upstream when their content is blocked, and crash it
 /// later.
 #[tokio::test]
