Do not take the end of a crashed upstream for the end of its answer

An answer without a length or chunks ends with its connection. If the upstream ended as well, between two events or in the middle of a body, the caller got the part as a complete success, and a stream that may be resumed was not. An empty stream without a length counted as complete, too.

Cause: a closed connection was taken for the end of the answer, whatever had closed it. The gateway now checks, for such answers only, whether the upstream still accepts connections, unless it is leaving; if not, the answer has broken off. A stream without a length and without an event has as well.

--- a/crates/gateway/src/process/crash.rs
+++ b/crates/gateway/src/process/crash.rs
@@ -7,6 +7,7 @@
     blocklist::content::{
         BlockedContent, ContentKey, ContentOptions, ContentReport, ContentTable, CrashName,
     },
+    placement::PlacementKey,
 };
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -125,6 +126,16 @@
         }
     }
 
+    /// Returns whether a response that ended with its connection is complete. If its upstream does
+    /// not run any more, it may have broken off.
+    pub(crate) async fn is_complete(&self, key: PlacementKey, address: SocketAddr) -> bool {
+        // An upstream that is leaving refuses connections although it serves to the end.
+        if !self.placement.lock().is_listed(key) {
+            return true;
+        }
+        matches!(check_upstream(address).await, UpstreamStatus::Running)
+    }
+
     /// Records the loss of a request. If the upstream has crashed, its content is charged with it.
     pub(crate) fn record_loss(self: &Arc<Self>, lost: LostRequest) {
         let mut unconfirmed = self.crashes.unconfirmed.lock();
@@ -185,16 +196,32 @@
     }
 }
 
-/// Checks whether a lost upstream has crashed. A process that has ended refuses connections; one
-/// that lost a single answer or connection accepts them, and one behind a partition does neither.
+/// Whether the process of an upstream runs.
+enum UpstreamStatus {
+    Running,
+    Ended,
+    Unknown(io::Error),
+}
+
+/// Checks whether the process of an upstream runs. One that has ended refuses connections, and one
+/// behind a partition neither refuses nor accepts them.
+async fn check_upstream(address: SocketAddr) -> UpstreamStatus {
+    match connect(address, CONFIRM_TIMEOUT).await {
+        Ok(_) => UpstreamStatus::Running,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => UpstreamStatus::Ended,
+        Err(error) => UpstreamStatus::Unknown(error),
+    }
+}
+
+/// Checks whether a lost upstream has crashed, or has only lost an answer or a connection.
 async fn confirm_crash(state: Arc<GatewayState>, lost: LostRequest) {
     tokio::time::sleep(GATHER_TIME).await;
-    let checked = connect(lost.address, CONFIRM_TIMEOUT).await;
+    let status = check_upstream(lost.address).await;
     let content = state.crashes.unconfirmed.lock().remove(&lost.crash);
     let content = content.unwrap_or_default();
     let upstream = &lost.upstream;
-    match checked {
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+    match status {
+        UpstreamStatus::Ended => {
             log_event!(
                 UpstreamCrashed,
                 "upstream={upstream} content={}",
@@ -204,7 +231,9 @@
             let now = state.now();
             state.update_content(|table| table.record_crash(&lost.crash, &content, now));
         }
-        Err(error) => log::debug!("unknown whether upstream {upstream} has crashed: {error}"),
-        Ok(_) => log::debug!("upstream {upstream} has lost a request, but runs"),
+        UpstreamStatus::Unknown(error) => {
+            log::debug!("unknown whether upstream {upstream} has crashed: {error}");
+        }
+        UpstreamStatus::Running => log::debug!("upstream {upstream} lost a request, but runs"),
     }
 }
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -13,8 +13,8 @@
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
-        exchange::{OpenResponse, RequestExchange},
-        head::forwarded_headers,
+        exchange::{ENDED_WITH_UPSTREAM, OpenResponse, RequestExchange},
+        head::{forwarded_headers, is_unframed},
         response::full_body,
     },
 };
@@ -85,12 +85,16 @@
 ) -> Result<BufferedResponse, FlightOutcome> {
     let OpenResponse { attempt, flight } = opened;
     let (parts, body) = attempt.response.into_parts();
+    let is_unframed = is_unframed(&parts.headers, &body);
     let collected = timeout_at(
         exchange.hard_deadline,
         Limited::new(body, RESPONSE_MAX).collect(),
     )
     .await;
     let (end, reason) = match collected {
+        Ok(Ok(_)) if !flight.is_complete(is_unframed).await => {
+            (FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned())
+        }
         Ok(Ok(body)) => {
             let pool = &exchange.state.pool;
             pool.release(&flight.upstream, attempt.connection, &parts.headers);
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -4,6 +4,7 @@
 
 use cornelarch_core::placement::{PromptPart, RequestSize};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
+use hyper::body::Body;
 
 use crate::edge::HeaderNames;
 
@@ -35,6 +36,13 @@
     pub(crate) attempt_id: HeaderValue,
 }
 
+/// Returns whether a response has a body without a length or chunks, which ends with its connection.
+pub(crate) fn is_unframed(headers: &HeaderMap, body: &impl Body) -> bool {
+    let has_framing = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    !has_framing && !body.is_end_stream()
+}
+
 /// Returns the headers of a message without the hop-by-hop headers.
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Returns whether the response is complete after its last byte. One without a length or chunks
+    /// ends with its connection, whether it is complete or the upstream has crashed.
+    pub(crate) async fn is_complete(&self, is_unframed: bool) -> bool {
+        !is_unframed || self.state.is_complete(self.key, self.lost.address).await
+    }
+
     /// Records how the request ended.
     pub(crate) fn finish(mut self, end: FlightOutcome) {
         self.end(end);
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -19,8 +19,10 @@
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
-        exchange::{AttemptHistory, CONTENT_BLOCKED, OpenResponse, RequestExchange},
-        head::forwarded_headers,
+        exchange::{
+            AttemptHistory, CONTENT_BLOCKED, ENDED_WITH_UPSTREAM, OpenResponse, RequestExchange,
+        },
+        head::{forwarded_headers, is_unframed},
         in_flight::InFlightRequest,
     },
 };
@@ -58,12 +60,14 @@
     connection: PooledConnection,
     headers: http::HeaderMap,
     flight: InFlightRequest,
+    is_unframed: bool,
 }
 
 impl UpstreamBody {
     fn open(opened: OpenResponse) -> Self {
         let (parts, body) = opened.attempt.response.into_parts();
         Self {
+            is_unframed: is_unframed(&parts.headers, &body),
             body,
             connection: opened.attempt.connection,
             headers: parts.headers,
@@ -139,6 +143,14 @@
                         return Some((Err(error), self));
                     }
                 }
+                NextChunk::End if self.is_empty_unframed() => {
+                    if let Err(error) = self
+                        .resume(FlightOutcome::Lost, "stream ended before its first event")
+                        .await
+                    {
+                        return Some((Err(error), self));
+                    }
+                }
                 NextChunk::End if self.splitter.has_partial_event() => {
                     if let Err(error) = self
                         .resume(FlightOutcome::Lost, "stream ended inside an event")
@@ -163,6 +175,12 @@
         }
     }
 
+    /// Returns whether a response that only ends with its connection has no event.
+    fn is_empty_unframed(&self) -> bool {
+        let upstream = self.upstream.as_ref();
+        self.events == 0 && upstream.is_some_and(|upstream| upstream.is_unframed)
+    }
+
     /// Returns the next bytes of a response that is not a stream, such as an error of the upstream.
     async fn next_plain_frame(mut self) -> RelayItem {
         if self.is_finished {
@@ -203,7 +221,8 @@
                 Err(_) => NextChunk::Data(Bytes::new()),
             },
             Ok(Some(Err(error))) => NextChunk::Broken(FlightOutcome::Lost, error.to_string()),
-            Ok(None) => NextChunk::End,
+            Ok(None) if upstream.flight.is_complete(upstream.is_unframed).await => NextChunk::End,
+            Ok(None) => NextChunk::Broken(FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned()),
             Err(_) => NextChunk::Broken(
                 FlightOutcome::TimedOut,
                 "deadline of the request has passed".to_owned(),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use reqwest::{Client, RequestBuilder};
 
 pub(crate) use platform::FakePlatform;
-pub(crate) use upstream::{FakeUpstream, Reply};
+pub(crate) use upstream::{FakeUpstream, Reply, UnframedEnd};
 
 pub(crate) const KEY: &str = "key-1";
 /// Attempts to bind a gateway, each with a new set of free addresses.
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -46,11 +46,24 @@
     EndlessBody,
     /// Sends header lines until the gateway closes the connection.
     EndlessHead,
+    /// Sends these texts without a length or chunks and ends in this way.
+    Unframed(Vec<String>, UnframedEnd),
     /// Sends the head of an event stream; then the process ends: all connections are closed and the
     /// port refuses new ones.
     Crash,
 }
 
+/// How a response without a length or chunks ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnframedEnd {
+    /// The upstream closes the connection.
+    Closed,
+    /// The upstream resets the connection.
+    Reset,
+    /// The process ends, which closes the connection as well.
+    Crashed,
+}
+
 /// A request as an upstream received it.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -282,6 +295,20 @@
             state.crashed.cancel();
             return false;
         }
+        Reply::Unframed(texts, end) => {
+            let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
+            let _ = stream.write_all((head + &texts.concat()).as_bytes()).await;
+            let _ = stream.flush().await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            match end {
+                UnframedEnd::Closed => {}
+                UnframedEnd::Reset => {
+                    let _ = stream.set_zero_linger();
+                }
+                UnframedEnd::Crashed => state.crashed.cancel(),
+            }
+            return false;
+        }
         Reply::EndlessBody => {
             return send_endless(
                 stream,
