Do not block a popular part for a quick series of unrelated crashes

Its sound requests in that time were refused for good.

Crashes less than a second apart now count as one for content that was answered within the last minute, since answers take that long. The new test popular_part_is_blocked_in_a_series_of_crashes failed before; its second case holds that a part that becomes deadly is still blocked.

--- a/crates/core/src/blocklist/content/table.rs
+++ b/crates/core/src/blocklist/content/table.rs
@@ -26,6 +26,9 @@
 const MEMORY_FACTOR: u32 = 3;
 /// Time between crashes below which they count as one.
 const DEFAULT_CRASH_GAP: Duration = Duration::from_millis(100);
+/// The same for content of which requests were answered recently. Answers take about a second, so
+/// that they cannot clear it between crashes that come faster.
+const DEFAULT_ANSWERED_GAP: Duration = Duration::from_secs(1);
 /// Time for which an answer speaks for the content of its request.
 const DEFAULT_ANSWER_AGE: Duration = Duration::from_secs(60);
 /// Default limit on the number of entries, and of pieces of content with answers.
@@ -44,6 +47,9 @@
     pub block: Duration,
     /// Time between crashes below which they count as one.
     pub crash_gap: Duration,
+    /// Time between crashes below which they count as one for content of which requests were
+    /// answered recently.
+    pub answered_gap: Duration,
     /// Time for which an answer speaks for the content of its request.
     pub answer_age: Duration,
     /// Maximum number of entries; the oldest are evicted first.
@@ -56,6 +62,7 @@
             losses_max: DEFAULT_LOSSES_MAX,
             block: DEFAULT_BLOCK,
             crash_gap: DEFAULT_CRASH_GAP,
+            answered_gap: DEFAULT_ANSWERED_GAP,
             answer_age: DEFAULT_ANSWER_AGE,
             entries_max: DEFAULT_ENTRIES_MAX,
         }
@@ -273,8 +280,13 @@
             .collect();
         self.blocked.clear();
         loop {
-            let gap = self.options.crash_gap;
-            candidates.retain(|(_, entry)| entry.separate(&explained, gap) >= losses_max);
+            candidates.retain(|(_, entry)| {
+                let gap = match entry.was_answered {
+                    true => self.options.answered_gap,
+                    false => self.options.crash_gap,
+                };
+                entry.separate(&explained, gap) >= losses_max
+            });
             let counts = candidates.iter();
             let counts = counts.map(|(_, entry)| entry.unexplained(&explained).count());
             let Some(most) = counts.max() else { return };
--- a/crates/core/tests/content.rs
+++ b/crates/core/tests/content.rs
@@ -183,6 +183,22 @@
     assert!(!is_blocked(&mut table, &[SYSTEM], 90));
 }
 
+/// Guards against blocking a part of many sound requests when upstreams crash one after the other
+/// for other reasons, faster than answers arrive; and against serving it for ever if it has become
+/// deadly.
+#[rstest]
+#[case::unrelated(150, false)]
+#[case::deadly(700, true)]
+fn popular_part_is_blocked_in_a_series_of_crashes(#[case] period_ms: u64, #[case] expected: bool) {
+    let mut table = table();
+    table.record_answer(&request(&[SYSTEM], 90), MonotonicTime::from_millis(900));
+    for number in 0..5 {
+        let now = MonotonicTime::from_millis(1_000 + number * period_ms);
+        table.record_crash(&crash(number), &request(&[SYSTEM], number), now);
+    }
+    assert_eq!(is_blocked(&mut table, &[SYSTEM], 91), expected);
+}
+
 /// Guards against counting the loss of one upstream once per instance that reports it.
 #[test]
 fn one_crash_counts_once_per_report() {
