Block a chat message that crashes engines in unlike requests

The same cause in the product's own interface: cornelarch-router charges a crash to whole requests, so that requests which are not alike but share a message crashed one engine after the other, twice each with the retry.

The router now charges crashes to each message but the last as well, with the table of the gateway, and tells the routers of its domain. Operators see and unblock such messages as they do requests.

--- a/crates/core/src/blocklist/content/report.rs
+++ b/crates/core/src/blocklist/content/report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    base::{CustomerName, ServiceName, UpstreamName},
+    base::{CustomerName, ModelName, ServiceName, UpstreamName},
     blocklist::Fingerprint,
     placement::{RequestSize, shared_parts},
 };
@@ -67,6 +67,20 @@
         }
     }
 
+    /// Returns the keys of the messages of a chat that other requests to the model may share: all but
+    /// the last.
+    pub fn of_messages<'a>(
+        model: &'a ModelName,
+        messages: &'a [&'a [u8]],
+    ) -> impl Iterator<Item = Self> + 'a {
+        let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared = shared.iter().enumerate();
+        shared.map(|(position, message)| Self {
+            fingerprint: Fingerprint::of_message(model, message),
+            rank: ContentRank::of_part(position),
+        })
+    }
+
     /// Returns the keys of the prompt parts that a request to `service` may share with others.
     pub fn of_parts<'a>(
         service: &'a ServiceName,
--- a/crates/core/src/blocklist/content/table.rs
+++ b/crates/core/src/blocklist/content/table.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use serde::Serialize;
+
 use crate::{
     base::MonotonicTime,
     blocklist::{
@@ -70,7 +72,7 @@
 }
 
 /// A piece of blocked content.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BlockedContent {
     /// The content.
     pub key: ContentKey,
@@ -212,6 +214,27 @@
         report
     }
 
+    /// Clears all crashes of a piece of content, on behalf of an operator. Returns the report to the
+    /// other instances.
+    pub fn unblock(&mut self, fingerprint: Fingerprint, now: MonotonicTime) -> ContentReport {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return ContentReport::default();
+        };
+        let key = ContentKey {
+            fingerprint,
+            rank: entry.rank,
+        };
+        self.has_changed = true;
+        let cleared = entry.clear();
+        ContentReport {
+            losses: cleared
+                .iter()
+                .map(|charged| charged.describe(key, now))
+                .collect(),
+            answered: Vec::new(),
+        }
+    }
+
     /// Forgets crashes that were long ago. Blocked content needs a new decision as time passes.
     pub fn expire(&mut self, now: MonotonicTime) {
         let memory = self.options.block * MEMORY_FACTOR;
--- a/crates/core/src/blocklist/fingerprint.rs
+++ b/crates/core/src/blocklist/fingerprint.rs
@@ -6,7 +6,7 @@
 use snafu::Snafu;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-use crate::base::{CustomerName, ServiceName, UpstreamName};
+use crate::base::{CustomerName, ModelName, ServiceName, UpstreamName};
 
 /// Hash that identifies equal requests of one customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -25,6 +25,12 @@
         Self::hash_fields(&[service.as_str().as_bytes(), &digest.to_le_bytes()])
     }
 
+    /// Computes the fingerprint of a message in chats with a model.
+    #[must_use]
+    pub fn of_message(model: &ModelName, message: &[u8]) -> Self {
+        Self::hash_fields(&[model.as_str().as_bytes(), message])
+    }
+
     fn hash_fields(fields: &[&[u8]]) -> Self {
         let mut hasher = Xxh3::new();
         // Length prefixes separate the fields, so that different content gives different inputs.
--- a/crates/router/src/process/dispatcher/mod.rs
+++ b/crates/router/src/process/dispatcher/mod.rs
@@ -10,6 +10,9 @@
     blocklist::{
         CrashEffect, CrashEntry, CrashOptions, CrashReport, CrashTable, CrashVerdict, Fingerprint,
         FlightKey,
+        content::{
+            BlockedContent, ContentKey, ContentOptions, ContentReport, ContentTable, CrashName,
+        },
     },
     config::{Document, UpstreamKind, UpstreamState},
     error::ErrorKind,
@@ -23,7 +26,7 @@
     },
 };
 use parking_lot::Mutex;
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
@@ -42,12 +45,28 @@
 pub(crate) struct DispatchRequest {
     /// Routing requirements of the request.
     pub(crate) route: RouteRequest,
-    /// Identity of the request in the crash table.
-    pub(crate) fingerprint: Fingerprint,
+    /// What crashes of upstreams are charged to.
+    pub(crate) identity: RequestIdentity,
     /// Attributes that determine the position in the admission queue.
     pub(crate) queue: QueueRequest,
 }
 
+/// What crashes of upstreams are charged to.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestIdentity {
+    /// Stands for all equal requests of one customer.
+    pub(crate) fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: Arc<[ContentKey]>,
+}
+
+/// Reports about crashes to the peers.
+#[derive(Debug, Default)]
+pub(crate) struct DispatchReports {
+    pub(crate) crashes: Vec<CrashReport>,
+    pub(crate) content: ContentReport,
+}
+
 /// Describes a started attempt, for use after the lock is released.
 #[derive(Debug)]
 struct StartedWork {
@@ -56,6 +75,7 @@
     upstream: UpstreamName,
     address: SocketAddr,
     losses: u64,
+    parts: Arc<[ContentKey]>,
     cancel: CancellationToken,
 }
 
@@ -93,6 +113,9 @@
     retry: RetryBudget,
     policy: RetryPolicy,
     crash: CrashTable,
+    content: ContentTable,
+    /// Distinguishes the losses that this router counts from those of others.
+    incarnation: u64,
     flights: HashMap<FlightKey, CancellationToken>,
     generator: StdRng,
 }
@@ -119,6 +142,8 @@
                 retry: RetryBudget::new(RetryBudgetOptions::default()),
                 policy: RetryPolicy::default(),
                 crash: CrashTable::new(CrashOptions::default()),
+                content: ContentTable::new(ContentOptions::default()),
+                incarnation: rand::rng().random(),
                 flights: HashMap::new(),
                 generator: StdRng::from_os_rng(),
             }),
@@ -201,9 +226,22 @@
         }
     }
 
-    /// Returns whether a request may run or is blocked because it crashed upstreams.
-    pub(crate) fn verdict(&self, fingerprint: Fingerprint, now: MonotonicTime) -> CrashVerdict {
-        self.inner.lock().crash.verdict(fingerprint, now)
+    /// Returns the fingerprint of the request or of the part of its prompt that is blocked because
+    /// it crashed upstreams.
+    pub(crate) fn find_blocked(
+        &self,
+        identity: &RequestIdentity,
+        now: MonotonicTime,
+    ) -> Option<Fingerprint> {
+        let mut inner = self.inner.lock();
+        if inner.crash.verdict(identity.fingerprint, now) == CrashVerdict::Blocked {
+            return Some(identity.fingerprint);
+        }
+        if inner.content.has_changed() {
+            inner.content.evaluate(now);
+        }
+        let blocked = inner.content.find_blocked(&identity.parts);
+        blocked.map(|content| content.key.fingerprint)
     }
 
     /// Adds a first attempt to the retry budget.
@@ -258,16 +296,37 @@
         inner.run_crash_effects(effects);
     }
 
-    /// Clears the crash record of a request; returns the reports for peers.
-    pub(crate) fn unblock(&self, fingerprint: Fingerprint, now: MonotonicTime) -> Vec<CrashReport> {
+    /// Merges the report of a peer about parts of prompts; returns the answer for the peers.
+    pub(crate) fn merge_content(
+        &self,
+        report: &ContentReport,
+        now: MonotonicTime,
+    ) -> ContentReport {
+        self.inner.lock().content.merge(report, now)
+    }
+
+    /// Clears the crash record of a request or of a part of a prompt; returns the reports for peers.
+    pub(crate) fn unblock(&self, fingerprint: Fingerprint, now: MonotonicTime) -> DispatchReports {
         let mut inner = self.inner.lock();
         let effects = inner.crash.unblock(fingerprint, now);
-        inner.run_crash_effects(effects)
+        DispatchReports {
+            crashes: inner.run_crash_effects(effects),
+            content: inner.content.unblock(fingerprint, now),
+        }
     }
 
-    /// Removes expired entries of the crash table.
+    /// Removes expired entries of the crash tables.
     pub(crate) fn expire(&self, now: MonotonicTime) {
-        self.inner.lock().crash.expire(now);
+        let mut inner = self.inner.lock();
+        inner.crash.expire(now);
+        inner.content.expire(now);
+    }
+
+    /// Returns the blocked parts of prompts.
+    pub(crate) fn blocked_content(&self, now: MonotonicTime) -> Vec<BlockedContent> {
+        let mut inner = self.inner.lock();
+        inner.content.evaluate(now);
+        inner.content.blocked().cloned().collect()
     }
 
     /// Returns a snapshot of the upstream table.
@@ -371,10 +430,20 @@
         outcome: AttemptOutcome,
         connection_lost: bool,
         now: MonotonicTime,
-    ) -> Vec<CrashReport> {
+    ) -> DispatchReports {
         let mut inner = self.inner.lock();
         inner.table.finished(started.work, outcome, now);
         inner.flights.remove(&started.flight);
+        let content = match outcome {
+            AttemptOutcome::Answered => inner.content.record_answer(&started.parts, now),
+            _ if connection_lost => {
+                // Routers count the losses of an upstream for themselves.
+                let number = inner.incarnation.wrapping_add(started.losses);
+                let crash = CrashName::new(&started.upstream, Some(number));
+                inner.content.record_crash(&crash, &started.parts, now)
+            }
+            _ => ContentReport::default(),
+        };
         let effects = match outcome {
             AttemptOutcome::Answered => inner.crash.answered(started.flight, now),
             _ if connection_lost => inner.charge_loss(started, now),
@@ -383,7 +452,10 @@
                 Vec::new()
             }
         };
-        inner.run_crash_effects(effects)
+        DispatchReports {
+            crashes: inner.run_crash_effects(effects),
+            content,
+        }
     }
 }
 
@@ -401,6 +473,10 @@
             block: Duration::from_secs(limits.block_s),
             ..CrashOptions::default()
         });
+        self.content = ContentTable::new(ContentOptions {
+            block: Duration::from_secs(limits.block_s),
+            ..ContentOptions::default()
+        });
         self.retry = RetryBudget::new(RetryBudgetOptions {
             ratio: limits.retry_percent as f64 / 100.0,
             ..RetryBudgetOptions::default()
@@ -419,7 +495,9 @@
             let allowed = route.allowed.as_ref();
             allowed.is_none_or(|allowed| allowed.contains(name)) && !route.excluded.contains(name)
         });
-        let suspects = self.crash.excluded(request.fingerprint, usable, now);
+        let suspects = self
+            .crash
+            .excluded(request.identity.fingerprint, usable, now);
         let selection = if suspects.is_empty() {
             self.table
                 .select(&request.route, now, &mut self.generator)?
@@ -435,7 +513,7 @@
         let work = self.table.started(selection.key, &request.route, now);
         let flight = self
             .crash
-            .started(request.fingerprint, &selection.upstream, now);
+            .started(request.identity.fingerprint, &selection.upstream, now);
         let cancel = CancellationToken::new();
         self.flights.insert(flight, cancel.clone());
         if let Some(queue) = self.queues.get_mut(&request.route.target) {
@@ -447,6 +525,7 @@
             upstream: selection.upstream,
             address: endpoint.address,
             losses: endpoint.losses,
+            parts: Arc::clone(&request.identity.parts),
             cancel,
         })
     }
--- a/crates/router/src/process/dump.rs
+++ b/crates/router/src/process/dump.rs
@@ -29,6 +29,7 @@
         "members": fleet.members,
         "links": links,
         "crash_table": state.dispatcher.crash_snapshot(now),
+        "blocked_content": state.dispatcher.blocked_content(now),
         "metrics": build_metrics(state),
     })
 }
--- a/crates/router/src/process/mod.rs
+++ b/crates/router/src/process/mod.rs
@@ -18,7 +18,9 @@
 
 pub(crate) use clock::RouterClock;
 pub(crate) use config::ConfigActor;
-pub(crate) use dispatcher::{DispatchRequest, UpstreamAttempt, UpstreamDispatcher};
+pub(crate) use dispatcher::{
+    DispatchReports, DispatchRequest, RequestIdentity, UpstreamAttempt, UpstreamDispatcher,
+};
 pub(crate) use event::log_event;
 pub(crate) use ledger::{LedgerActor, SharedLedger};
 pub(crate) use members::{FleetView, MemberActor};
--- a/crates/router/src/process/operator.rs
+++ b/crates/router/src/process/operator.rs
@@ -83,5 +83,5 @@
     let message = WireUnblock::new(fingerprint.to_string());
     state.send_to_domain(&WireBody::Unblock(message));
     log_event!(RequestUnblocked, "{fingerprint}");
-    Json(json!({"unblocked": fingerprint, "cleared": reports.len()})).into_response()
+    Json(json!({"unblocked": fingerprint, "cleared": reports.crashes.len() + reports.content.losses.len()})).into_response()
 }
--- a/crates/router/src/process/router.rs
+++ b/crates/router/src/process/router.rs
@@ -445,6 +445,11 @@
 
 fn deliver_crash(state: &RouterState, body: &WireBody) -> bool {
     let now = state.now();
+    if let Some(report) = cornelarch_wire::decode_content_report(body) {
+        let answer = state.dispatcher.merge_content(&report, now);
+        state.broadcast_content(&answer);
+        return true;
+    }
     match body {
         WireBody::CrashReport(report) => {
             let Ok(fingerprint) = report.fingerprint.parse() else {
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -12,13 +12,16 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cornelarch_core::{
     base::{DomainName, HolderId, MonotonicTime},
-    blocklist::CrashReport,
+    blocklist::content::ContentReport,
     budget::{self, BudgetLedger, LedgerEvent, LedgerOptions},
     config::{self, ConfigEvent, Document},
     membership::MemberEvent,
 };
 use cornelarch_platform::HttpStore;
-use cornelarch_wire::peer::{WireBody, WireCrashReport};
+use cornelarch_wire::{
+    encode_content_report,
+    peer::{WireBody, WireCrashReport},
+};
 use kameo::actor::ActorRef;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -26,8 +29,9 @@
 use crate::{
     connection::PeerLinks,
     process::{
-        ConfigActor, FleetView, LedgerActor, MemberActor, MetricName, OrderRegistry, RouterClock,
-        RouterMetrics, RouterSettings, SharedLedger, UpstreamDispatcher, log_event,
+        ConfigActor, DispatchReports, FleetView, LedgerActor, MemberActor, MetricName,
+        OrderRegistry, RouterClock, RouterMetrics, RouterSettings, SharedLedger,
+        UpstreamDispatcher, log_event,
     },
     version::ConfigVersion,
 };
@@ -222,8 +226,9 @@
     }
 
     /// Sends crash reports to the peers of the own domain.
-    pub(crate) fn broadcast_reports(&self, reports: &[CrashReport]) {
-        for report in reports {
+    pub(crate) fn broadcast_reports(&self, reports: &DispatchReports) {
+        self.broadcast_content(&reports.content);
+        for report in &reports.crashes {
             self.send_to_domain(&WireBody::CrashReport(WireCrashReport::new(
                 report.fingerprint.to_string(),
                 report.upstream.to_string(),
@@ -232,6 +237,13 @@
         }
     }
 
+    /// Sends a report about parts of prompts to the peers of the own domain.
+    pub(crate) fn broadcast_content(&self, report: &ContentReport) {
+        if !report.is_empty() {
+            self.send_to_domain(&encode_content_report(report));
+        }
+    }
+
     /// Sends the ledger an early tick, so that it starts a refill without waiting for the next one.
     pub(crate) fn notify_ledger(&self) {
         if let Some(actors) = self.actors() {
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use cornelarch_core::{
     base::{MonotonicTime, UpstreamName},
-    blocklist::{CrashVerdict, Fingerprint},
     error::{ErrorKind, RunState},
     limit::QueueRequest,
     retry::{AttemptOutcome, AttemptState, RetryDecision},
@@ -15,7 +14,7 @@
 use reqwest::{Method, Response, StatusCode};
 
 use crate::{
-    process::{DispatchRequest, MetricName, UpstreamAttempt},
+    process::{DispatchRequest, MetricName, RequestIdentity, UpstreamAttempt},
     request::{
         RequestRefusal,
         context::{RequestContext, TIMEOUT_HEADER},
@@ -48,7 +47,7 @@
     pub(crate) fn new(
         context: &Arc<RequestContext>,
         route: RouteRequest,
-        fingerprint: Fingerprint,
+        identity: RequestIdentity,
         cost: u64,
         queue_deadline: MonotonicTime,
         idempotent: bool,
@@ -61,7 +60,7 @@
         Self {
             request: DispatchRequest {
                 route,
-                fingerprint,
+                identity,
                 queue: QueueRequest {
                     customer,
                     weight: context.customer().weight as f64,
@@ -95,7 +94,7 @@
     }
 
     fn check_blocked(&self) -> Result<(), RequestRefusal> {
-        check_blocked(&self.context, self.request.fingerprint)
+        check_blocked(&self.context, &self.request.identity)
             .map_err(|refusal| self.adjust_refusal(refusal))
     }
 
@@ -216,18 +215,17 @@
 /// Returns the refusal if the request is blocked.
 pub(crate) fn check_blocked(
     context: &RequestContext,
-    fingerprint: Fingerprint,
+    identity: &RequestIdentity,
 ) -> Result<(), RequestRefusal> {
-    let verdict = context
-        .state
-        .dispatcher
-        .verdict(fingerprint, context.state.now());
-    match verdict {
-        CrashVerdict::Blocked => Err(RequestRefusal::new(
+    let now = context.state.now();
+    match context.state.dispatcher.find_blocked(identity, now) {
+        Some(fingerprint) => Err(RequestRefusal::new(
             ErrorKind::RequestBlocked,
-            format!("the request crashed upstreams; its fingerprint is {fingerprint}"),
+            format!(
+                "the request, or a message in it, crashed upstreams; its fingerprint is {fingerprint}"
+            ),
         )),
-        CrashVerdict::Clear | CrashVerdict::Suspect => Ok(()),
+        None => Ok(()),
     }
 }
 
--- a/crates/router/src/request/chat.rs
+++ b/crates/router/src/request/chat.rs
@@ -24,7 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    process::{MetricName, RouterState, UpstreamAttempt},
+    process::{MetricName, RequestIdentity, RouterState, UpstreamAttempt},
     request::{
         RequestRefusal,
         attempt::{AttemptPlan, UpstreamCall, check_blocked, is_refusal},
@@ -58,7 +58,7 @@
     pub(crate) body: ChatBody,
     pub(crate) model: ModelSection,
     pub(crate) max_tokens: u64,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) identity: RequestIdentity,
 }
 
 /// Serves `POST /v1/chat/completions`.
@@ -81,7 +81,7 @@
     let context = RequestContext::open(state, &parts.headers)?;
     let body = ChatBody::parse(context.read_body(body).await?)?;
     let chat = ChatRequest::admit(context, body)?;
-    check_blocked(&chat.context, chat.fingerprint)?;
+    check_blocked(&chat.context, &chat.identity)?;
     let partial = PartialCost::Tokens {
         prompt: chat.body.estimated_prompt_tokens(),
         delivered: 0,
@@ -114,13 +114,16 @@
         let default = model.max_tokens_default.get().min(limit);
         let max_tokens = body.max_tokens(default, limit)?;
         let customer = &context.owner.customer;
-        let fingerprint = Fingerprint::compute(customer, &body.model, body.received());
+        let identity = RequestIdentity {
+            fingerprint: Fingerprint::compute(customer, &body.model, body.received()),
+            parts: body.message_keys(),
+        };
         Ok(Self {
             context: Arc::new(context),
             body,
             model,
             max_tokens,
-            fingerprint,
+            identity,
         })
     }
 
@@ -142,7 +145,8 @@
         let cost = self.body.estimated_prompt_tokens() + self.max_tokens;
         let queue_wait = Duration::from_millis(self.model.queue_timeout_ms);
         let queue_deadline = context.state.now() + queue_wait;
-        AttemptPlan::new(context, route, self.fingerprint, cost, queue_deadline, true)
+        let identity = self.identity.clone();
+        AttemptPlan::new(context, route, identity, cost, queue_deadline, true)
     }
 
     /// Returns the call for an engine. `resume` holds the next sequence number and the text
--- a/crates/router/src/request/chat_body.rs
+++ b/crates/router/src/request/chat_body.rs
@@ -1,8 +1,11 @@
 //! Parsing of chat requests, and the request body for upstreams.
 
+use std::sync::Arc;
+
 use bytes::{BufMut, Bytes, BytesMut};
 use cornelarch_core::{
     base::{ModelName, TokenCount},
+    blocklist::content::ContentKey,
     error::ErrorKind,
 };
 use serde::Deserialize;
@@ -116,6 +119,13 @@
         &self.messages
     }
 
+    /// Returns the keys of the messages that other requests may share.
+    pub(crate) fn message_keys(&self) -> Arc<[ContentKey]> {
+        let messages: Vec<&RawValue> = serde_json::from_slice(&self.messages).unwrap_or_default();
+        let messages: Vec<&[u8]> = messages.iter().map(|text| text.get().as_bytes()).collect();
+        ContentKey::of_messages(&self.model, &messages).collect()
+    }
+
     /// Returns an upper bound on the cost of the request.
     pub(crate) fn highest_cost(&self, max_tokens: u64) -> TokenCount {
         TokenCount::new(self.prompt_bytes).saturating_add(TokenCount::new(max_tokens))
--- a/crates/router/src/request/service.rs
+++ b/crates/router/src/request/service.rs
@@ -27,7 +27,7 @@
 use reqwest::Method;
 
 use crate::{
-    process::{MetricName, RouterState, UpstreamAttempt},
+    process::{MetricName, RequestIdentity, RouterState, UpstreamAttempt},
     request::{
         RequestRefusal,
         attempt::{AttemptPlan, UpstreamCall, check_blocked},
@@ -116,7 +116,7 @@
         headers: parts.headers,
         body,
     };
-    check_blocked(&call.context, call.fingerprint())?;
+    check_blocked(&call.context, &call.identity())?;
     if !call.section.is_idempotent(call.method.as_str(), &call.path) {
         return run_order(call).await;
     }
@@ -128,10 +128,13 @@
 }
 
 impl ServiceCall {
-    /// Returns the fingerprint of the call in the crash table.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
+    /// Returns what crashes are charged to: the whole call.
+    pub(crate) fn identity(&self) -> RequestIdentity {
         let target = format!("{} {}{}", self.method, self.service, self.path);
-        Fingerprint::compute(&self.context.owner.customer, &target, &self.body)
+        RequestIdentity {
+            fingerprint: Fingerprint::compute(&self.context.owner.customer, &target, &self.body),
+            parts: Arc::default(),
+        }
     }
 
     /// Reserves the fixed cost of a call.
@@ -150,11 +153,10 @@
         let mut route = RouteRequest::new(RouteTarget::Service(self.service.clone()));
         route.allowed = context.version.allowed_upstreams(&context.owner.customer);
         let queue_deadline = context.state.now() + QUEUE_TIMEOUT;
-        let fingerprint = self.fingerprint();
         AttemptPlan::new(
             context,
             route,
-            fingerprint,
+            self.identity(),
             CALL_QUEUE_COST,
             queue_deadline,
             idempotent,
--- a/crates/router/src/request/stream.rs
+++ b/crates/router/src/request/stream.rs
@@ -160,7 +160,7 @@
         head: oneshot::Sender<StreamHead>,
         consumed: Arc<AtomicU64>,
     ) -> Self {
-        let id = StreamId(chat.fingerprint.bits() as u64);
+        let id = StreamId(chat.identity.fingerprint.bits() as u64);
         Self {
             assembler: StreamAssembler::new(id, StreamOptions::default()),
             chat,
@@ -446,7 +446,7 @@
         let sequence = fields.sequence.unwrap_or(self.next_sequence);
         self.next_sequence = sequence + 1;
         let chunk = StreamChunk {
-            stream: StreamId(self.run.chat.fingerprint.bits() as u64),
+            stream: StreamId(self.run.chat.identity.fingerprint.bits() as u64),
             attempt: AttemptNumber(self.run.attempt_number),
             sequence,
             last: fields.last,
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -52,6 +52,52 @@
     wait_until("the unblock reaches the first router", cleared).await;
 }
 
+/// Crashes in the domain by which their cause must be recognised.
+const CRASHES_MAX: u64 = 5;
+
+/// Guards against a message that crashes one engine after the other, because no two requests with it
+/// are alike.
+#[tokio::test(flavor = "multi_thread")]
+async fn message_in_unlike_requests_crashes_engine_after_engine() {
+    let fleet = start_domain().await;
+    let send = async |router: usize, first: &str, last: &str| {
+        let url = format!("http://{}/v1/chat/completions", fleet.callers(router));
+        let body = serde_json::json!({
+            "model": "tiny",
+            "messages": [
+                {"role": "system", "content": "shared by all"},
+                {"role": "user", "content": first},
+                {"role": "user", "content": last},
+            ],
+            "max_tokens": 10,
+        });
+        let request = fleet.client.post(url).bearer_auth(common::KEY);
+        let request = request.header("content-type", "application/json");
+        request
+            .body(body.to_string())
+            .send()
+            .await
+            .unwrap()
+            .status()
+    };
+    for number in 0..10 {
+        send(
+            number % 2,
+            "a file with [crash]",
+            &format!("question {number}"),
+        )
+        .await;
+        // Engines accept connections again after some time.
+        tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    }
+    let crashes = fleet.crashes();
+    assert!(crashes > 0, "no engine has crashed");
+    assert!(crashes <= CRASHES_MAX, "{crashes} crashes");
+    for router in 0..2 {
+        assert_eq!(send(router, "another file", "question").await, 200);
+    }
+}
+
 /// Guards against malformed input at the peer port that stops the router. The port must close the
 /// connection without a response.
 #[tokio::test(flavor = "multi_thread")]
