Do not blame a session for two deadly parts in it

The comparison works on a list of candidates instead of repeated counts, which changes nothing else.

--- a/crates/core/src/blocklist/content/entry.rs
+++ b/crates/core/src/blocklist/content/entry.rs
@@ -1,6 +1,6 @@
 //! Crashes charged to one piece of content.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use crate::{
     base::MonotonicTime,
@@ -136,27 +136,18 @@
             })
             .collect()
     }
+}
 
-    /// Iterates over the uncleared crashes outside `explained`, the oldest first.
-    pub(super) fn unexplained(
-        &self,
-        explained: &BTreeSet<CrashName>,
-    ) -> impl Iterator<Item = &ChargedCrash> {
-        let uncleared = self.uncleared();
-        uncleared.filter(|charged| !explained.contains(&charged.crash))
-    }
-
-    /// Counts the uncleared crashes outside `explained` that are at least `gap` apart, because a
-    /// domain that loses power takes many upstreams with it at once.
-    pub(super) fn separate(&self, explained: &BTreeSet<CrashName>, gap: Duration) -> u32 {
-        let mut count = 0;
-        let mut last: Option<CrashTime> = None;
-        for charged in self.unexplained(explained) {
-            if last.is_none_or(|last| charged.at.since(last) >= gap) {
-                count += 1;
-                last = Some(charged.at);
-            }
+/// Counts the crashes, sorted by time, that are at least `gap` apart, because a domain that loses
+/// power takes many upstreams with it at once.
+pub(super) fn count_separate(crashes: &[&ChargedCrash], gap: Duration) -> u32 {
+    let mut count = 0;
+    let mut last: Option<CrashTime> = None;
+    for charged in crashes {
+        if last.is_none_or(|last| charged.at.since(last) >= gap) {
+            count += 1;
+            last = Some(charged.at);
         }
-        count
     }
+    count
 }
--- a/crates/core/src/blocklist/content/table.rs
+++ b/crates/core/src/blocklist/content/table.rs
@@ -14,7 +14,7 @@
         Fingerprint,
         content::{
             ContentKey, ContentLoss, ContentRank, ContentReport, CrashName,
-            entry::{ContentEntry, CrashTime, MergeEffect},
+            entry::{ChargedCrash, ContentEntry, CrashTime, MergeEffect, count_separate},
         },
     },
 };
@@ -293,46 +293,110 @@
     /// them may hit the wrong content.
     pub fn evaluate(&mut self, now: MonotonicTime) {
         self.has_changed = false;
-        let losses_max = self.options.losses_max;
-        let mut explained = BTreeSet::new();
-        let mut candidates: Vec<(Fingerprint, &ContentEntry)> = self
-            .entries
-            .iter()
-            .map(|(fingerprint, entry)| (*fingerprint, entry))
-            .filter(|(_, entry)| entry.is_recent(now, self.options.block))
-            .collect();
-        self.blocked.clear();
+        let before = std::mem::take(&mut self.blocked);
+        let mut candidates = self.candidates(&before, now);
+        let mut blocked = BTreeMap::new();
         loop {
-            candidates.retain(|(_, entry)| {
-                let gap = match entry.was_answered {
-                    true => self.options.answered_gap,
-                    false => self.options.crash_gap,
-                };
-                entry.separate(&explained, gap) >= losses_max
-            });
-            let counts = candidates.iter();
-            let counts = counts.map(|(_, entry)| entry.unexplained(&explained).count());
-            let Some(most) = counts.max() else { return };
-            let enough = most as f64 * EXPLAINED_FRACTION;
-            let probable = candidates.iter().filter(|(_, entry)| {
-                let count = entry.unexplained(&explained).count();
-                let is_part = entry.rank != ContentRank::REQUEST;
-                count == most || is_part && count as f64 >= enough
-            });
-            let cause = probable.max_by_key(|(fingerprint, entry)| {
-                (!entry.was_answered, entry.rank, Reverse(*fingerprint))
-            });
-            let Some((fingerprint, entry)) = cause.copied() else {
-                return;
+            candidates.retain(|candidate| candidate.is_charged(&self.options));
+            let Some(cause) = choose_cause(&candidates) else {
+                break;
             };
-            explained.extend(entry.uncleared().map(|charged| charged.crash.clone()));
-            let key = ContentKey {
-                fingerprint,
-                rank: entry.rank,
+            let crashes: BTreeSet<CrashName> = cause
+                .entry
+                .uncleared()
+                .map(|charged| charged.crash.clone())
+                .collect();
+            let content = BlockedContent {
+                key: ContentKey {
+                    fingerprint: cause.fingerprint,
+                    rank: cause.entry.rank,
+                },
+                crashes: crashes.len(),
             };
-            let crashes = entry.uncleared().count();
-            self.blocked
-                .insert(fingerprint, BlockedContent { key, crashes });
+            blocked.insert(cause.fingerprint, content);
+            for candidate in &mut candidates {
+                candidate.remove(&crashes);
+            }
+        }
+        self.blocked = blocked;
+    }
+
+    /// Returns the content with recent crashes, `blocked` being blocked so far. A shared part needs
+    /// crashes of its own beside those of more specific content that is blocked.
+    fn candidates(
+        &self,
+        blocked: &BTreeMap<Fingerprint, BlockedContent>,
+        now: MonotonicTime,
+    ) -> Vec<Candidate<'_>> {
+        let entries = self.entries.iter();
+        let recent = entries.filter(|(_, entry)| entry.is_recent(now, self.options.block));
+        let mut candidates: Vec<Candidate<'_>> = recent
+            .map(|(fingerprint, entry)| Candidate::new(*fingerprint, entry))
+            .filter(|candidate| candidate.is_charged(&self.options))
+            .collect();
+        let specific = blocked.keys().filter_map(|key| self.entries.get(key));
+        for other in specific {
+            let crashes = other.uncleared().map(|charged| charged.crash.clone());
+            let crashes: BTreeSet<CrashName> = crashes.collect();
+            let shared = candidates.iter_mut();
+            for candidate in shared.filter(|candidate| candidate.entry.rank < other.rank) {
+                candidate.remove(&crashes);
+            }
+        }
+        candidates
+    }
+}
+
+/// Content that may be the cause of crashes.
+#[derive(Clone, Debug)]
+struct Candidate<'a> {
+    fingerprint: Fingerprint,
+    entry: &'a ContentEntry,
+    /// Uncleared crashes that no other content explains, the oldest first.
+    unexplained: Vec<&'a ChargedCrash>,
+}
+
+impl<'a> Candidate<'a> {
+    fn new(fingerprint: Fingerprint, entry: &'a ContentEntry) -> Self {
+        Self {
+            fingerprint,
+            entry,
+            unexplained: entry.uncleared().collect(),
         }
     }
+
+    /// Removes crashes that other content explains.
+    fn remove(&mut self, explained: &BTreeSet<CrashName>) {
+        self.unexplained
+            .retain(|charged| !explained.contains(&charged.crash));
+    }
+
+    /// Returns whether the unexplained crashes suffice to block the content.
+    fn is_charged(&self, options: &ContentOptions) -> bool {
+        let gap = match self.entry.was_answered {
+            true => options.answered_gap,
+            false => options.crash_gap,
+        };
+        count_separate(&self.unexplained, gap) >= options.losses_max
+    }
+}
+
+/// Returns the most probable cause of the unexplained crashes.
+fn choose_cause<'a, 'b>(candidates: &'b [Candidate<'a>]) -> Option<&'b Candidate<'a>> {
+    let counts = candidates.iter();
+    let most = counts.map(|candidate| candidate.unexplained.len()).max()?;
+    let enough = most as f64 * EXPLAINED_FRACTION;
+    let probable = candidates.iter().filter(|candidate| {
+        let count = candidate.unexplained.len();
+        let is_part = candidate.entry.rank != ContentRank::REQUEST;
+        count == most || is_part && count as f64 >= enough
+    });
+    probable.max_by_key(|candidate| {
+        let entry = candidate.entry;
+        (
+            !entry.was_answered,
+            entry.rank,
+            Reverse(candidate.fingerprint),
+        )
+    })
 }
--- a/crates/core/tests/content.rs
+++ b/crates/core/tests/content.rs
@@ -92,6 +92,29 @@
     assert!(!is_blocked(&mut table, &[SYSTEM, SESSION], 92));
 }
 
+/// Guards against blocking a session in place of a deadly part that is already blocked, because a
+/// second deadly part appears in the same session.
+#[test]
+fn session_of_two_deadly_parts_is_blocked() {
+    let mut table = table();
+    let other = DEADLY + 1;
+    for number in 0..5 {
+        let keys = request(&[SYSTEM, SESSION, DEADLY], number);
+        table.record_crash(&crash(number), &keys, seconds(number));
+        table.record_answer(&request(&[SYSTEM], 50 + number), seconds(number));
+    }
+    assert!(is_blocked(&mut table, &[SYSTEM, SESSION, DEADLY], 90));
+    for number in 5..8 {
+        assert!(!is_blocked(&mut table, &[SYSTEM, SESSION], 92));
+        let keys = request(&[SYSTEM, SESSION, other], number);
+        table.record_crash(&crash(number), &keys, seconds(number));
+        table.record_answer(&request(&[SYSTEM], 50 + number), seconds(number));
+    }
+    assert!(is_blocked(&mut table, &[DEADLY], 93));
+    assert!(is_blocked(&mut table, &[other], 94));
+    assert!(!is_blocked(&mut table, &[SYSTEM, SESSION], 95));
+}
+
 /// Guards against blocking a specific part that happens to occur beside a deadly shared one.
 #[test]
 fn specific_part_is_blocked_for_a_shared_one() {
