Tell instances with each crash what content is served

Each charged crash now says whether the content was answered recently, as far as the sender knows, so that the answers of other instances are needed only for content that no reporter has served. This also spares a fleet the storm of such answers when a part that all serve is first charged. started_instance_blocks_a_popular_part failed before.

--- a/crates/core/src/blocklist/content/entry.rs
+++ b/crates/core/src/blocklist/content/entry.rs
@@ -44,12 +44,17 @@
 
 impl ChargedCrash {
     /// Returns the report to other instances.
-    pub(super) fn describe(&self, key: ContentKey, now: MonotonicTime) -> ContentLoss {
+    pub(super) fn describe(
+        &self,
+        (key, was_answered): (ContentKey, bool),
+        now: MonotonicTime,
+    ) -> ContentLoss {
         ContentLoss {
             key,
             crash: self.crash.clone(),
             is_cleared: self.is_cleared,
             age: self.at.age(now),
+            was_answered,
         }
     }
 }
--- a/crates/core/src/blocklist/content/report.rs
+++ b/crates/core/src/blocklist/content/report.rs
@@ -133,6 +133,8 @@
     pub is_cleared: bool,
     /// Time since the crash was detected.
     pub age: Duration,
+    /// Whether some instance has served a request with the content recently.
+    pub was_answered: bool,
 }
 
 /// Report to the other instances. Reports may be repeated, reordered and lost.
--- a/crates/core/src/blocklist/content/table.rs
+++ b/crates/core/src/blocklist/content/table.rs
@@ -146,7 +146,9 @@
             self.record_answered(key.fingerprint, now);
             if let Some(entry) = self.entries.get_mut(&key.fingerprint) {
                 let cleared = entry.clear();
-                let losses = cleared.iter().map(|charged| charged.describe(*key, now));
+                let losses = cleared
+                    .iter()
+                    .map(|charged| charged.describe((*key, true), now));
                 report.losses.extend(losses);
             }
         }
@@ -167,6 +169,7 @@
             crash: crash.clone(),
             is_cleared: false,
             age: Duration::ZERO,
+            was_answered: self.is_known_good(key.fingerprint, now),
         });
         let report = ContentReport {
             losses: losses.collect(),
@@ -186,6 +189,7 @@
             let at = CrashTime::before(now, loss.age);
             let entry = self.entry_mut(loss.key);
             let effect = entry.merge(&loss.crash, loss.is_cleared, at);
+            entry.was_answered |= loss.was_answered;
             if effect == MergeEffect::Charged && is_served && !entry.was_answered {
                 entry.was_answered = true;
                 answer.answered.push(loss.key);
@@ -206,9 +210,13 @@
     pub fn blocked_report(&self, now: MonotonicTime) -> ContentReport {
         let mut report = ContentReport::default();
         for (fingerprint, blocked) in &self.blocked {
-            let uncleared = self.entries.get(fingerprint).into_iter();
-            let uncleared = uncleared.flat_map(ContentEntry::uncleared);
-            let losses = uncleared.map(|charged| charged.describe(blocked.key, now));
+            let Some(entry) = self.entries.get(fingerprint) else {
+                continue;
+            };
+            let content = (blocked.key, entry.was_answered);
+            let losses = entry
+                .uncleared()
+                .map(|charged| charged.describe(content, now));
             report.losses.extend(losses);
         }
         report
@@ -225,11 +233,12 @@
             rank: entry.rank,
         };
         self.has_changed = true;
+        let was_answered = entry.was_answered;
         let cleared = entry.clear();
         ContentReport {
             losses: cleared
                 .iter()
-                .map(|charged| charged.describe(key, now))
+                .map(|charged| charged.describe((key, was_answered), now))
                 .collect(),
             answered: Vec::new(),
         }
@@ -249,6 +258,12 @@
         self.has_changed
     }
 
+    /// Returns whether some instance has served a request with the content recently.
+    fn is_known_good(&self, fingerprint: Fingerprint, now: MonotonicTime) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        self.was_answered(fingerprint, now) || entry.is_some_and(|entry| entry.was_answered)
+    }
+
     fn was_answered(&self, fingerprint: Fingerprint, now: MonotonicTime) -> bool {
         let answered = self.answered.get(&fingerprint);
         answered.is_some_and(|at| now.since(*at) < self.options.answer_age)
--- a/crates/core/tests/content.rs
+++ b/crates/core/tests/content.rs
@@ -115,6 +115,23 @@
     assert!(!is_blocked(&mut table, &[SYSTEM, SESSION], 95));
 }
 
+/// Guards against an instance that has just started and blocks a popular part, because it has not
+/// heard that others serve it.
+#[test]
+fn started_instance_blocks_a_popular_part() {
+    let mut old = table();
+    let mut new = table();
+    old.record_answer(&request(&[SYSTEM], 50), seconds(1));
+    for number in 0..6 {
+        let now = MonotonicTime::from_millis(2_000 + number * 150);
+        let report = old.record_crash(&crash(number), &request(&[SYSTEM], number), now);
+        if number >= 3 {
+            new.merge(&report, MonotonicTime::from_millis(number * 150));
+        }
+    }
+    assert!(!is_blocked_at(&mut new, &[SYSTEM], 90, seconds(2)));
+}
+
 /// Guards against blocking a specific part that happens to occur beside a deadly shared one.
 #[test]
 fn specific_part_is_blocked_for_a_shared_one() {
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -99,6 +99,7 @@
   3: required string crash
   4: required bool is_cleared
   5: required i64 age_ms
+  6: required bool was_answered
 }
 
 // Content of which the sender has served requests recently.
--- a/crates/wire/src/message/content.rs
+++ b/crates/wire/src/message/content.rs
@@ -18,6 +18,7 @@
             loss.crash.as_str().to_owned(),
             loss.is_cleared,
             i64::try_from(loss.age.as_millis()).unwrap_or(i64::MAX),
+            loss.was_answered,
         )
     });
     let answered = report.answered.iter().map(|key| {
@@ -49,6 +50,7 @@
             crash: CrashName::from_text(&loss.crash),
             is_cleared: loss.is_cleared,
             age: Duration::from_millis(u64::try_from(loss.age_ms).ok()?),
+            was_answered: loss.was_answered,
         })
     });
     let answered = report.answered.iter();
