Explain requests with blocked content

`cornelarch explain` showed the refusal of a request with blocked content without anything that led to it. It now shows when its content was blocked, at any time, and the crashes of its upstreams. The new test failed before (no related line).

--- a/crates/cornelarch/src/explain/outcome.rs
+++ b/crates/cornelarch/src/explain/outcome.rs
@@ -14,6 +14,9 @@
     pub(crate) const DEPENDENCY_RESTORED: u16 = LogEvent::DependencyRestored.number();
     pub(crate) const BALANCE_INSUFFICIENT: u16 = LogEvent::BalanceInsufficient.number();
     pub(crate) const UPSTREAM_CHANGED: u16 = LogEvent::UpstreamChanged.number();
+    pub(crate) const UPSTREAM_CRASHED: u16 = LogEvent::UpstreamCrashed.number();
+    pub(crate) const CONTENT_BLOCKED: u16 = LogEvent::ContentBlocked.number();
+    pub(crate) const CONTENT_UNBLOCKED: u16 = LogEvent::ContentUnblocked.number();
     pub(crate) const REQUEST_REFUSED: u16 = LogEvent::RequestRefused.number();
     pub(crate) const ATTEMPT_FAILED: u16 = LogEvent::AttemptFailed.number();
     pub(crate) const REQUEST_FAILED: u16 = LogEvent::RequestFailed.number();
--- a/crates/cornelarch/src/explain/timeline.rs
+++ b/crates/cornelarch/src/explain/timeline.rs
@@ -45,7 +45,8 @@
     }
 
     /// Returns events that may explain the outcome of a request: failures of its upstreams as seen
-    /// by any instance, and lost dependencies, starts and drains of its own instance.
+    /// by any instance, lost dependencies, starts and drains of its own instance, and the blocking of
+    /// its content at any time.
     fn find_related(&self, own: &[&LogLine]) -> Vec<LogLine> {
         let (Some(first), Some(last)) = (own.first(), own.last()) else {
             return Vec::new();
@@ -55,11 +56,12 @@
         let window = LogTime(from)..=LogTime(to);
         let upstreams: BTreeSet<&str> = own.iter().filter_map(|l| l.field("upstream")).collect();
         let instances: BTreeSet<&str> = own.iter().map(|line| &*line.instance).collect();
+        let content: BTreeSet<&str> = own.iter().filter_map(|l| l.field("content")).collect();
         let balance_insufficient = own
             .iter()
             .any(|line| line.event == event::BALANCE_INSUFFICIENT);
         let is_related = |line: &&LogLine| match line.event {
-            event::ATTEMPT_FAILED | event::UPSTREAM_CHANGED => line
+            event::ATTEMPT_FAILED | event::UPSTREAM_CHANGED | event::UPSTREAM_CRASHED => line
                 .field("upstream")
                 .is_some_and(|name| upstreams.contains(name)),
             // Any instance may hold tokens of the budget. If the balance was insufficient, lost
@@ -67,6 +69,9 @@
             event::DEPENDENCY_LOST | event::DEPENDENCY_RESTORED | event::GATEWAY_STARTED => {
                 balance_insufficient || instances.contains(&*line.instance)
             }
+            event::CONTENT_BLOCKED | event::CONTENT_UNBLOCKED => line
+                .field("content")
+                .is_some_and(|key| content.contains(key)),
             event::DRAIN_STARTED => instances.contains(&*line.instance),
             _ => false,
         };
@@ -74,7 +79,7 @@
         let mut related: Vec<LogLine> = self
             .lines
             .iter()
-            .filter(|line| window.contains(&line.time))
+            .filter(|line| window.contains(&line.time) || is_lasting(line))
             .filter(|line| line.field("id").is_none() || line.field("id") != own_id)
             .filter(is_related)
             .cloned()
@@ -85,6 +90,14 @@
     }
 }
 
+/// Returns whether an event concerns requests long after it.
+fn is_lasting(line: &LogLine) -> bool {
+    matches!(
+        line.event,
+        event::CONTENT_BLOCKED | event::CONTENT_UNBLOCKED
+    )
+}
+
 /// The log lines of one request, its outcome and related events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestTimeline {
--- a/crates/cornelarch/tests/explain.rs
+++ b/crates/cornelarch/tests/explain.rs
@@ -52,6 +52,28 @@
     assert!(short.render().contains("refused and not run"));
 }
 
+/// Guards against a refusal for blocked content that does not tell since when and by which crashes it
+/// is blocked, however long ago that was.
+#[test]
+fn blocked_content_is_explained_without_its_crashes() {
+    let mut logs = logs();
+    logs.add_log(
+        "a-3",
+        "\
+[2026-03-31T04:20:00Z WARN  cornelarch] E2303 content blocked: content=abc rank=3 crashes=3
+[2026-03-31T04:20:00Z WARN  cornelarch] E2303 content blocked: content=def rank=1 crashes=3
+[2026-03-31T04:30:28Z WARN  cornelarch] E2302 upstream crashed: upstream=i-7 content=4
+[2026-03-31T04:31:00Z INFO  cornelarch] E2409 request has blocked content: id=f1 content=abc part=1f crashes=3 sent=0
+[2026-03-31T04:31:00Z INFO  cornelarch] E2400 request refused: id=f1 reason=request_blocked ms=0",
+    );
+    let refused = logs.explain("f1");
+    let related: Vec<u16> = refused.related.iter().map(|line| line.event).collect();
+    assert_eq!(related, [2303]);
+    let lost = logs.explain("c1");
+    let related: Vec<u16> = lost.related.iter().map(|line| line.event).collect();
+    assert_eq!(related, [2101, 2302, 2401]);
+}
+
 /// Guards against truncated or unrelated lines that abort the parsing or are not counted as skipped.
 #[test]
 fn lines_that_are_no_events_are_counted() {
