Spend less on blocked content when members change

At the start of 295 instances each change of a member sorted all live members once more for the order of writers, and once for each instance that joined, although nothing was blocked. The place in the order is now counted, and nobody is looked for while nothing is blocked. Requests are woken, and the stored copy is compared, only if other content is blocked than before.

--- a/crates/gateway/src/process/crash.rs
+++ b/crates/gateway/src/process/crash.rs
@@ -120,8 +120,7 @@
         table.evaluate(self.now());
         let after: Vec<BlockedContent> = table.blocked().cloned().collect();
         drop(table);
-        if before != after {
-            log_blocked(&before, &after);
+        if log_changes(&before, &after) {
             self.crashes.decided.send_replace(());
         }
     }
@@ -141,13 +140,11 @@
         let mut unconfirmed = self.crashes.unconfirmed.lock();
         let keys = unconfirmed.entry(lost.crash.clone()).or_default();
         let is_first = keys.is_empty();
-        keys.extend(
-            lost.content
-                .iter()
-                .filter(|key| !keys.contains(key))
-                .copied()
-                .collect::<Vec<_>>(),
-        );
+        for key in lost.content.iter() {
+            if !keys.contains(key) {
+                keys.push(*key);
+            }
+        }
         drop(unconfirmed);
         if is_first {
             tokio::spawn(confirm_crash(Arc::clone(self), lost));
@@ -178,11 +175,14 @@
     }
 }
 
-fn log_blocked(before: &[BlockedContent], after: &[BlockedContent]) {
+/// Logs what content was blocked or unblocked, and returns whether there was any.
+fn log_changes(before: &[BlockedContent], after: &[BlockedContent]) -> bool {
     let has = |list: &[BlockedContent], content: &BlockedContent| {
         list.iter().any(|other| other.key == content.key)
     };
-    for content in after.iter().filter(|content| !has(before, content)) {
+    let added: Vec<_> = after.iter().filter(|c| !has(before, c)).collect();
+    let removed: Vec<_> = before.iter().filter(|c| !has(after, c)).collect();
+    for content in &added {
         let (key, crashes) = (content.key, content.crashes);
         log_event!(
             ContentBlocked,
@@ -191,9 +191,10 @@
             key.rank.bits()
         );
     }
-    for content in before.iter().filter(|content| !has(after, content)) {
+    for content in &removed {
         log_event!(ContentUnblocked, "content={}", content.key.fingerprint);
     }
+    !added.is_empty() || !removed.is_empty()
 }
 
 /// Whether the process of an upstream runs.
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -8,6 +8,7 @@
     budget::{BudgetMessage, DomainPeer, LedgerEvent},
     membership::{
         MemberEffect, MemberEvent, MemberOptions, MemberState, MemberTable, choose_owners,
+        rendezvous_score,
     },
 };
 use cornelarch_wire::{
@@ -221,17 +222,22 @@
         let readers = choose_owners(READER_SELECTION_KEY, names, LATEST_READERS);
         self.state
             .set_reads_latest(readers.contains(&&self.holder.instance));
-        let names = self.table.live_records();
-        let names = names.map(|record| &record.holder.instance);
-        let writers = choose_owners(WRITER_SELECTION_KEY, names, BLOCKLIST_WRITERS);
-        let place = writers
-            .iter()
-            .position(|writer| **writer == self.holder.instance);
-        let place = place.and_then(|place| u32::try_from(place).ok());
-        self.state.set_writer_place(place);
+        self.state.set_writer_place(self.find_writer_place());
         self.state.notify_ledger(LedgerEvent::PeersChanged(live));
     }
 
+    /// Returns the place of this instance among the writers of the blocked content, the live instances
+    /// with the highest scores.
+    fn find_writer_place(&self) -> Option<u32> {
+        let score = |instance| rendezvous_score(WRITER_SELECTION_KEY, instance);
+        let own = score(&self.holder.instance);
+        let others = self.table.live_records();
+        let before = others.filter(|record| score(&record.holder.instance) > own);
+        let place = before.take(BLOCKLIST_WRITERS).count();
+        let is_writer = place < BLOCKLIST_WRITERS;
+        is_writer.then(|| u32::try_from(place).unwrap_or(u32::MAX))
+    }
+
     /// Sends a report to all live peers, in datagrams of limited size.
     async fn broadcast(&self, report: &ContentReport) {
         let peers: Vec<(HolderId, String)> = self
@@ -276,6 +282,9 @@
     /// Returns the peers among those that came to life which this instance has to inform: each is
     /// informed by some members only.
     fn informed_peers(&self, effects: &[MemberEffect]) -> Vec<HolderId> {
+        if self.state.crashes.blocked_count() == 0 {
+            return Vec::new();
+        }
         let joined = effects.iter().filter_map(|effect| match effect {
             MemberEffect::StateChanged {
                 holder,
