--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -22,6 +22,12 @@
 /// Time in which instances discover each other and their upstreams.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
+/// Returns the prompt parts of a request that crashes engines. Such requests share only their first
+/// part and the deadly one.
+fn unlike_parts(number: usize) -> String {
+    format!("a1:40,b{number}:20,bad0:20,c{number}:20")
+}
+
 /// Instances that know each other, in front of upstreams that crash under some requests.
 struct CrashFleet {
     platform: Arc<FakePlatform>,
@@ -103,11 +109,7 @@
     #[values(1, 2)] attempts: u32,
 ) {
     let fleet = CrashFleet::start(instances, attempts, "engine", "bad0").await;
-    fleet
-        .send_deadly("/stream/a", |number| {
-            format!("a1:40,b{number}:20,bad0:20,c{number}:20")
-        })
-        .await;
+    fleet.send_deadly("/stream/a", unlike_parts).await;
     let crashes = fleet.crashes();
     assert!(crashes > 0, "no upstream has crashed");
     assert!(crashes <= CRASHES_MAX, "{crashes} upstreams have crashed");
@@ -117,14 +119,13 @@
 #[tokio::test]
 async fn joining_instance_sends_blocked_content() {
     let mut fleet = CrashFleet::start(2, 1, "engine", "bad0").await;
-    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
-    fleet.send_deadly("/stream/a", parts).await;
+    fleet.send_deadly("/stream/a", unlike_parts).await;
     let crashes = fleet.crashes();
     fleet.add_instance("g3").await;
     tokio::time::sleep(WARM_UP).await;
     // The third instance gets every third of these.
     fleet
-        .send_deadly("/stream/a", |number| parts(number + 50))
+        .send_deadly("/stream/a", |number| unlike_parts(number + 50))
         .await;
     assert_eq!(fleet.crashes(), crashes);
 }
@@ -133,14 +134,13 @@
 #[tokio::test]
 async fn restarted_fleet_sends_blocked_content() {
     let mut fleet = CrashFleet::start(2, 1, "engine", "bad0").await;
-    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
-    fleet.send_deadly("/stream/a", parts).await;
+    fleet.send_deadly("/stream/a", unlike_parts).await;
     let crashes = fleet.crashes();
     fleet.fixtures.clear();
     fleet.add_instance("g1").await;
     fleet.add_instance("g2").await;
     fleet
-        .send_deadly("/stream/a", |number| parts(number + 50))
+        .send_deadly("/stream/a", |number| unlike_parts(number + 50))
         .await;
     assert_eq!(fleet.crashes(), crashes);
 }
@@ -156,8 +156,7 @@
     fleet.fixtures.clear();
     fleet.add_instance("g1").await;
     fleet.platform.set_down(true);
-    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
-    fleet.send_deadly("/stream/a", parts).await;
+    fleet.send_deadly("/stream/a", unlike_parts).await;
     let crashes = fleet.crashes();
     assert!(crashes <= CRASHES_MAX, "{crashes} upstreams have crashed");
     fleet.platform.set_down(false);
@@ -165,7 +164,7 @@
     fleet.fixtures.clear();
     fleet.add_instance("g1").await;
     fleet
-        .send_deadly("/stream/a", |number| parts(number + 50))
+        .send_deadly("/stream/a", |number| unlike_parts(number + 50))
         .await;
     assert_eq!(fleet.crashes(), crashes);
 }
@@ -178,11 +177,10 @@
     for upstream in &fleet.upstreams {
         upstream.delay_crash(Duration::from_millis(600));
     }
-    let parts = |number| format!("a1:40,b{number}:20,bad0:20,c{number}:20");
     let send = async |number: usize| {
         // The first ones crash their upstreams while the later ones still wait.
         tokio::time::sleep(Duration::from_millis(150) * number as u32).await;
-        fleet.send(number, "/stream/a", &parts(number)).await;
+        fleet.send(number, "/stream/a", &unlike_parts(number)).await;
     };
     tokio::join!(
         send(0),
