Log an instance that is behind its peers in the configuration

E2104 gives the version, that of the peers and the time since the platform last answered; E2100 the source. New stages connect and document_read and a gauge of the newest version. No decision is changed.

--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -19,6 +19,8 @@
     DependencyRestored => 2102, Info, "dependency back";
     /// An object stored at the platform cannot be decoded or encoded.
     ObjectRejected => 2103, Warn, "object rejected";
+    /// A peer has had a newer configuration version for some time.
+    DocumentBehind => 2104, Warn, "configuration is behind a peer";
     /// A ledger write may or may not have been applied.
     LedgerWriteUnknown => 2200, Warn, "result of a ledger write is unknown";
     /// A peer was discovered or changed its state.
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -68,6 +68,10 @@
 /// Measured stage of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum TimedStage {
+    /// Opening a connection to an upstream, until it is open or has failed.
+    Connect,
+    /// Reading the whole configuration from the platform, until it is read or the call has failed.
+    DocumentRead,
     /// From the arrival of the request until its tokens are reserved.
     Reserve,
     /// From the arrival of the request to the response headers.
@@ -143,6 +147,7 @@
 pub(crate) struct MetricGauges {
     pub(crate) running: usize,
     pub(crate) version: u64,
+    pub(crate) newest_version: u64,
     pub(crate) upstreams: usize,
     pub(crate) blocked: usize,
 }
@@ -163,6 +168,7 @@
     blocked: Gauge,
     running: Gauge,
     version: Gauge,
+    newest_version: Gauge,
     upstreams: Gauge,
     dropped_lines: Gauge,
 }
@@ -182,6 +188,7 @@
             blocked: Gauge::default(),
             running: Gauge::default(),
             version: Gauge::default(),
+            newest_version: Gauge::default(),
             upstreams: Gauge::default(),
             dropped_lines: Gauge::default(),
         };
@@ -196,6 +203,8 @@
         registry.register("blocked_content", "Blocked content", blocked);
         registry.register("running", "Requests in progress", metrics.running.clone());
         registry.register("version", "Configuration version", metrics.version.clone());
+        let newest = metrics.newest_version.clone();
+        registry.register("newest_version", "Newest version at any peer", newest);
         registry.register("upstreams", "Usable upstreams", metrics.upstreams.clone());
         let dropped = metrics.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
@@ -241,6 +250,7 @@
     pub(crate) fn render(&self, gauges: MetricGauges) -> String {
         self.running.set(to_gauge(gauges.running));
         self.version.set(to_gauge(gauges.version));
+        self.newest_version.set(to_gauge(gauges.newest_version));
         self.upstreams.set(to_gauge(gauges.upstreams));
         self.blocked.set(to_gauge(gauges.blocked));
         self.dropped_lines.set(to_gauge(dropped_lines()));
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod state;
 mod sync;
+mod version;
 
 pub(crate) use blocklist::sync_blocklist;
 pub(crate) use crash::{CrashMonitor, LostRequest, run_blocking};
@@ -26,3 +27,4 @@
 pub use settings::GatewaySettings;
 pub(crate) use state::{GatewayPhase, GatewayState, RunningGuard};
 pub(crate) use sync::{PlatformOutage, sync_directory, sync_document};
+pub(crate) use version::VersionMonitor;
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -116,6 +116,7 @@
                 let version = task.state.version();
                 task.apply(MemberEvent::ConfigVersion(version)).await;
                 task.apply(MemberEvent::Tick).await;
+                task.state.report_lag();
             }
         }
     }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -28,7 +28,7 @@
     edge::HeaderNames,
     process::{
         CrashMonitor, GatewayMetrics, GatewaySettings, MetricGauges, PeerCommand, PlatformOutage,
-        SharedLedger, log_event,
+        SharedLedger, VersionMonitor, log_event,
     },
 };
 
@@ -67,6 +67,7 @@
     pub(crate) outage: Mutex<PlatformOutage>,
     /// Newest configuration version reported by a peer, if it is newer than the active one.
     pub(crate) peer_version: watch::Sender<u64>,
+    versions: VersionMonitor,
     reads_latest: AtomicBool,
     writer_place: AtomicU32,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
@@ -103,6 +104,7 @@
             confirmed: watch::Sender::new(()),
             outage: Mutex::default(),
             peer_version: watch::Sender::new(0),
+            versions: VersionMonitor::default(),
             reads_latest: AtomicBool::new(false),
             writer_place: AtomicU32::new(0),
             ledger_events,
@@ -137,7 +139,7 @@
     }
 
     /// Activates a configuration unless the active one is as new. Returns whether it was activated.
-    pub(crate) fn activate_document(&self, document: RouteDocument) -> bool {
+    pub(crate) fn activate_document(&self, document: RouteDocument, source: &str) -> bool {
         let current = self.document.load();
         if current
             .as_ref()
@@ -146,12 +148,14 @@
             return false;
         }
         self.register_budgets(&document);
+        let behind = self.versions.record_active(document.version);
         log_event!(
             DocumentApplied,
-            "version={} routes={} customers={}",
+            "version={} routes={} customers={} source={source} behind_ms={}",
             document.version,
             document.route_count(),
-            document.customers().count()
+            document.customers().count(),
+            behind.as_millis()
         );
         self.document.store(Some(Arc::new(document)));
         true
@@ -178,8 +182,12 @@
 
     /// Returns whether the configuration was confirmed recently.
     pub(crate) fn is_confirmed(&self) -> bool {
+        self.confirmed_age() < CONFIRMATION_MAX_AGE
+    }
+
+    fn confirmed_age(&self) -> Duration {
         let confirmed = MonotonicTime::from_micros(self.confirmed_us.load(Ordering::Acquire));
-        self.now().since(confirmed) < CONFIRMATION_MAX_AGE
+        self.now().since(confirmed)
     }
 
     /// Returns the active configuration version, or 0 if there is none.
@@ -212,6 +220,7 @@
 
     /// Records the active configuration version of a peer.
     pub(crate) fn record_peer_version(&self, version: u64) {
+        self.versions.record_peer(version);
         if version > self.version() {
             self.peer_version.send_if_modified(|newest| {
                 let is_newer = version > *newest;
@@ -221,6 +230,20 @@
         }
     }
 
+    /// Logs that a newer configuration is in force at a peer, once per lag.
+    pub(crate) fn report_lag(&self) {
+        let Some((newest, behind)) = self.versions.take_report() else {
+            return;
+        };
+        log_event!(
+            DocumentBehind,
+            "version={} peer_version={newest} behind_ms={} confirmed_ms={}",
+            self.version(),
+            behind.as_millis(),
+            self.confirmed_age().as_millis()
+        );
+    }
+
     /// Records that the directory was read.
     pub(crate) fn confirm_directory(&self) {
         self.has_directory.store(true, Ordering::Release);
@@ -296,6 +319,7 @@
         let gauges = MetricGauges {
             running: self.running(),
             version,
+            newest_version: self.versions.newest(),
             upstreams,
             blocked,
         };
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     edge::{DirectoryEvent, DocumentChange, EdgeError, PlatformEdge, ReadAge, Versioned},
-    process::{GatewayState, PlatformCall, log_event},
+    process::{GatewayState, PlatformCall, TimedStage, log_event},
 };
 
 /// Longest wait of one watch. A dead connection is detected after this time, which must stay well
@@ -126,6 +126,7 @@
     let mut freshness = ListFreshness::default();
     let mut is_burst = false;
     loop {
+        let began = Instant::now();
         let result = match revision {
             None => read_document_change(&*edge, freshness.next_read_age(&state)).await,
             Some(revision) => {
@@ -139,6 +140,11 @@
             }
         };
         state.metrics.count_call(PlatformCall::Document, &result);
+        if revision.is_none() {
+            state
+                .metrics
+                .observe(TimedStage::DocumentRead, began.elapsed());
+        }
         match result {
             Ok(change) => {
                 monitor.record_success();
@@ -147,13 +153,14 @@
                     continue;
                 }
                 let is_read = revision.is_none();
+                let source = if is_read { "list" } else { "watch" };
                 revision = Some(change.revision);
                 let DocumentChange {
                     document,
                     superseded,
                 } = change.value;
                 let has_changed =
-                    document.is_some_and(|document| state.activate_document(document));
+                    document.is_some_and(|document| state.activate_document(document, source));
                 state.confirm_document();
                 // A watch transfers every version. While versions are published faster than that,
                 // only the newest is read, until a read finds no newer one.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     connection::{PooledConnection, SendFailure},
-    process::GatewayState,
+    process::{GatewayState, TimedStage},
     request::{
         head::{LAST_EVENT_ID, RequestHead},
         in_flight::InFlightRequest,
@@ -119,9 +119,15 @@
     let opened = state
         .pool
         .open(&placement.upstream, placement.address, timeout);
-    opened
-        .await
-        .map_err(|error| AttemptFailure::new(FlightOutcome::NotReached, error.to_string()))
+    let began = Instant::now();
+    let opened = opened.await;
+    if !opened
+        .as_ref()
+        .is_ok_and(|connection| !connection.is_unused)
+    {
+        state.metrics.observe(TimedStage::Connect, began.elapsed());
+    }
+    opened.map_err(|error| AttemptFailure::new(FlightOutcome::NotReached, error.to_string()))
 }
 
 fn build_request(
