Get newer configurations from peers

Callers saw requests handled by an old configuration for up to 30 s, revoked keys among them. Cause: the platform was the only source, and each change is a transfer of the whole document, 400 kB with 1,650 routes, that has to win against the requests of callers on a link of 10 Mbit/s (hypothesis 1); an instance that the platform rejects gets nothing at all (hypothesis 3). Hypothesis 2, old reads, is ruled out: the late instances have a large confirmed_ms. Class: control traffic that shares a full resource with the load it controls, all or nothing, from a single source. Change: an instance that hears of a newer version with a ping sends the digests of 256 buckets of its configuration to a peer, and gets the buckets that differ, 3 kB for one route. No common version, no history; lost datagrams are asked for again, with a back-off. The platform stays a source: the first to deliver wins. The read of the latest state follows after 800 ms.

--- a/crates/core/src/route/document.rs
+++ b/crates/core/src/route/document.rs
@@ -2,13 +2,15 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     base::{CustomerName, ServiceName, TokenCount},
     route::{RouteRule, ServiceRecord},
 };
 
 /// A customer and its prepaid budget.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustomerRecord {
     /// Also the name of the customer's budget.
     pub name: CustomerName,
@@ -19,7 +21,7 @@
 }
 
 /// Size and time limits for callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestLimits {
     /// Maximum size of a request head in bytes.
     pub header_bytes: usize,
@@ -129,6 +131,28 @@
         self.customers.iter()
     }
 
+    /// Returns all customers with their keys in ascending order.
+    pub(super) fn customers_with_keys(
+        &self,
+    ) -> impl Iterator<Item = (&CustomerRecord, Vec<String>)> {
+        let mut keys: Vec<Vec<String>> = vec![Vec::new(); self.customers.len()];
+        for (key, index) in &self.keys {
+            keys[*index].push(key.clone());
+        }
+        keys.iter_mut().for_each(|keys| keys.sort_unstable());
+        self.customers.iter().zip(keys)
+    }
+
+    /// Returns all routes; those of one host in the order of their precedence.
+    pub(super) fn routes(&self) -> impl Iterator<Item = &RouteRule> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns all services.
+    pub(super) fn services(&self) -> impl Iterator<Item = &ServiceRecord> {
+        self.services.values()
+    }
+
     /// Returns the number of routes of all hosts.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -1,6 +1,7 @@
 //! Routes from host and path to services, and the customers and limits of a configuration.
 
 mod document;
+pub mod replica;
 mod rule;
 
 pub use document::{CustomerRecord, RequestLimits, RouteDocument, RouteLookup};
--- /dev/null
+++ b/crates/core/src/route/replica/state.rs
@@ -0,0 +1,150 @@
+//! State machine that brings an instance up to date with its peers.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{Rng, seq::IndexedRandom};
+
+use crate::{
+    base::{HolderId, MonotonicTime},
+    route::replica::{DocumentIndex, DocumentPart, ReplicaEffect, ReplicaEvent, ReplicaOptions},
+};
+
+/// An exchange in progress.
+#[derive(Clone, Debug)]
+struct DocumentTransfer {
+    /// The buckets of the active document, some of them replaced by newer ones.
+    buckets: DocumentIndex,
+    /// When an unanswered request is sent again.
+    retry_at: MonotonicTime,
+    retry_wait: Duration,
+}
+
+/// Decides when to ask which peer for a newer document, and assembles it.
+#[derive(Clone, Debug)]
+pub struct DocumentReplica {
+    options: ReplicaOptions,
+    /// Newest version that a peer has announced.
+    newest: u64,
+    /// Peers that have it active.
+    sources: Vec<HolderId>,
+    behind_since: Option<MonotonicTime>,
+    transfer: Option<DocumentTransfer>,
+}
+
+impl DocumentReplica {
+    /// Creates the state of an instance that has not heard of any version.
+    #[must_use]
+    pub fn new(options: ReplicaOptions) -> Self {
+        Self {
+            options,
+            newest: 0,
+            sources: Vec::new(),
+            behind_since: None,
+            transfer: None,
+        }
+    }
+
+    /// Handles an event and returns the resulting actions. `active` returns the index of the active
+    /// document, whose version is `version`.
+    #[must_use]
+    pub fn handle<R: Rng>(
+        &mut self,
+        event: ReplicaEvent,
+        version: u64,
+        active: impl Fn() -> Arc<DocumentIndex>,
+        now: MonotonicTime,
+        rng: &mut R,
+    ) -> Option<ReplicaEffect> {
+        if self.newest <= version {
+            self.behind_since = None;
+            self.transfer = None;
+        }
+        match event {
+            ReplicaEvent::Tick => self.tick(version, active, now, rng),
+            ReplicaEvent::PeerVersion {
+                peer,
+                version: theirs,
+            } => {
+                self.record_version(peer, theirs, version, now);
+                None
+            }
+            ReplicaEvent::PartReceived { from, part } => self.receive(from, part, version, now),
+        }
+    }
+
+    fn record_version(&mut self, peer: HolderId, theirs: u64, own: u64, now: MonotonicTime) {
+        if theirs <= own || theirs < self.newest {
+            return;
+        }
+        if theirs > self.newest {
+            self.newest = theirs;
+            self.sources.clear();
+        }
+        if self.sources.len() < self.options.sources && !self.sources.contains(&peer) {
+            self.sources.push(peer);
+        }
+        self.behind_since.get_or_insert(now);
+    }
+
+    fn tick<R: Rng>(
+        &mut self,
+        version: u64,
+        active: impl Fn() -> Arc<DocumentIndex>,
+        now: MonotonicTime,
+        rng: &mut R,
+    ) -> Option<ReplicaEffect> {
+        if now.since(self.behind_since?) < self.options.delay {
+            return None;
+        }
+        let options = &self.options;
+        let transfer = self.transfer.get_or_insert_with(|| DocumentTransfer {
+            buckets: DocumentIndex::clone(&active()),
+            retry_at: now,
+            retry_wait: options.retry_min,
+        });
+        if transfer.retry_at > now {
+            return None;
+        }
+        transfer.retry_at = now + transfer.retry_wait;
+        transfer.retry_wait = (transfer.retry_wait * 2).min(options.retry_max);
+        let to = self.sources.choose(rng)?.clone();
+        let request = transfer.buckets.request(version);
+        Some(ReplicaEffect::Request { to, request })
+    }
+
+    fn receive(
+        &mut self,
+        from: HolderId,
+        part: DocumentPart,
+        version: u64,
+        now: MonotonicTime,
+    ) -> Option<ReplicaEffect> {
+        let transfer = self.transfer.as_mut()?;
+        if part.version <= version {
+            return None;
+        }
+        let (newer, is_last, digests) = (part.version, part.is_last, part.digests.clone());
+        let is_changed = transfer.buckets.merge(part);
+        if transfer.buckets.matches(&digests) {
+            let assembled = transfer.buckets.assemble(newer);
+            self.transfer = None;
+            return match assembled {
+                Ok(document) => Some(ReplicaEffect::Activate(Box::new(document))),
+                Err(error) => {
+                    log::warn!("configuration {newer} of peer {from} is not usable: {error}");
+                    self.sources.retain(|source| *source != from);
+                    None
+                }
+            };
+        }
+        if !is_changed {
+            return None;
+        }
+        transfer.retry_wait = self.options.retry_min;
+        transfer.retry_at = now + transfer.retry_wait;
+        is_last.then(|| ReplicaEffect::Request {
+            to: from,
+            request: transfer.buckets.request(version),
+        })
+    }
+}
--- a/crates/core/src/route/rule.rs
+++ b/crates/core/src/route/rule.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::base::ServiceName;
 
 /// Execution semantics of the requests of a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RouteKind {
     /// A request may be executed any number of times.
     Idempotent,
@@ -38,7 +40,7 @@
 }
 
 /// A service that receives a fraction of the requests of a route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SplitTarget {
     /// Refers to [`ServiceRecord::name`].
     pub service: ServiceName,
@@ -47,7 +49,7 @@
 }
 
 /// A route for the requests of one host whose path begins with a prefix.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name of the route, for logs.
     pub name: String,
@@ -93,7 +95,7 @@
 }
 
 /// A service of a document.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRecord {
     /// Unique within a document.
     pub name: ServiceName,
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -10,10 +10,14 @@
         MemberEffect, MemberEvent, MemberOptions, MemberState, MemberTable, choose_owners,
         rendezvous_score,
     },
+    route::replica::{
+        DocumentReplica, DocumentRequest, ReplicaEffect, ReplicaEvent, ReplicaOptions,
+    },
 };
 use cornelarch_wire::{
-    decode_budget_message, decode_content_report, decode_envelope, decode_member_event,
-    encode_budget_message, encode_content_report, encode_envelope,
+    decode_budget_message, decode_content_report, decode_document_part, decode_document_request,
+    decode_envelope, decode_member_event, encode_budget_message, encode_content_report,
+    encode_document_part, encode_document_request, encode_envelope,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
@@ -65,6 +69,7 @@
     holder: HolderId,
     socket: UdpSocket,
     table: MemberTable,
+    replica: DocumentReplica,
     generator: StdRng,
 }
 
@@ -90,6 +95,7 @@
         holder,
         socket,
         table,
+        replica: DocumentReplica::new(ReplicaOptions::default()),
         generator: StdRng::from_os_rng(),
     };
     let mut interval = tokio::time::interval(MEMBER_TICK);
@@ -99,7 +105,7 @@
         tokio::select! {
             command = commands.recv() => match command {
                 Some(PeerCommand::Send { to, message }) => {
-                    task.send_budget(&to, message).await;
+                    task.send_to_member(&to, encode_budget_message(message)).await;
                 }
                 Some(PeerCommand::Broadcast(report)) => task.broadcast(&report).await,
                 Some(PeerCommand::Leave) => task.apply(MemberEvent::LeaveStarted).await,
@@ -117,6 +123,7 @@
                 task.apply(MemberEvent::ConfigVersion(version)).await;
                 task.apply(MemberEvent::Tick).await;
                 task.state.report_lag();
+                task.update_replica(ReplicaEvent::Tick).await;
             }
         }
     }
@@ -171,6 +178,13 @@
         if let Some(report) = decode_content_report(&envelope.body) {
             return self.state.merge_content(&report);
         }
+        if let Some(request) = decode_document_request(&envelope.body) {
+            return self.send_document(&from, &request).await;
+        }
+        if let Some(part) = decode_document_part(&envelope.body) {
+            let event = ReplicaEvent::PartReceived { from, part };
+            return self.update_replica(event).await;
+        }
         // Without a recipient the ledger cannot check that a message is meant for this incarnation,
         // so that it must not change any balance.
         let to = envelope.recipient.as_ref().map(HolderId::from);
@@ -199,13 +213,42 @@
                 }
                 MemberEffect::MembersChanged { .. } => self.publish_members(),
                 MemberEffect::StateChanged { .. } => {}
-                MemberEffect::PeerVersion { version, .. } => {
-                    self.state.record_peer_version(version)
+                MemberEffect::PeerVersion { peer, version } => {
+                    self.state.record_peer_version(version);
+                    let event = ReplicaEvent::PeerVersion { peer, version };
+                    self.update_replica(event).await;
                 }
             }
         }
     }
 
+    /// Feeds an event to the exchange of configurations and executes the resulting action.
+    async fn update_replica(&mut self, event: ReplicaEvent) {
+        let state = &self.state;
+        let (version, now) = (state.version(), state.now());
+        let index = || state.document_index();
+        let effect = self
+            .replica
+            .handle(event, version, index, now, &mut self.generator);
+        match effect {
+            Some(ReplicaEffect::Request { to, request }) => {
+                let body = encode_document_request(&request);
+                self.send_to_member(&to, body).await;
+            }
+            Some(ReplicaEffect::Activate(document)) => {
+                self.state.activate_document(*document, "peer");
+            }
+            None => {}
+        }
+    }
+
+    /// Sends a peer the parts of the active configuration that it lacks.
+    async fn send_document(&self, to: &HolderId, request: &DocumentRequest) {
+        for part in self.state.document_index().answer(request) {
+            self.send_to_member(to, encode_document_part(part)).await;
+        }
+    }
+
     fn publish_members(&self) {
         let live: Vec<DomainPeer> = self
             .table
@@ -306,13 +349,9 @@
         joined.cloned().collect()
     }
 
-    async fn send_budget(&self, to: &HolderId, message: BudgetMessage) {
+    async fn send_to_member(&self, to: &HolderId, body: WireBody) {
         match self.table.member(&to.instance) {
-            Some(member) => {
-                let address = member.record.address.clone();
-                let body = encode_budget_message(message);
-                self.send(&address, Some(to), body).await;
-            }
+            Some(member) => self.send(&member.record.address, Some(to), body).await,
             None => log::debug!("message to peer {to} dropped: its address is unknown"),
         }
     }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -15,7 +15,7 @@
     budget::{LedgerEvent, PaidAmount},
     placement::{PlacementOptions, PlacementTable},
     retry::WindowBudget,
-    route::RouteDocument,
+    route::{RouteDocument, replica::DocumentIndex},
 };
 use parking_lot::Mutex;
 use tokio::{
@@ -56,6 +56,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) headers: HeaderNames,
     pub(crate) document: ArcSwapOption<RouteDocument>,
+    /// Index of the active configuration, once a peer or this instance needed it.
+    document_index: Mutex<Arc<DocumentIndex>>,
     pub(crate) placement: Mutex<PlacementTable>,
     pub(crate) ledger: SharedLedger,
     pub(crate) pool: UpstreamPool,
@@ -95,6 +97,7 @@
         Self {
             headers,
             document: ArcSwapOption::empty(),
+            document_index: Mutex::new(Arc::new(DocumentIndex::empty())),
             placement: Mutex::new(PlacementTable::new(options)),
             ledger,
             pool: UpstreamPool::default(),
@@ -161,6 +164,17 @@
         true
     }
 
+    /// Returns the index of the active configuration for an exchange with peers.
+    pub(crate) fn document_index(&self) -> Arc<DocumentIndex> {
+        let mut index = self.document_index.lock();
+        if let Some(document) = self.document.load().as_ref()
+            && document.version != index.version()
+        {
+            *index = Arc::new(DocumentIndex::new(document));
+        }
+        Arc::clone(&index)
+    }
+
     fn register_budgets(&self, document: &RouteDocument) {
         let mut ledger = self.ledger.lock();
         for customer in document.customers() {
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -41,8 +41,9 @@
 /// Shortest time without a response that counts as an outage in which entries may have expired. An
 /// interrupted watch is retried sooner.
 const OUTAGE_MIN: Duration = Duration::from_millis(300);
-/// Time for which the own watch may still report a newer configuration that a peer has announced.
-const PEER_VERSION_GRACE: Duration = Duration::from_millis(300);
+/// Time for which the own watch may still report a newer configuration that a peer has announced,
+/// or peers may deliver it.
+const PEER_VERSION_GRACE: Duration = Duration::from_millis(800);
 /// Consecutive failures after which a dependency counts as lost.
 const LOST_FAILURE_COUNT: u32 = 2;
 
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -127,6 +127,26 @@
   1: required list<WireMember> records
 }
 
+// Asks for the entries of a newer configuration. The digests are those of the sender's buckets.
+struct WireDocumentRequest {
+  1: required i64 version
+  2: required list<i32> digests
+}
+
+// Entries as JSON.
+struct WireDocumentBucket {
+  1: required i16 index
+  2: required string entries
+}
+
+// A part of the buckets that differ, and the digests of all buckets of the version.
+struct WireDocumentPart {
+  1: required i64 version
+  2: required list<i32> digests
+  3: required list<WireDocumentBucket> buckets
+  4: required bool is_last
+}
+
 union WireBody {
   1: WirePing ping
   2: WireAck ack
@@ -143,6 +163,8 @@
   13: WireTableRequest table_request
   14: WireTableChunk table_chunk
   15: WireContentReport content_report
+  16: WireDocumentRequest document_request
+  17: WireDocumentPart document_part
 }
 
 // One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -2,8 +2,12 @@
 
 mod budget;
 mod content;
+mod document;
 mod member;
 
 pub use budget::{decode_budget_message, encode_budget_message};
 pub use content::{decode_content_report, encode_content_report};
+pub use document::{
+    decode_document_part, decode_document_request, encode_document_part, encode_document_request,
+};
 pub use member::decode_member_event;
