Do not take an earlier refusal for the answer to the next request

Report of other operators: a faulty upstream writes an earlier refusal once more on a kept connection; callers are told "not run" for a request that runs, or it runs at a second one. Cause: a response was matched by its id only if it had one. On a kept connection a response without an id now counts as lost; the first one on a connection is believed as before.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -83,11 +83,12 @@
             ));
         }
         let outgoing = build_request(state, request, placement);
+        let is_first = connection.is_unused;
         let sent = timeout_at(request.attempt_deadline, connection.send(outgoing)).await;
         match sent {
             Ok(Ok(response)) => {
                 flight.record_load(response.headers());
-                return check_response(state, request, connection, response);
+                return check_response(state, request, connection, response, is_first);
             }
             Ok(Err(SendFailure::NotSent)) => {}
             Ok(Err(SendFailure::Unknown(reason))) => {
@@ -170,11 +171,13 @@
 }
 
 /// Accepts a response only if it belongs to this request and the upstream ran the request.
+/// `is_first` tells that it is the first one on its connection.
 fn check_response(
     state: &GatewayState,
     request: &AttemptRequest<'_>,
     connection: PooledConnection,
     response: Response<Incoming>,
+    is_first: bool,
 ) -> Result<AttemptResponse, AttemptFailure> {
     let names = &state.headers;
     let headers = response.headers();
@@ -185,6 +188,13 @@
             "response carries the id of another request",
         ));
     }
+    // On a kept connection, it may be an earlier response that the upstream sends once more.
+    if id.is_none() && !is_first {
+        return Err(AttemptFailure::new(
+            FlightOutcome::Lost,
+            "response on a kept connection carries no request id",
+        ));
+    }
     let status = response.status();
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run) {
         let reason = format!("upstream refused the request with status {status}");
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -32,12 +32,21 @@
     Unsolicited(&'static str),
     /// Responds with the id of another request.
     WrongId,
+    /// Runs the request, but sends an earlier refusal once more, with the id of the request that was
+    /// refused.
+    RefuseAgain,
+    /// As [`Reply::RefuseAgain`], but the refusal names no request.
+    RefuseAgainWithoutId,
+    /// Sends the first bytes of the head of this response and closes the connection.
+    PartialHead(usize),
     /// Sends these texts as chunks of an event stream and ends the response properly.
     Events(Vec<String>),
     /// Sends these texts as chunks of an event stream and resets the connection.
     Interrupted(Vec<String>),
     /// Sends these texts as chunks of an event stream with a pause after each.
     Paced(Vec<String>, Duration),
+    /// As [`Reply::Paced`], but resets the connection in place of the end.
+    PacedReset(Vec<String>, Duration),
     /// Responds without the header that proves that the upstream produced the response.
     WithoutProof,
     /// Sends fewer bytes than its `content-length` and closes the connection.
@@ -246,6 +255,7 @@
     let stream_head = format!(
         "HTTP/1.1 200 OK\r\nt-attempt: {id}\r\nt-seal: seal-{id}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
+    let is_reset = matches!(reply, Reply::PacedReset(..));
     let text = match reply {
         Reply::Answer(status, body) => response_text(id, status, "", body),
         Reply::Refuse => response_text(id, 503, "t-not-run: 1\r\n", ""),
@@ -255,6 +265,19 @@
         }
         Reply::WithoutProof => response_text(id, 200, "", "x").replace("t-seal", "t-other"),
         Reply::WrongId => response_text("another", 200, "", "wrong"),
+        Reply::RefuseAgain => response_text("earlier", 503, "t-not-run: 1\r\n", ""),
+        Reply::RefuseAgainWithoutId => {
+            let refusal = response_text("earlier", 503, "t-not-run: 1\r\n", "");
+            refusal.replace("t-attempt: earlier\r\n", "")
+        }
+        Reply::PartialHead(bytes) => {
+            let text = response_text(id, 200, "", "body");
+            let head = text.split("\r\n\r\n").next().unwrap_or_default();
+            let part = &head.as_bytes()[..bytes.min(head.len())];
+            let _ = stream.write_all(part).await;
+            let _ = stream.flush().await;
+            return false;
+        }
         Reply::Reset => {
             // With a linger time of zero, closing the socket resets the connection.
             let _ = stream.set_zero_linger();
@@ -321,7 +344,7 @@
         Reply::EndlessHead => {
             return send_endless(stream, state, "HTTP/1.1 200 OK\r\n", "a: b\r\n").await;
         }
-        Reply::Paced(events, pause) => {
+        Reply::Paced(events, pause) | Reply::PacedReset(events, pause) => {
             if stream.write_all(stream_head.as_bytes()).await.is_err() {
                 return false;
             }
@@ -336,6 +359,10 @@
                 }
                 tokio::time::sleep(pause).await;
             }
+            if is_reset {
+                let _ = stream.set_zero_linger();
+                return false;
+            }
             "0\r\n\r\n".to_owned()
         }
     };
