Send each order of the router over a connection of its own

The order ran, the caller was told not_run, and could order again under a new key. repeated_refusal_counts_for_the_next_order failed before: order 1 got 503, because the poll of the load had used the connection before it. Orders now use a client that keeps no connections; calls that may be repeated still share them, since running one again does no harm.

--- a/crates/router/src/process/router.rs
+++ b/crates/router/src/process/router.rs
@@ -169,9 +169,17 @@
         .context(PlatformSnafu)?;
         let metrics = RouterMetrics::open(&settings.metrics_prefix, settings.metrics)
             .context(MetricsSnafu)?;
-        let client = build_client().context(ClientSnafu)?;
+        let client = build_client(usize::MAX).context(ClientSnafu)?;
+        let order_client = build_client(0).context(ClientSnafu)?;
         let holder = HolderId::new(settings.instance.clone(), StdRng::from_os_rng().random());
-        let state = Arc::new(RouterState::new(settings, holder, metrics, store, client));
+        let state = Arc::new(RouterState::new(
+            settings,
+            holder,
+            metrics,
+            store,
+            client,
+            order_client,
+        ));
         let mut router = Self {
             state,
             addresses,
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -75,7 +75,11 @@
     pub(crate) dispatcher: UpstreamDispatcher,
     pub(crate) orders: OrderRegistry,
     pub(crate) fleet: ArcSwap<FleetView>,
+    /// Client for calls that may be repeated.
     pub(crate) client: reqwest::Client,
+    /// Client for calls that may not be repeated, with a connection for each: answers name no
+    /// request, so that an earlier refusal on a kept connection would pass for theirs.
+    pub(crate) order_client: reqwest::Client,
     pub(crate) store: HttpStore,
     pub(crate) links: PeerLinks,
     pub(crate) tasks: TaskTracker,
@@ -94,6 +98,7 @@
         metrics: RouterMetrics,
         store: HttpStore,
         client: reqwest::Client,
+        order_client: reqwest::Client,
     ) -> Self {
         let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
         let ledger = BudgetLedger::new(holder.clone(), LedgerOptions::default());
@@ -107,6 +112,7 @@
             dispatcher: UpstreamDispatcher::new(settings.domain.clone(), settings.capacity),
             fleet: ArcSwap::default(),
             client,
+            order_client,
             store,
             links: PeerLinks::new(&holder, tasks.clone(), stop.clone()),
             tasks,
@@ -360,12 +366,12 @@
     }
 }
 
-/// Builds the HTTP client for upstreams.
-pub(crate) fn build_client() -> reqwest::Result<reqwest::Client> {
+/// Builds an HTTP client for upstreams that keeps up to `idle` connections to each.
+pub(crate) fn build_client(idle: usize) -> reqwest::Result<reqwest::Client> {
     reqwest::Client::builder()
         .connect_timeout(CONNECT_TIMEOUT)
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-        .pool_max_idle_per_host(usize::MAX)
+        .pool_max_idle_per_host(idle)
         .redirect(reqwest::redirect::Policy::none())
         .tcp_nodelay(true)
         .no_proxy()
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -128,9 +128,11 @@
         let timeout = call
             .timeout
             .min(context.deadline.since(context.state.now()));
-        let request = context
-            .state
-            .client
+        let client = match self.state.idempotent {
+            true => &context.state.client,
+            false => &context.state.order_client,
+        };
+        let request = client
             .request(call.method, url)
             .headers(call.headers)
             .header(TIMEOUT_HEADER, context.remaining_ms())
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -52,6 +52,8 @@
     pub upstream: &'static str,
     /// Request timeout of the routers.
     pub request_timeout: Duration,
+    /// Address of an instance of the service `shop` that the test runs itself.
+    pub own_service: Option<SocketAddr>,
 }
 
 /// Raises the time a reservation waits for tokens. The first draw normally takes milliseconds, but
@@ -70,6 +72,7 @@
             model: "resume = yes",
             upstream: "",
             request_timeout: Duration::from_secs(30),
+            own_service: None,
         }
     }
 }
@@ -160,8 +163,8 @@
                  domain = {domain}\nmodels = tiny\n{upstream}\n"
             ));
         }
-        for (index, service) in self.services.iter().enumerate() {
-            let address = service.address();
+        let services = self.services.iter().map(ServiceHandle::address);
+        for (index, address) in services.chain(self.options.own_service).enumerate() {
             text.push_str(&format!(
                 "[upstream shop-{index}]\nkind = service\naddress = {address}\ndomain = a\n\
                  service = shop\n{upstream}\n"
--- a/crates/router/tests/orders.rs
+++ b/crates/router/tests/orders.rs
@@ -8,7 +8,17 @@
     service::{ServiceFaults, ServiceOptions},
 };
 use rstest::rstest;
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 fn two_routers() -> FleetOptions {
     FleetOptions {
@@ -236,3 +246,46 @@
     wait_until("the expired record is removed", removed).await;
     assert!(fleet.platform.peek(recent).is_some());
 }
+
+/// Answers the first call on a connection and each further one with an earlier refusal, although it
+/// runs them all. `runs` counts the orders.
+async fn serve_repeated_refusals(mut stream: TcpStream, runs: Arc<AtomicU32>) {
+    let mut calls = 0;
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+        let is_order = buffer[..length].starts_with(b"POST");
+        runs.fetch_add(u32::from(is_order), Ordering::SeqCst);
+        calls += 1;
+        let status = if calls == 1 { "200 OK" } else { "503 Busy" };
+        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\nok");
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against an order that is called not run because its upstream sends an earlier refusal
+/// again on a kept connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_counts_for_the_next_order() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let runs = Arc::new(AtomicU32::new(0));
+    let options = FleetOptions {
+        services: Vec::new(),
+        own_service: Some(listener.local_addr().unwrap()),
+        ..FleetOptions::default()
+    };
+    let counter = Arc::clone(&runs);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_repeated_refusals(stream, Arc::clone(&counter)));
+        }
+    });
+    let fleet = TestFleet::start(options).await;
+    for number in 1..=4 {
+        let order = fleet.order(0, &format!("key-{number}"), &format!("o{number}"));
+        let status = order.send().await.unwrap().status();
+        assert_eq!(status, 200, "order {number}");
+        assert_eq!(runs.load(Ordering::SeqCst), number);
+    }
+}
