--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -1,7 +1,10 @@
 //! HTTP client of the object API.
 
+mod body;
 mod response;
 
+pub use body::{BodyError, BodyLimits, read_body};
+
 use std::time::Duration;
 
 use bytes::Bytes;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,5 +6,5 @@
 pub mod client;
 pub mod store;
 
-pub use client::{ClientOptions, HttpStore};
+pub use client::{BodyError, BodyLimits, ClientOptions, HttpStore, read_body};
 pub use store::{InstanceEntry, InstanceState, ObjectStore, StoreError, VersionedValue};
