Drop a message of an unknown kind instead of ending the peer task

Found while the exchange of configurations was checked for builds that run beside each other: the generated code reads a union with an unknown field, skips it and then expects a value. A message of a newer build, or a damaged one, so ended the task that holds the member table (gateway) or a connection (router); the gateway went on without peers, and without the exchange of configurations, until it was restarted. message_of_a_newer_build_stops_the_process failed before (panic in the generated code). The input protocol now rejects unknown kinds before the generated code sees them.

--- a/crates/wire/src/connection/bounded.rs
+++ b/crates/wire/src/connection/bounded.rs
@@ -1,23 +1,35 @@
-//! Thrift input protocol that bounds the collection sizes declared by a peer.
+//! Thrift input protocol that rejects what the generated code cannot handle.
+
+use std::ops::RangeInclusive;
 
 use thrift::{
     Error, ProtocolError, ProtocolErrorKind, Result,
     protocol::{
         TFieldIdentifier, TInputProtocol, TListIdentifier, TMapIdentifier, TMessageIdentifier,
-        TSetIdentifier, TStructIdentifier,
+        TSetIdentifier, TStructIdentifier, TType,
     },
 };
 
 /// Maximum number of elements of a collection; a configuration response has at most 64 deltas.
 const MAX_ELEMENTS: usize = 4_096;
+/// Field of `WireEnvelope` that contains the `WireBody`.
+const BODY_FIELD: i16 = 3;
+/// Fields of `WireBody`.
+const BODY_KINDS: RangeInclusive<i16> = 1..=17;
 
-/// Rejects collections that declare more elements than their frame can hold.
+/// Rejects collections that declare more elements than their frame can hold, and messages of a
+/// kind that this build does not know.
 ///
 /// The generated code allocates memory for the declared size before it reads the elements, so
-/// without this check a corrupt frame of a few bytes could exhaust the memory.
+/// without this check a corrupt frame of a few bytes could exhaust the memory. It panics on a union
+/// with an unknown field only.
 pub(super) struct BoundedInput<P> {
     inner: P,
     max_elements: usize,
+    /// Number of structs that have begun and not ended.
+    depth: usize,
+    /// Field of the envelope that is being read.
+    envelope_field: Option<i16>,
 }
 
 impl<P: TInputProtocol> BoundedInput<P> {
@@ -26,7 +38,27 @@
         Self {
             inner,
             max_elements: frame_bytes.min(MAX_ELEMENTS),
+            depth: 0,
+            envelope_field: None,
+        }
+    }
+
+    fn check_kind(&mut self, field: &TFieldIdentifier) -> Result<()> {
+        match (self.depth, field.id) {
+            (1, id) => self.envelope_field = id,
+            (2, Some(id))
+                if self.envelope_field == Some(BODY_FIELD)
+                    && field.field_type != TType::Stop
+                    && !BODY_KINDS.contains(&id) =>
+            {
+                return Err(Error::Protocol(ProtocolError {
+                    kind: ProtocolErrorKind::InvalidData,
+                    message: format!("message of the unknown kind {id}"),
+                }));
+            }
+            _ => {}
         }
+        Ok(())
     }
 
     fn check_size(&self, size: i32) -> Result<()> {
@@ -53,15 +85,19 @@
     }
 
     fn read_struct_begin(&mut self) -> Result<Option<TStructIdentifier>> {
+        self.depth += 1;
         self.inner.read_struct_begin()
     }
 
     fn read_struct_end(&mut self) -> Result<()> {
+        self.depth = self.depth.saturating_sub(1);
         self.inner.read_struct_end()
     }
 
     fn read_field_begin(&mut self) -> Result<TFieldIdentifier> {
-        self.inner.read_field_begin()
+        let field = self.inner.read_field_begin()?;
+        self.check_kind(&field)?;
+        Ok(field)
     }
 
     fn read_field_end(&mut self) -> Result<()> {
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -2,7 +2,7 @@
 
 use bytes::{BufMut, BytesMut};
 use cornelarch_wire::{
-    FrameCodec, FrameError,
+    FrameCodec, FrameError, decode_envelope,
     peer::{WireBody, WireEnvelope, WireHolder, WireTransfer},
 };
 use tokio_util::codec::{Decoder, Encoder};
@@ -55,3 +55,22 @@
     let error = FrameCodec::new().decode(&mut bytes).unwrap_err();
     assert!(matches!(error, FrameError::Connection { .. }), "{error}");
 }
+
+/// Guards against a process that ends because a peer of a newer build sends it a kind of message
+/// that this build does not know.
+#[test]
+fn message_of_a_newer_build_stops_the_process() {
+    // Field 1 (the sender), then field 3 (the body), a union with the unknown field 99.
+    let sender = [0x1c, 0x18, 1, b'a', 0x16, 2, 0];
+    let body = [0x2c, 0x0c, 0xc6, 0x01, 0, 0];
+    let bytes: Vec<u8> = [&sender[..], &body, &[0]].concat();
+    let error = decode_envelope(&bytes).unwrap_err();
+    let FrameError::Malformed {
+        source: thrift::Error::Protocol(cause),
+    } = error
+    else {
+        panic!("{error}");
+    };
+    assert_eq!(cause.kind, thrift::ProtocolErrorKind::InvalidData);
+    assert!(cause.message.contains("kind 99"), "{}", cause.message);
+}
