Judge reads of the router's platform client by their progress

A base document is stored in parts of up to a megabyte, so that a router on a link with less than 4 Mbit/s to spare never gets it. The head of a response keeps the 2 s, the body is read by the loop of the other client, and the time for a connection covers a retransmission. Writes keep their limit.

--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -11,6 +11,7 @@
 use reqwest::{Client, RequestBuilder, Response, StatusCode, Url, redirect::Policy};
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
+use tokio::time::timeout;
 
 use crate::{
     client::response::{
@@ -24,19 +25,22 @@
 pub struct ClientOptions {
     /// The base URL, such as `http://127.0.0.1:7000`.
     pub address: String,
-    /// The timeout for opening a connection.
+    /// The timeout for opening a connection. It allows for one retransmission of the first packet.
     pub connect_timeout: Duration,
-    /// The timeout from sending a request to the end of its response; a watch adds its own wait
-    /// time.
+    /// The timeout from sending a write to the end of its response, or from sending a read to the
+    /// head of its response; a watch adds its own wait time.
     pub call_timeout: Duration,
+    /// The limits of the body of a read. A large object takes long on a full link.
+    pub body: BodyLimits,
 }
 
 impl Default for ClientOptions {
     fn default() -> Self {
         Self {
             address: "http://127.0.0.1:7000".to_owned(),
-            connect_timeout: Duration::from_millis(500),
+            connect_timeout: Duration::from_millis(1_500),
             call_timeout: Duration::from_secs(2),
+            body: BodyLimits::default(),
         }
     }
 }
@@ -64,6 +68,7 @@
     client: Client,
     base_url: Url,
     call_timeout: Duration,
+    body: BodyLimits,
 }
 
 impl HttpStore {
@@ -86,6 +91,7 @@
             client,
             base_url,
             call_timeout: options.call_timeout,
+            body: options.body,
         })
     }
 
@@ -104,13 +110,21 @@
         url
     }
 
-    /// Sends a read. A failed read changes nothing, so every error is `Unavailable`.
-    async fn send_read(&self, request: RequestBuilder, timeout: Duration) -> Result<Response> {
-        request
-            .timeout(timeout)
-            .send()
-            .await
-            .map_err(|error| unavailable(root_cause(&error)))
+    /// Sends a read and waits for the head of its response. A failed read changes nothing, so every
+    /// error is `Unavailable`.
+    async fn send_read(&self, request: RequestBuilder, limit: Duration) -> Result<Response> {
+        let sent = timeout(limit, request.send()).await;
+        let sent = sent.map_err(|_| {
+            let ms = limit.as_millis();
+            unavailable(format!("response did not begin within {ms} ms"))
+        })?;
+        sent.map_err(|error| unavailable(root_cause(&error)))
+    }
+
+    async fn read_json<T: DeserializeOwned>(&self, response: Response) -> Result<T> {
+        let body = read_body(response, &self.body).await;
+        let body = body.map_err(|error| unavailable(root_cause(&error)))?;
+        serde_json::from_slice(&body).map_err(|error| unavailable(error.to_string()))
     }
 
     /// Sends a write. Of the transport errors, only a failed connect proves that the write was not
@@ -141,7 +155,7 @@
         let request = self.client.get(self.build_url("objects", key, &[]));
         let response = self.send_read(request, self.call_timeout).await?;
         match response.status() {
-            StatusCode::OK => Ok(read_json::<ObjectResponse>(response).await?.into()),
+            StatusCode::OK => Ok(self.read_json::<ObjectResponse>(response).await?.into()),
             StatusCode::NOT_FOUND => Err(not_found(key)),
             status => Err(map_read_status(status)),
         }
@@ -179,7 +193,7 @@
         let request = self.client.get(url);
         let response = self.send_read(request, self.call_timeout).await?;
         match response.status() {
-            StatusCode::OK => Ok(read_json::<ListResponse>(response).await?.into()),
+            StatusCode::OK => Ok(self.read_json::<ListResponse>(response).await?.into()),
             status => Err(map_read_status(status)),
         }
     }
@@ -197,7 +211,9 @@
         let limit = timeout.saturating_add(self.call_timeout);
         let response = self.send_read(request, limit).await?;
         match response.status() {
-            StatusCode::OK => Ok(Some(read_json::<ObjectResponse>(response).await?.into())),
+            StatusCode::OK => Ok(Some(
+                self.read_json::<ObjectResponse>(response).await?.into(),
+            )),
             StatusCode::NO_CONTENT => Ok(None),
             status => Err(map_read_status(status)),
         }
@@ -207,7 +223,10 @@
         let request = self.client.get(self.build_url("instances", "", &[]));
         let response = self.send_read(request, self.call_timeout).await?;
         match response.status() {
-            StatusCode::OK => Ok(read_json::<InstancesResponse>(response).await?.instances),
+            StatusCode::OK => Ok(self
+                .read_json::<InstancesResponse>(response)
+                .await?
+                .instances),
             status => Err(map_read_status(status)),
         }
     }
@@ -222,11 +241,6 @@
     }
 }
 
-async fn read_json<T: DeserializeOwned>(response: Response) -> Result<T> {
-    let result = response.json().await;
-    result.map_err(|error| unavailable(root_cause(&error)))
-}
-
 async fn read_conflict(response: Response, key: &str) -> StoreError {
     // The status alone proves that the write was rejected, so a missing body does not make the
     // result unknown. The version is only a hint; callers fetch the object again anyway.
@@ -265,8 +279,8 @@
 }
 
 /// Returns the innermost cause, because the outer messages of the HTTP client only name the URL.
-fn root_cause(error: &reqwest::Error) -> String {
-    let mut cause: &dyn std::error::Error = error;
+fn root_cause(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
     while let Some(source) = cause.source() {
         cause = source;
     }
