Keep a newer configuration in force when two sources deliver at once

Found by reading: since peers deliver configurations too, two tasks compare a version with the one in force and then replace it, so that in between a newer one can be lost ("came back older"). The document in force is now a type of its own in core, with activations one after the other.

--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -4,7 +4,10 @@
 
 use cornelarch_core::{
     base::{CustomerName, ServiceName},
-    route::{CustomerRecord, RouteDocument, RouteKind, RouteLookup, RouteRule, SplitTarget},
+    route::{
+        ActiveDocument, CustomerRecord, RouteDocument, RouteKind, RouteLookup, RouteRule,
+        SplitTarget,
+    },
 };
 use rstest::rstest;
 
@@ -89,3 +92,22 @@
     assert_eq!(name("k2").as_deref(), Some("zeta"));
     assert_eq!(name("k3"), None);
 }
+
+/// Guards against an older configuration that replaces a newer one, because two sources deliver
+/// their versions at the same time.
+#[test]
+fn slower_source_puts_an_older_document_in_force() {
+    let active = ActiveDocument::default();
+    std::thread::scope(|scope| {
+        for source in 0..4 {
+            let active = &active;
+            scope.spawn(move || {
+                for version in (1 + source..20_000).step_by(4) {
+                    active.activate(RouteDocument::new(version), |_| std::thread::yield_now());
+                    let found = active.version();
+                    assert!(found >= version, "version {found} after {version}");
+                }
+            });
+        }
+    });
+}
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -9,13 +9,12 @@
     time::Duration,
 };
 
-use arc_swap::ArcSwapOption;
 use cornelarch_core::{
     base::{BudgetName, MonotonicTime, ServiceName},
     budget::{LedgerEvent, PaidAmount},
     placement::{PlacementOptions, PlacementTable},
     retry::WindowBudget,
-    route::{RouteDocument, replica::DocumentIndex},
+    route::{ActiveDocument, RouteDocument, replica::DocumentIndex},
 };
 use parking_lot::Mutex;
 use tokio::{
@@ -55,7 +54,7 @@
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
     pub(crate) headers: HeaderNames,
-    pub(crate) document: ArcSwapOption<RouteDocument>,
+    pub(crate) document: ActiveDocument,
     /// Index of the active configuration, once a peer or this instance needed it.
     document_index: Mutex<Arc<DocumentIndex>>,
     pub(crate) placement: Mutex<PlacementTable>,
@@ -96,7 +95,7 @@
         let options = PlacementOptions::new(settings.domain.clone());
         Self {
             headers,
-            document: ArcSwapOption::empty(),
+            document: ActiveDocument::default(),
             document_index: Mutex::new(Arc::new(DocumentIndex::empty())),
             placement: Mutex::new(PlacementTable::new(options)),
             ledger,
@@ -143,34 +142,27 @@
 
     /// Activates a configuration unless the active one is as new. Returns whether it was activated.
     pub(crate) fn activate_document(&self, document: RouteDocument, source: &str) -> bool {
-        let current = self.document.load();
-        if current
-            .as_ref()
-            .is_some_and(|current| current.version >= document.version)
-        {
-            return false;
-        }
-        self.register_budgets(&document);
-        let behind = self.versions.record_active(document.version);
-        log_event!(
-            DocumentApplied,
-            "version={} routes={} customers={} source={source} behind_ms={}",
-            document.version,
-            document.route_count(),
-            document.customers().count(),
-            behind.as_millis()
-        );
-        self.document.store(Some(Arc::new(document)));
-        true
+        self.document.activate(document, |document| {
+            self.register_budgets(document);
+            let behind = self.versions.record_active(document.version);
+            log_event!(
+                DocumentApplied,
+                "version={} routes={} customers={} source={source} behind_ms={}",
+                document.version,
+                document.route_count(),
+                document.customers().count(),
+                behind.as_millis()
+            );
+        })
     }
 
     /// Returns the index of the active configuration for an exchange with peers.
     pub(crate) fn document_index(&self) -> Arc<DocumentIndex> {
         let mut index = self.document_index.lock();
-        if let Some(document) = self.document.load().as_ref()
+        if let Some(document) = self.document.load()
             && document.version != index.version()
         {
-            *index = Arc::new(DocumentIndex::new(document));
+            *index = Arc::new(DocumentIndex::new(&document));
         }
         Arc::clone(&index)
     }
@@ -206,8 +198,7 @@
 
     /// Returns the active configuration version, or 0 if there is none.
     pub(crate) fn version(&self) -> u64 {
-        let document = self.document.load();
-        document.as_ref().map_or(0, |document| document.version)
+        self.document.version()
     }
 
     /// Returns whether this instance is among those of its domain that read the latest state of the
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -113,7 +113,7 @@
     request: Request<Incoming>,
     started: Instant,
 ) -> Result<RequestExchange, RequestRefusal> {
-    let document = state.document.load_full().ok_or(ErrorKind::NotReady)?;
+    let document = state.document.load().ok_or(ErrorKind::NotReady)?;
     let (parts, body) = request.into_parts();
     let host = parts.headers.get(header::HOST);
     let host = host
