Do not refuse entries of an announced version as unknown

Callers with a route or key that was just added got a final 404 or 401 from an instance that had heard of the newer version from a peer and waited for it: a configuration counted as current for 6 s after the platform confirmed it, whatever peers said. Such a caller does not come back. entry_of_an_announced_version_is_refused_as_unknown failed before ([404, 401]). Now the refusal is not ready (503, not run) for as long as the version is awaited, at most 6 s, so that a version that never comes does not keep wrong requests from being refused for good; the test covers both. Found by reading what an instance that is behind tells its callers; not seen on the bench.

--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -32,7 +32,8 @@
 };
 
 /// Time without confirmation after which a configuration counts as possibly outdated, so that an
-/// unknown host or key may be valid.
+/// unknown host or key may be valid. Also the time for which a newer version that a peer has
+/// announced makes it so: one that does not come must not keep wrong requests from being refused.
 const CONFIRMATION_MAX_AGE: Duration = Duration::from_secs(6);
 /// Place of an instance that does not store the blocked content.
 const NO_WRITER: u32 = u32::MAX;
@@ -186,9 +187,12 @@
         self.confirmed.send_replace(());
     }
 
-    /// Returns whether the configuration was confirmed recently.
+    /// Returns whether the platform confirmed the configuration recently, and no peer has just
+    /// announced a newer one.
     pub(crate) fn is_confirmed(&self) -> bool {
+        let behind = self.versions.behind();
         self.confirmed_age() < CONFIRMATION_MAX_AGE
+            && behind.is_none_or(|behind| behind >= CONFIRMATION_MAX_AGE)
     }
 
     fn confirmed_age(&self) -> Duration {
--- a/crates/gateway/src/process/version.rs
+++ b/crates/gateway/src/process/version.rs
@@ -58,6 +58,11 @@
         Some((lag.newest, behind))
     }
 
+    /// Returns for how long a version newer than the active one has been known, if there is one.
+    pub(crate) fn behind(&self) -> Option<Duration> {
+        self.lag.lock().behind_since.map(|since| since.elapsed())
+    }
+
     /// Returns the newest known version.
     pub(crate) fn newest(&self) -> u64 {
         self.lag.lock().newest
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -14,6 +14,7 @@
     encode_envelope,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
+use reqwest::header::HeaderValue;
 use tokio::net::UdpSocket;
 
 /// Number of members besides the gateway: enough that others are chosen to read the latest
@@ -39,6 +40,18 @@
     socket.send_to(&bytes, to).await.expect("send");
 }
 
+/// Tells the gateway that a member has a configuration version active.
+async fn announce(socket: &UdpSocket, fixture: &Fixture, from: &MemberRecord, version: u64) {
+    let ping = MemberMessage::Ping(PingBody {
+        nonce: 1,
+        sender: from.clone(),
+        config_version: version,
+        load_permille: 0,
+        updates: Vec::new(),
+    });
+    send(socket, fixture.peers, from, &ping).await;
+}
+
 /// Announces many members of its domain to the gateway.
 async fn join_members(fixture: &Fixture) -> (UdpSocket, Vec<MemberRecord>) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
@@ -76,18 +89,37 @@
         3,
         "the stale watch reported the version"
     );
-    let ping = MemberMessage::Ping(PingBody {
-        nonce: 1,
-        sender: records[0].clone(),
-        config_version: 4,
-        load_permille: 0,
-        updates: Vec::new(),
-    });
-    send(&socket, fixture.peers, &records[0], &ping).await;
+    announce(&socket, &fixture, &records[0], 4).await;
     tokio::time::sleep(IN_FORCE).await;
     assert_eq!(fixture.gauge("version").await, 4);
 }
 
+/// Guards against a route or key that was added and is refused as unknown by an instance which has
+/// heard of a newer version but does not have it, and against a version that never comes and keeps
+/// wrong requests from being refused for good.
+#[tokio::test]
+async fn entry_of_an_announced_version_is_refused_as_unknown() {
+    let upstream = FakeUpstream::start(vec![]).await;
+    let options = FixtureOptions::default();
+    let fixture = Fixture::start(&options, &[("plain", &upstream)]).await;
+    let (socket, records) = join_members(&fixture).await;
+    let statuses = async || {
+        let added_path = fixture.post("/added/x", "r1").send();
+        let mut added_key = fixture.post("/again/x", "r2").build().expect("request");
+        let key = HeaderValue::from_static("added-key");
+        added_key.headers_mut().insert("t-key", key);
+        let added_key = fixture.client.execute(added_key);
+        let (path, key) = (added_path.await, added_key.await);
+        [path, key].map(|answer| answer.expect("answer").status().as_u16())
+    };
+    assert_eq!(statuses().await, [404, 401]);
+    announce(&socket, &fixture, &records[0], 2).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(statuses().await, [503, 503]);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert_eq!(statuses().await, [404, 401]);
+}
+
 /// Guards against a stale list that is older than the known revision and would restore an upstream
 /// that has left.
 #[tokio::test]
