Do not end the peer task of earlier builds with new messages

Messages 16 to 18 now begin with a byte that generated code takes for the end of an envelope without fields, an error that these builds drop with a debug line. Whole processes of both builds beside each other were not run.

--- a/crates/wire/src/connection/mod.rs
+++ b/crates/wire/src/connection/mod.rs
@@ -11,11 +11,14 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use self::bounded::BoundedInput;
-use crate::peer::{WireEnvelope, WireHolder};
+use crate::peer::{WireBody, WireEnvelope, WireHolder};
 
 /// Maximum size of a frame, in bytes. A configuration snapshot of the target size has about 12 MB.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// Byte before an envelope that older builds reject as the end of an envelope without any field.
+const GUARD: u8 = 0;
+
 /// An error while reading or writing a frame.
 #[derive(Debug, Snafu)]
 pub enum FrameError {
@@ -39,6 +42,15 @@
     }
 }
 
+/// Returns whether some builds that are still in use end their peer task on a message of this kind,
+/// because they do not know it.
+fn is_guarded(body: &WireBody) -> bool {
+    matches!(
+        body,
+        WireBody::DocumentRequest(_) | WireBody::DocumentPart(_) | WireBody::VersionNotice(_)
+    )
+}
+
 /// Encodes an envelope without a length prefix, for a frame or a datagram.
 ///
 /// # Errors
@@ -46,6 +58,9 @@
 /// Returns [`FrameError::Malformed`] if the envelope cannot be encoded.
 pub fn encode_envelope(envelope: &WireEnvelope) -> Result<Vec<u8>, FrameError> {
     let mut bytes = Vec::with_capacity(256);
+    if is_guarded(&envelope.body) {
+        bytes.push(GUARD);
+    }
     let mut protocol = TCompactOutputProtocol::new(&mut bytes);
     envelope
         .write_to_out_protocol(&mut protocol)
@@ -59,6 +74,7 @@
 ///
 /// Returns [`FrameError::Malformed`] if the bytes are not a valid envelope.
 pub fn decode_envelope(bytes: &[u8]) -> Result<WireEnvelope, FrameError> {
+    let bytes = bytes.strip_prefix(&[GUARD]).unwrap_or(bytes);
     let mut protocol = BoundedInput::new(TCompactInputProtocol::new(bytes), bytes.len());
     WireEnvelope::read_from_in_protocol(&mut protocol).context(MalformedSnafu)
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -2,9 +2,10 @@
 
 use bytes::{BufMut, BytesMut};
 use cornelarch_wire::{
-    FrameCodec, FrameError, decode_envelope,
-    peer::{WireBody, WireEnvelope, WireHolder, WireTransfer},
+    FrameCodec, FrameError, decode_envelope, encode_envelope,
+    peer::{WireBody, WireEnvelope, WireHolder, WireTransfer, WireVersionNotice},
 };
+use thrift::protocol::{TCompactInputProtocol, TSerializable};
 use tokio_util::codec::{Decoder, Encoder};
 
 fn transfer() -> WireEnvelope {
@@ -74,3 +75,22 @@
     assert_eq!(cause.kind, thrift::ProtocolErrorKind::InvalidData);
     assert!(cause.message.contains("kind 99"), "{}", cause.message);
 }
+
+/// Guards against a process of an older build that ends because this build sends it a kind of
+/// message that it does not know: its generated code reads the bytes as they are.
+#[test]
+fn message_of_this_build_stops_an_older_one() {
+    let notice = WireEnvelope::new(
+        WireHolder::new("r1".to_owned(), 1),
+        None,
+        WireBody::VersionNotice(WireVersionNotice::new(7)),
+    );
+    let bytes = encode_envelope(&notice).unwrap();
+    let mut input = TCompactInputProtocol::new(&bytes[..]);
+    assert!(WireEnvelope::read_from_in_protocol(&mut input).is_err());
+    assert_eq!(decode_envelope(&bytes).unwrap(), notice);
+    let known = encode_envelope(&transfer()).unwrap();
+    let mut input = TCompactInputProtocol::new(&known[..]);
+    let read = WireEnvelope::read_from_in_protocol(&mut input).unwrap();
+    assert_eq!(read, transfer());
+}
