--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -46,7 +46,8 @@
 const REPEAT_PEERS: usize = 3;
 /// Maximum number of entries of a report in one datagram, which then has about 4 kB.
 const REPORT_ENTRIES_MAX: usize = 48;
-/// Size of the receive buffer, in bytes. Sent datagrams are far smaller.
+/// Size of the receive buffer, in bytes. The largest datagrams, parts of a configuration, have up to
+/// 14 kB.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 
 /// Command to the peer task.
--- a/crates/wire/src/connection/mod.rs
+++ b/crates/wire/src/connection/mod.rs
@@ -16,7 +16,8 @@
 /// Maximum size of a frame, in bytes. A configuration snapshot of the target size has about 12 MB.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
-/// Byte before an envelope that older builds reject as the end of an envelope without any field.
+/// Byte before an envelope that only builds with the check for unknown kinds are to read. Others
+/// reject it as the end of an envelope without fields.
 const GUARD: u8 = 0;
 
 /// An error while reading or writing a frame.
@@ -42,8 +43,8 @@
     }
 }
 
-/// Returns whether some builds that are still in use end their peer task on a message of this kind,
-/// because they do not know it.
+/// Returns whether a message is of a kind that is newer than the check for unknown kinds: builds
+/// without this check end their peer task on it.
 fn is_guarded(body: &WireBody) -> bool {
     matches!(
         body,
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,5 +1,7 @@
 //! Guards against frames that are decoded wrongly and corrupt frames that exhaust the memory.
 
+use std::fmt::Debug;
+
 use bytes::{BufMut, BytesMut};
 use cornelarch_wire::{
     FrameCodec, FrameError, decode_envelope, encode_envelope,
@@ -16,6 +18,16 @@
     )
 }
 
+/// Returns the cause of a frame that was rejected as malformed.
+fn protocol_error<T: Debug>(result: Result<T, FrameError>) -> thrift::ProtocolError {
+    match result {
+        Err(FrameError::Malformed {
+            source: thrift::Error::Protocol(cause),
+        }) => cause,
+        other => panic!("{other:?}"),
+    }
+}
+
 /// Guards against a decoder that loses its position when a frame arrives in several reads.
 #[test]
 fn frame_in_pieces_is_read_once() {
@@ -38,13 +50,7 @@
     let mut bytes = BytesMut::new();
     bytes.put_u32(frame.len() as u32);
     bytes.put_slice(&frame);
-    let error = FrameCodec::new().decode(&mut bytes).unwrap_err();
-    let FrameError::Malformed {
-        source: thrift::Error::Protocol(cause),
-    } = error
-    else {
-        panic!("{error}");
-    };
+    let cause = protocol_error(FrameCodec::new().decode(&mut bytes));
     assert_eq!(cause.kind, thrift::ProtocolErrorKind::SizeLimit);
     assert!(cause.message.contains("2147483647"), "{}", cause.message);
 }
@@ -65,13 +71,7 @@
     let sender = [0x1c, 0x18, 1, b'a', 0x16, 2, 0];
     let body = [0x2c, 0x0c, 0xc6, 0x01, 0, 0];
     let bytes: Vec<u8> = [&sender[..], &body, &[0]].concat();
-    let error = decode_envelope(&bytes).unwrap_err();
-    let FrameError::Malformed {
-        source: thrift::Error::Protocol(cause),
-    } = error
-    else {
-        panic!("{error}");
-    };
+    let cause = protocol_error(decode_envelope(&bytes));
     assert_eq!(cause.kind, thrift::ProtocolErrorKind::InvalidData);
     assert!(cause.message.contains("kind 99"), "{}", cause.message);
 }
