--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -183,6 +183,7 @@
             return self.send_document(&from, &request).await;
         }
         if let Some(part) = decode_document_part(&envelope.body) {
+            self.state.versions.record_part();
             let event = ReplicaEvent::PartReceived { from, part };
             return self.update_replica(event).await;
         }
@@ -234,6 +235,7 @@
         for effect in effects {
             match effect {
                 ReplicaEffect::Request { to, request } => {
+                    self.state.versions.record_request();
                     let body = encode_document_request(&request);
                     self.send_to_member(&to, body).await;
                 }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -69,7 +69,7 @@
     pub(crate) outage: Mutex<PlatformOutage>,
     /// Newest configuration version reported by a peer, if it is newer than the active one.
     pub(crate) peer_version: watch::Sender<u64>,
-    versions: VersionMonitor,
+    pub(crate) versions: VersionMonitor,
     reads_latest: AtomicBool,
     writer_place: AtomicU32,
     ledger_events: mpsc::UnboundedSender<LedgerEvent>,
@@ -145,14 +145,16 @@
     pub(crate) fn activate_document(&self, document: RouteDocument, source: &str) -> bool {
         self.document.activate(document, |document| {
             self.register_budgets(document);
-            let behind = self.versions.record_active(document.version);
+            let lag = self.versions.record_active(document.version);
             log_event!(
                 DocumentApplied,
-                "version={} routes={} customers={} source={source} behind_ms={}",
+                "version={} routes={} customers={} source={source} behind_ms={} asked={} parts={}",
                 document.version,
                 document.route_count(),
                 document.customers().count(),
-                behind.as_millis()
+                lag.behind.as_millis(),
+                lag.exchange.asked,
+                lag.exchange.parts
             );
         })
     }
@@ -241,15 +243,18 @@
 
     /// Logs that a newer configuration is in force at a peer, once per lag.
     pub(crate) fn report_lag(&self) {
-        let Some((newest, behind)) = self.versions.take_report() else {
+        let Some(lag) = self.versions.take_report() else {
             return;
         };
         log_event!(
             DocumentBehind,
-            "version={} peer_version={newest} behind_ms={} confirmed_ms={}",
+            "version={} peer_version={} behind_ms={} confirmed_ms={} asked={} parts={}",
             self.version(),
-            behind.as_millis(),
-            self.confirmed_age().as_millis()
+            lag.newest,
+            lag.behind.as_millis(),
+            self.confirmed_age().as_millis(),
+            lag.exchange.asked,
+            lag.exchange.parts
         );
     }
 
