Ask a peer over a connection when a request for a configuration is not answered

Change: a request that is not answered is also sent over a TCP connection to the peer port; the answer brings all buckets that differ, also those that do not fit into a datagram. Nothing is added while datagrams arrive.

--- a/crates/core/src/route/replica/index.rs
+++ b/crates/core/src/route/replica/index.rs
@@ -6,18 +6,36 @@
 
 use crate::route::{
     CustomerRecord, RequestLimits, RouteDocument, RouteRule, ServiceRecord,
-    replica::{DocumentBucket, DocumentPart, DocumentRequest},
+    replica::{DocumentBucket, DocumentPart, DocumentRequest, RequestChannel},
 };
 
 /// Number of buckets. A document of a megabyte has 4 kB in each.
 const BUCKETS: usize = 256;
-/// Size of the entries from which on a part is full, in bytes.
-const PART_BYTES: usize = 6 * 1024;
-/// Maximum size of the entries of a part, in bytes. Together with the digests they fit into the
-/// receive buffer of a datagram. A larger bucket is left to the platform.
-const PART_BYTES_MAX: usize = 12 * 1024;
-/// Maximum number of parts of one response, so that it does not fill the queue of a slow link.
-const PARTS_MAX: usize = 4;
+/// Limits of an answer in datagrams. Together with the digests, the largest part fits into the
+/// receive buffer of a datagram, and all parts into the queue of a slow link. A larger bucket is
+/// left to an answer over a connection.
+const DATAGRAM_LIMITS: AnswerLimits = AnswerLimits {
+    part_bytes: 6 * 1024,
+    bucket_bytes_max: 12 * 1024,
+    parts_max: 4,
+};
+/// Limits of an answer over a connection, which controls the flow by itself.
+const CONNECTION_LIMITS: AnswerLimits = AnswerLimits {
+    part_bytes: 32 * 1024,
+    bucket_bytes_max: usize::MAX,
+    parts_max: usize::MAX,
+};
+
+/// Limits of the answer to a request.
+#[derive(Clone, Copy, Debug)]
+struct AnswerLimits {
+    /// Size of the entries from which on a part is full, in bytes.
+    part_bytes: usize,
+    /// Maximum size of a bucket, in bytes.
+    bucket_bytes_max: usize,
+    /// Maximum number of parts.
+    parts_max: usize,
+}
 
 /// Error of a document that was assembled from buckets.
 #[derive(Debug, Snafu)]
@@ -122,21 +140,27 @@
         }
     }
 
-    /// Returns the first parts of what the sender of a request lacks, or none if its version is
-    /// not older.
+    /// Returns the parts that the sender of a request lacks, or none if its version is not older.
+    /// In datagrams, these are only the first parts.
     #[must_use]
-    pub fn answer(&self, request: &DocumentRequest) -> Vec<DocumentPart> {
+    pub fn answer(&self, request: &DocumentRequest, channel: RequestChannel) -> Vec<DocumentPart> {
+        let limits = match channel {
+            RequestChannel::Datagram => DATAGRAM_LIMITS,
+            RequestChannel::Connection => CONNECTION_LIMITS,
+        };
         if request.version >= self.version || request.digests.len() != BUCKETS {
             return Vec::new();
         }
         let mut parts = vec![self.part()];
         let mut bytes = 0;
         for (index, entries) in self.buckets.iter().enumerate() {
-            if request.digests[index] == self.digests[index] || entries.len() > PART_BYTES_MAX {
+            if request.digests[index] == self.digests[index]
+                || entries.len() > limits.bucket_bytes_max
+            {
                 continue;
             }
-            let is_full = bytes > 0 && bytes + entries.len() > PART_BYTES;
-            if is_full && parts.len() == PARTS_MAX {
+            let is_full = bytes > 0 && bytes + entries.len() > limits.part_bytes;
+            if is_full && parts.len() == limits.parts_max {
                 break;
             }
             if is_full {
--- a/crates/core/src/route/replica/message.rs
+++ b/crates/core/src/route/replica/message.rs
@@ -33,6 +33,15 @@
     pub is_last: bool,
 }
 
+/// How a request and its answer are transferred.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestChannel {
+    /// In datagrams, without opening a connection. A full link loses many of them, at times all.
+    Datagram,
+    /// Over a connection of its own, which a full link only delays.
+    Connection,
+}
+
 /// Input of a [`DocumentReplica`](super::DocumentReplica).
 #[derive(Clone, Debug)]
 pub enum ReplicaEvent {
@@ -63,6 +72,8 @@
         to: HolderId,
         /// The content.
         request: DocumentRequest,
+        /// How it is sent.
+        channel: RequestChannel,
     },
     /// Activate a document that is complete.
     Activate(Box<RouteDocument>),
--- a/crates/core/src/route/replica/state.rs
+++ b/crates/core/src/route/replica/state.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     base::{HolderId, MonotonicTime},
-    route::replica::{DocumentIndex, DocumentPart, ReplicaEffect, ReplicaEvent, ReplicaOptions},
+    route::replica::{
+        DocumentIndex, DocumentPart, ReplicaEffect, ReplicaEvent, ReplicaOptions, RequestChannel,
+    },
 };
 
 /// An exchange in progress.
@@ -16,6 +18,8 @@
     buckets: DocumentIndex,
     /// Number of peers for the next request.
     peers: usize,
+    /// Whether a request has been sent that is not answered yet.
+    is_asked: bool,
     /// When an unanswered request is sent again.
     retry_at: MonotonicTime,
     retry_wait: Duration,
@@ -106,6 +110,7 @@
         let transfer = self.transfer.get_or_insert_with(|| DocumentTransfer {
             buckets: DocumentIndex::clone(&active()),
             peers: 1,
+            is_asked: false,
             retry_at: now,
             retry_wait: options.retry_min,
         });
@@ -115,13 +120,18 @@
         transfer.retry_at = now + transfer.retry_wait;
         transfer.retry_wait = (transfer.retry_wait * 2).min(options.retry_max);
         let peers = std::mem::replace(&mut transfer.peers, options.retry_peers);
+        let is_retry = std::mem::replace(&mut transfer.is_asked, true);
         let request = transfer.buckets.request(version);
-        let chosen = self.sources.choose_multiple(rng, peers);
-        let requests = chosen.map(|to| ReplicaEffect::Request {
+        let ask = |to: &HolderId, channel| ReplicaEffect::Request {
             to: to.clone(),
             request: request.clone(),
-        });
-        requests.collect()
+            channel,
+        };
+        let chosen: Vec<&HolderId> = self.sources.choose_multiple(rng, peers).collect();
+        let connection = chosen.first().filter(|_| is_retry);
+        let connection = connection.map(|to| ask(to, RequestChannel::Connection));
+        let datagrams = chosen.iter().map(|to| ask(to, RequestChannel::Datagram));
+        datagrams.chain(connection).collect()
     }
 
     fn receive(
@@ -158,6 +168,7 @@
         is_last.then(|| ReplicaEffect::Request {
             to: from,
             request: transfer.buckets.request(version),
+            channel: RequestChannel::Datagram,
         })
     }
 }
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -9,7 +9,7 @@
         ServiceRecord, SplitTarget,
         replica::{
             DocumentIndex, DocumentPart, DocumentReplica, ReplicaEffect, ReplicaEvent,
-            ReplicaOptions,
+            ReplicaOptions, RequestChannel,
         },
     },
 };
@@ -122,7 +122,7 @@
 
     fn wait_request(&mut self) -> (HolderId, Vec<u32>, u64) {
         for _ in 0..20 {
-            if let Some(ReplicaEffect::Request { to, request }) = self.tick().pop() {
+            if let Some(ReplicaEffect::Request { to, request, .. }) = self.tick().pop() {
                 return (to, request.digests, request.version);
             }
         }
@@ -142,10 +142,14 @@
                 None => self.tick(),
             };
             for effect in effects {
-                if let ReplicaEffect::Request { request, .. } = effect
+                if let ReplicaEffect::Request {
+                    request,
+                    channel: RequestChannel::Datagram,
+                    ..
+                } = effect
                     && !is_lost()
                 {
-                    let answer = peer.answer(&request);
+                    let answer = peer.answer(&request, RequestChannel::Datagram);
                     sent += answer.len();
                     parts.extend(answer.into_iter().filter(|_| !is_lost()));
                 }
@@ -184,7 +188,7 @@
     instance.hear(1, 3);
     let (_, digests, version) = instance.wait_request();
     let request = cornelarch_core::route::replica::DocumentRequest { version, digests };
-    let parts = target.answer(&request);
+    let parts = target.answer(&request, RequestChannel::Datagram);
     let bytes: usize = parts
         .iter()
         .flat_map(|part| &part.buckets)
@@ -235,8 +239,8 @@
         assert!(instance.tick().is_empty());
     }
     let request = instance.active.request(7);
-    assert!(older.answer(&request).is_empty());
-    let mut part = older.answer(&DocumentIndex::empty().request(0));
+    assert!(older.answer(&request, RequestChannel::Datagram).is_empty());
+    let mut part = older.answer(&DocumentIndex::empty().request(0), RequestChannel::Datagram);
     instance.hear(2, 8);
     instance.wait_request();
     assert!(instance.receive(part.remove(0)).is_empty());
@@ -250,7 +254,9 @@
     let mut instance = Instance::new(Some(document(2, 5)));
     instance.hear(1, 3);
     instance.wait_request();
-    let mut part = target.answer(&DocumentIndex::empty().request(0)).remove(0);
+    let mut part = target
+        .answer(&DocumentIndex::empty().request(0), RequestChannel::Datagram)
+        .remove(0);
     for bucket in &mut part.buckets {
         bucket.entries = bucket.entries.replace("plain", "other");
     }
@@ -271,8 +277,8 @@
     instance.hear(1, 3);
     let (_, digests, version) = instance.wait_request();
     let request = cornelarch_core::route::replica::DocumentRequest { version, digests };
-    let mut parts = middle.answer(&request);
-    let whole = newest.answer(&request);
+    let mut parts = middle.answer(&request, RequestChannel::Datagram);
+    let whole = newest.answer(&request, RequestChannel::Datagram);
     assert!(whole.len() > 1);
     let _ = instance.receive(parts.remove(0));
     instance.update(&newest, || false);
@@ -305,6 +311,41 @@
     assert!(late <= 10, "{late} of 200 are late");
 }
 
+/// Guards against a version that never comes while a full link loses every datagram. A connection
+/// is only delayed; opening it and asking take a round trip each.
+#[test]
+fn lost_datagrams_stop_the_exchange() {
+    let round_trips = Duration::from_millis(800);
+    let target = DocumentIndex::new(&document(3, 60));
+    let mut instance = Instance::new(Some(document(2, 10)));
+    (1..9).for_each(|number| instance.hear(number, 3));
+    let mut connections = VecDeque::new();
+    while instance.active.version() < 3 {
+        let elapsed = instance.now.since(MonotonicTime::START);
+        assert!(elapsed < Duration::from_secs(2), "version 3 is late");
+        for effect in instance.tick() {
+            if let ReplicaEffect::Request {
+                request,
+                channel: RequestChannel::Connection,
+                ..
+            } = effect
+            {
+                connections.push_back((instance.now + round_trips, request));
+            }
+        }
+        while connections
+            .front()
+            .is_some_and(|(at, _)| *at <= instance.now)
+        {
+            let (_, request) = connections.pop_front().expect("is not empty");
+            for part in target.answer(&request, RequestChannel::Connection) {
+                let _ = instance.receive(part);
+            }
+        }
+    }
+    assert_eq!(*instance.active, target);
+}
+
 /// Guards against asking a peer that has stopped although others have the version.
 #[test]
 fn only_one_peer_is_asked() {
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -20,7 +20,8 @@
     edge::{HeaderNames, PlatformEdge},
     process::{
         GatewayPhase, GatewaySettings, GatewayState, PeerCommand, SharedLedger, log_event,
-        run_blocking, run_ledger, run_peers, sync_blocklist, sync_directory, sync_document,
+        run_blocking, run_ledger, run_peers, serve_documents, sync_blocklist, sync_directory,
+        sync_document,
     },
     request::{ResponseBody, empty_response, full_body, handle_request},
 };
@@ -83,6 +84,7 @@
         let (sender, events) = mpsc::unbounded_channel();
         let (peer_commands, commands) = mpsc::unbounded_channel();
         let address = settings.peer_listen;
+        let peer_listener = listen(address)?;
         let socket = UdpSocket::bind(address).await;
         let socket = socket.context(BindSnafu { address })?;
         let state = GatewayState::new(settings, headers, ledger, sender, peer_commands);
@@ -98,6 +100,11 @@
         tasks.spawn(sync_directory(Arc::clone(&state), Arc::clone(&edge)));
         tasks.spawn(sync_blocklist(Arc::clone(&state), Arc::clone(&edge)));
         tasks.spawn(run_ledger(Arc::clone(&state), edge, events));
+        tasks.spawn(serve_documents(
+            Arc::clone(&state),
+            holder.clone(),
+            peer_listener,
+        ));
         tasks.spawn(run_peers(Arc::clone(&state), holder, socket, commands));
         tasks.spawn(run_blocking(Arc::clone(&state)));
         tasks.spawn(close_expired_connections(Arc::clone(&state)));
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod blocklist;
 mod crash;
 mod event;
+mod exchange;
 mod gateway;
 mod ledger;
 mod log;
@@ -17,6 +18,7 @@
 pub(crate) use crash::{CrashMonitor, LostRequest, run_blocking};
 pub use event::LogEvent;
 pub(crate) use event::log_event;
+pub(crate) use exchange::serve_documents;
 pub use gateway::{Gateway, GatewayError};
 pub use ledger::ledger_options;
 pub(crate) use ledger::{SharedLedger, TOKEN_WAIT, run_ledger};
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -11,7 +11,8 @@
         rendezvous_score,
     },
     route::replica::{
-        DocumentReplica, DocumentRequest, ReplicaEffect, ReplicaEvent, ReplicaOptions,
+        DocumentPart, DocumentReplica, DocumentRequest, ReplicaEffect, ReplicaEvent,
+        ReplicaOptions, RequestChannel,
     },
 };
 use cornelarch_wire::{
@@ -21,9 +22,13 @@
     peer::{WireBody, WireEnvelope, WireHolder},
 };
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
-use tokio::{net::UdpSocket, sync::mpsc};
+use tokio::{
+    net::UdpSocket,
+    sync::{Semaphore, mpsc},
+    task::JoinSet,
+};
 
-use crate::process::{GatewayState, log_event};
+use crate::process::{GatewayState, exchange::fetch_document, log_event};
 
 /// Interval between ticks of the member table.
 const MEMBER_TICK: Duration = Duration::from_millis(200);
@@ -50,6 +55,10 @@
 /// 14 kB.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 
+/// Maximum number of connections over which this instance asks peers at the same time. With two, one
+/// peer may be partitioned.
+const FETCHES_MAX: usize = 2;
+
 /// Command to the peer task.
 #[derive(Clone, Debug)]
 pub(crate) enum PeerCommand {
@@ -60,6 +69,8 @@
     },
     /// Sends a report about content that crashes upstreams to all peers.
     Broadcast(ContentReport),
+    /// Merges a part of a configuration that arrived over a connection.
+    MergeDocument { from: HolderId, part: DocumentPart },
     /// Announces to the peers that this instance leaves the fleet.
     Leave,
 }
@@ -71,6 +82,9 @@
     socket: UdpSocket,
     table: MemberTable,
     replica: DocumentReplica,
+    /// Requests over connections. They end with the peer task.
+    fetches: JoinSet<()>,
+    fetch_permits: Arc<Semaphore>,
     generator: StdRng,
 }
 
@@ -97,6 +111,8 @@
         socket,
         table,
         replica: DocumentReplica::new(ReplicaOptions::default()),
+        fetches: JoinSet::new(),
+        fetch_permits: Arc::new(Semaphore::new(FETCHES_MAX)),
         generator: StdRng::from_os_rng(),
     };
     let mut interval = tokio::time::interval(MEMBER_TICK);
@@ -109,6 +125,9 @@
                     task.send_to_member(&to, encode_budget_message(message)).await;
                 }
                 Some(PeerCommand::Broadcast(report)) => task.broadcast(&report).await,
+                Some(PeerCommand::MergeDocument { from, part }) => {
+                    task.merge_document(from, part).await;
+                }
                 Some(PeerCommand::Leave) => task.apply(MemberEvent::LeaveStarted).await,
                 None => return,
             },
@@ -183,9 +202,7 @@
             return self.send_document(&from, &request).await;
         }
         if let Some(part) = decode_document_part(&envelope.body) {
-            self.state.versions.record_part();
-            let event = ReplicaEvent::PartReceived { from, part };
-            return self.update_replica(event).await;
+            return self.merge_document(from, part).await;
         }
         // Without a recipient the ledger cannot check that a message is meant for this incarnation,
         // so that it must not change any balance.
@@ -224,6 +241,12 @@
         }
     }
 
+    async fn merge_document(&mut self, from: HolderId, part: DocumentPart) {
+        self.state.versions.record_part();
+        let event = ReplicaEvent::PartReceived { from, part };
+        self.update_replica(event).await;
+    }
+
     /// Feeds an event to the exchange of configurations and executes the resulting action.
     async fn update_replica(&mut self, event: ReplicaEvent) {
         let state = &self.state;
@@ -234,10 +257,19 @@
             .handle(event, version, index, now, &mut self.generator);
         for effect in effects {
             match effect {
-                ReplicaEffect::Request { to, request } => {
+                ReplicaEffect::Request {
+                    to,
+                    request,
+                    channel,
+                } => {
                     self.state.versions.record_request();
-                    let body = encode_document_request(&request);
-                    self.send_to_member(&to, body).await;
+                    match channel {
+                        RequestChannel::Datagram => {
+                            let body = encode_document_request(&request);
+                            self.send_to_member(&to, body).await;
+                        }
+                        RequestChannel::Connection => self.fetch_document(to, request),
+                    }
                 }
                 ReplicaEffect::Activate(document) => {
                     self.state.activate_document(*document, "peer");
@@ -246,9 +278,29 @@
         }
     }
 
+    /// Sends a request over a connection, unless the maximum number of them is in progress.
+    fn fetch_document(&mut self, to: HolderId, request: DocumentRequest) {
+        while self.fetches.try_join_next().is_some() {}
+        let Ok(permit) = Arc::clone(&self.fetch_permits).try_acquire_owned() else {
+            return;
+        };
+        let member = self.table.member(&to.instance);
+        let address = member.map(|member| member.record.address.parse());
+        let Some(Ok(address)) = address else {
+            return log::debug!("peer {to} is not asked: its address is unknown");
+        };
+        let (state, holder) = (Arc::clone(&self.state), self.holder.clone());
+        let fetch = fetch_document(state, holder, (to, address), request, permit);
+        self.fetches.spawn(fetch);
+    }
+
     /// Sends a peer the parts of the active configuration that it lacks.
     async fn send_document(&self, to: &HolderId, request: &DocumentRequest) {
-        for part in self.state.document_index().answer(request) {
+        for part in self
+            .state
+            .document_index()
+            .answer(request, RequestChannel::Datagram)
+        {
             self.send_to_member(to, encode_document_part(part)).await;
         }
     }
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -24,7 +24,7 @@
     pub ready_path: String,
     /// Listen address of the metrics endpoint `/metrics`; `None` disables it.
     pub metrics_listen: Option<SocketAddr>,
-    /// UDP address for messages from other instances.
+    /// UDP and TCP address for messages from other instances.
     pub peer_listen: SocketAddr,
     /// Peer addresses of some instances, through which all others are discovered.
     pub seeds: Vec<SocketAddr>,
