Ask the peers that announced a version last

Found by reading: an instance remembers the first eight peers that announce a version and asks only these. If a partition cuts them off afterwards, it is not updated by peers on its own side that announce the version later, although it needs them then (the platform may be cut off too). later_sources_are_not_asked failed before: the last of twenty peers was not asked in 5 s. Now the latest eight are remembered.

--- a/crates/core/src/route/replica/state.rs
+++ b/crates/core/src/route/replica/state.rs
@@ -31,7 +31,7 @@
     options: ReplicaOptions,
     /// Newest version that a peer has announced.
     newest: u64,
-    /// Peers that have it active.
+    /// Peers that have it active, the latest to announce it last.
     sources: Vec<HolderId>,
     behind_since: Option<MonotonicTime>,
     transfer: Option<DocumentTransfer>,
@@ -89,9 +89,11 @@
             self.newest = theirs;
             self.sources.clear();
         }
-        if self.sources.len() < self.options.sources && !self.sources.contains(&peer) {
-            self.sources.push(peer);
-        }
+        // The latest ones are more likely to be in reach than the first.
+        self.sources.retain(|source| *source != peer);
+        self.sources.push(peer);
+        let surplus = self.sources.len().saturating_sub(self.options.sources);
+        self.sources.drain(..surplus);
         self.behind_since.get_or_insert(now);
     }
 
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -365,6 +365,20 @@
     assert!(asked.len() > 1, "{asked:?}");
 }
 
+/// Guards against an instance that asks only the first peers with a version, which a partition has
+/// cut off since, although others have announced it too.
+#[test]
+fn later_sources_are_not_asked() {
+    let mut instance = Instance::new(Some(document(2, 5)));
+    (1..=20).for_each(|number| instance.hear(number, 3));
+    let mut requests = (0..50).flat_map(|_| instance.tick());
+    let asked = |number| {
+        let to = peer(number);
+        move |effect| matches!(effect, ReplicaEffect::Request { to: asked, .. } if asked == to)
+    };
+    assert!(requests.any(asked(20)), "the last source is not asked");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
