--- a/crates/core/src/route/replica/state.rs
+++ b/crates/core/src/route/replica/state.rs
@@ -88,6 +88,10 @@
         if theirs > self.newest {
             self.newest = theirs;
             self.sources.clear();
+            if let Some(transfer) = &mut self.transfer {
+                transfer.retry_wait = self.options.retry_min;
+                transfer.retry_at = transfer.retry_at.min(now + transfer.retry_wait);
+            }
         }
         // The latest ones are more likely to be in reach than the first.
         self.sources.retain(|source| *source != peer);
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -379,6 +379,31 @@
     assert!(requests.any(asked(20)), "the last source is not asked");
 }
 
+/// Guards against a newer version that waits for the long retry of an earlier one.
+#[test]
+fn newer_version_waits_for_the_retry_of_an_earlier_one() {
+    let mut instance = Instance::new(Some(document(2, 5)));
+    instance.hear(1, 3);
+    let first = (0..50).filter(|_| !instance.tick().is_empty()).count();
+    assert!(first > 2);
+    while instance.tick().is_empty() {}
+    instance.hear(1, 4);
+    let is_asked = (0..5).any(|_| !instance.tick().is_empty());
+    assert!(is_asked, "no peer is asked within half a second");
+}
+
+/// Guards against a quick series of versions that leads to a request for each.
+#[test]
+fn each_version_of_a_series_is_asked_for() {
+    let mut instance = Instance::new(Some(document(2, 5)));
+    let mut ticks_with_requests = 0;
+    for version in 3..53 {
+        instance.hear(1, version);
+        ticks_with_requests += usize::from(!instance.tick().is_empty());
+    }
+    assert!(ticks_with_requests <= 25, "{ticks_with_requests} in 5 s");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
