--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -11,6 +11,8 @@
     GatewayStopped => 2002, Info, "gateway stopped";
     /// Requests were still running when the grace period ended.
     DrainTimedOut => 2003, Warn, "requests still run at the end of the grace time";
+    /// A background task ended, which only a fault of the gateway causes.
+    TaskFailed => 2004, Error, "background task failed";
     /// A configuration version was activated.
     DocumentApplied => 2100, Info, "configuration in force";
     /// Calls to a dependency fail repeatedly.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -1,6 +1,6 @@
 //! Start and graceful shutdown of a gateway.
 
-use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::base::HolderId;
 use http::{Request, Response, StatusCode};
@@ -10,7 +10,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::mpsc,
-    task::JoinSet,
+    task::{Id, JoinSet},
     time::{Instant, sleep_until, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
@@ -62,6 +62,8 @@
     callers: ServerConnections,
     stop: CancellationToken,
     tasks: JoinSet<()>,
+    /// Names of the background tasks, for log lines.
+    task_names: HashMap<Id, &'static str>,
 }
 
 impl Gateway {
@@ -93,28 +95,29 @@
             callers: ServerConnections::default(),
             stop: CancellationToken::new(),
             tasks: JoinSet::new(),
+            task_names: HashMap::new(),
             state: Arc::clone(&state),
         };
-        let tasks = &mut gateway.tasks;
-        tasks.spawn(sync_document(Arc::clone(&state), Arc::clone(&edge)));
-        tasks.spawn(sync_directory(Arc::clone(&state), Arc::clone(&edge)));
-        tasks.spawn(sync_blocklist(Arc::clone(&state), Arc::clone(&edge)));
-        tasks.spawn(run_ledger(Arc::clone(&state), edge, events));
-        tasks.spawn(serve_documents(
-            Arc::clone(&state),
-            holder.clone(),
-            peer_listener,
-        ));
-        tasks.spawn(run_peers(Arc::clone(&state), holder, socket, commands));
-        tasks.spawn(run_blocking(Arc::clone(&state)));
-        tasks.spawn(close_expired_connections(Arc::clone(&state)));
+        let configuration = sync_document(Arc::clone(&state), Arc::clone(&edge));
+        gateway.spawn_task("configuration", configuration);
+        let directory = sync_directory(Arc::clone(&state), Arc::clone(&edge));
+        gateway.spawn_task("directory", directory);
+        let blocklist = sync_blocklist(Arc::clone(&state), Arc::clone(&edge));
+        gateway.spawn_task("blocklist", blocklist);
+        gateway.spawn_task("ledger", run_ledger(Arc::clone(&state), edge, events));
+        let documents = serve_documents(Arc::clone(&state), holder.clone(), peer_listener);
+        gateway.spawn_task("documents", documents);
+        let peers = run_peers(Arc::clone(&state), holder, socket, commands);
+        gateway.spawn_task("peers", peers);
+        gateway.spawn_task("blocking", run_blocking(Arc::clone(&state)));
+        gateway.spawn_task("connections", close_expired_connections(Arc::clone(&state)));
         if let Some(listener) = metrics_listener {
-            tasks.spawn(serve_metrics(Arc::clone(&state), listener));
+            gateway.spawn_task("metrics", serve_metrics(Arc::clone(&state), listener));
         }
-        tasks.spawn(serve_ready(Arc::clone(&state), ready_listener));
+        gateway.spawn_task("readiness", serve_ready(Arc::clone(&state), ready_listener));
         let (callers, stop) = (gateway.callers.clone(), gateway.stop.clone());
         let shared = Arc::clone(&state);
-        gateway.tasks.spawn(async move {
+        gateway.spawn_task("callers", async move {
             let options = || caller_options(&shared);
             let handler = {
                 let state = Arc::clone(&shared);
@@ -134,6 +137,25 @@
         Ok(gateway)
     }
 
+    fn spawn_task(&mut self, name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
+        let id = self.tasks.spawn(task).id();
+        self.task_names.insert(id, name);
+    }
+
+    /// Waits until a background task ends, which only a fault of the gateway causes before
+    /// [`close`](Self::close). Without the task, the gateway would go on with outdated state.
+    pub async fn wait_failed(&mut self) {
+        let Some(ended) = self.tasks.join_next_with_id().await else {
+            return;
+        };
+        let (id, cause) = match ended {
+            Ok((id, ())) => (id, "it returned".to_owned()),
+            Err(error) => (error.id(), error.to_string()),
+        };
+        let name = self.task_names.get(&id).copied().unwrap_or("unknown");
+        log_event!(TaskFailed, "name={name} cause={cause}");
+    }
+
     /// Shuts the gateway down: fails readiness, waits for running requests and returns token
     /// balances.
     pub async fn close(mut self) {
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -40,6 +40,8 @@
     changed: watch::Sender<u64>,
     /// Transfer time of one configuration version, in milliseconds.
     pub(crate) transfer_ms: AtomicU64,
+    /// Whether reads of the configuration panic, like a fault of the gateway.
+    pub(crate) panics: AtomicBool,
     pub(crate) reads: AtomicU64,
     pub(crate) lists: AtomicU64,
     pub(crate) writes: AtomicU64,
@@ -55,6 +57,7 @@
             dropped: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             transfer_ms: AtomicU64::new(0),
+            panics: AtomicBool::new(false),
             reads: AtomicU64::new(0),
             lists: AtomicU64::new(0),
             writes: AtomicU64::new(0),
@@ -221,6 +224,8 @@
                 (*changed > revision).then(|| (*changed, document.clone(), superseded))
             })
             .await?;
+        let panics = self.panics.load(Ordering::SeqCst);
+        assert!(!panics, "fault of a background task");
         let Some((revision, document, superseded)) = found else {
             return Ok(Versioned {
                 revision,
--- a/crates/gateway/tests/platform.rs
+++ b/crates/gateway/tests/platform.rs
@@ -256,3 +256,21 @@
     assert_eq!(totals.spent.get(), 900 + 145);
     assert_eq!(totals.held.get(), 0);
 }
+
+/// Guards against an instance that goes on with an old configuration because a background task has
+/// ended by a fault.
+#[tokio::test]
+async fn ended_background_task_goes_unnoticed() {
+    let upstream = FakeUpstream::start(vec![]).await;
+    let options = FixtureOptions::default();
+    let mut fixture = Fixture::start(&options, &[("plain", &upstream)]).await;
+    let mut gateway = fixture.gateway.take().expect("is running");
+    let healthy = tokio::time::timeout(Duration::from_millis(500), gateway.wait_failed());
+    assert!(healthy.await.is_err(), "a task is reported without a fault");
+    fixture.platform.panics.store(true, Ordering::SeqCst);
+    fixture.platform.publish(document(2, &options));
+    let failed = tokio::time::timeout(Duration::from_secs(2), gateway.wait_failed());
+    assert!(failed.await.is_ok(), "no task is reported");
+    assert_eq!(status(&fixture, "/again/x").await, 200);
+    gateway.close().await;
+}
