Require keys when the list of customers is empty

Found by reading what an exchanged configuration may lose: a configuration whose list of customers is present and empty counted as one without customers, so that every caller was admitted without a key and without a budget, at the moment in which an operator takes the last customer away. The exchange between peers lost the difference as well. Now the presence of the field decides, and the exchange has an entry for it.

--- a/crates/core/src/route/replica/index.rs
+++ b/crates/core/src/route/replica/index.rs
@@ -60,6 +60,8 @@
     },
     Service(ServiceRecord),
     Limits(RequestLimits),
+    /// Requests need a key although there is no customer.
+    KeysRequired,
 }
 
 impl DocumentEntry {
@@ -71,6 +73,7 @@
             Self::Customer { record, .. } => (1, &record.name, ""),
             Self::Service(service) => (2, &service.name, ""),
             Self::Limits(_) => (3, "", ""),
+            Self::KeysRequired => (4, "", ""),
         }
     }
 
@@ -227,6 +230,7 @@
                     DocumentEntry::Customer { record, keys } => document.add_customer(record, keys),
                     DocumentEntry::Service(service) => document.add_service(service),
                     DocumentEntry::Limits(limits) => document.limits = Some(limits),
+                    DocumentEntry::KeysRequired => document.has_customers = true,
                 }
             }
         }
@@ -253,5 +257,11 @@
     });
     let services = document.services().cloned().map(DocumentEntry::Service);
     let limits = document.limits.map(DocumentEntry::Limits);
-    routes.chain(customers).chain(services).chain(limits)
+    let is_closed = document.has_customers && document.customers().next().is_none();
+    let keys_required = is_closed.then_some(DocumentEntry::KeysRequired);
+    routes
+        .chain(customers)
+        .chain(services)
+        .chain(limits)
+        .chain(keys_required)
 }
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -177,6 +177,22 @@
     assert!(found.service(&ServiceName::new("plain")).is_some());
 }
 
+/// Guards against requests without a key that are admitted at instances which got a configuration
+/// without customers from a peer: such a configuration may require keys all the same.
+#[test]
+fn required_keys_are_lost() {
+    let mut target = RouteDocument::new(3);
+    target.add_route(route("/r0/", "plain"));
+    target.has_customers = true;
+    let mut instance = Instance::new(Some(document(2, 5)));
+    instance.update(&DocumentIndex::new(&target), || false);
+    assert!(instance.document.is_some_and(|found| found.has_customers));
+    let open = RouteDocument::new(4);
+    let mut instance = Instance::new(Some(target));
+    instance.update(&DocumentIndex::new(&open), || false);
+    assert!(instance.document.is_some_and(|found| !found.has_customers));
+}
+
 /// Guards against a change of one route that transfers the whole configuration, which a full link
 /// does not carry in time.
 #[test]
