Bound the size of requests for a configuration

Found by reading the exchange over connections: it accepted frames of 16 MB, as between routers, so that 16 connections of a faulty peer could make an instance of 120 MB reserve 256 MB. oversized_request_is_buffered failed before. Requests are now read with a limit of 16 kB. The count asked of E2100 no longer includes connections that are not opened because two are in progress.

--- a/crates/gateway/src/process/exchange.rs
+++ b/crates/gateway/src/process/exchange.rs
@@ -20,7 +20,7 @@
     sync::{OwnedSemaphorePermit, Semaphore},
     time::{error::Elapsed, timeout},
 };
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Framed, FramedRead, FramedWrite};
 
 use crate::{
     connection::{connect, set_stream_options},
@@ -34,11 +34,11 @@
 const FRAME_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum number of connections of peers that are answered at the same time.
 const ANSWERS_MAX: usize = 16;
+/// Maximum size of a request, in bytes. Requests have up to 2 kB.
+const REQUEST_BYTES_MAX: usize = 16 * 1024;
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-type FrameStream = Framed<TcpStream, FrameCodec>;
-
 /// Answers requests over connections until the task is dropped.
 pub(crate) async fn serve_documents(
     state: Arc<GatewayState>,
@@ -72,21 +72,22 @@
 async fn answer_request(
     state: &GatewayState,
     holder: WireHolder,
-    stream: TcpStream,
+    mut stream: TcpStream,
 ) -> Result<(), FrameError> {
     set_stream_options(&stream);
-    let mut frames = FrameStream::new(stream, FrameCodec::new());
-    let frame = timeout(FRAME_TIMEOUT, frames.next()).await;
+    let mut requests = FramedRead::new(&mut stream, FrameCodec::with_limit(REQUEST_BYTES_MAX));
+    let frame = timeout(FRAME_TIMEOUT, requests.next()).await;
     let Some(frame) = frame.map_err(timed_out)? else {
         return Ok(());
     };
+    let mut answers = FramedWrite::new(stream, FrameCodec::new());
     let Some(request) = decode_document_request(&frame?.body) else {
         return Ok(());
     };
     let index = state.document_index();
     for part in index.answer(&request, RequestChannel::Connection) {
         let envelope = WireEnvelope::new(holder.clone(), None, encode_document_part(part));
-        let sent = timeout(FRAME_TIMEOUT, frames.send(&envelope)).await;
+        let sent = timeout(FRAME_TIMEOUT, answers.send(&envelope)).await;
         sent.map_err(timed_out)??;
     }
     Ok(())
@@ -115,7 +116,7 @@
     request: &DocumentRequest,
 ) -> Result<(), FrameError> {
     let stream = connect(address, CONNECT_TIMEOUT).await?;
-    let mut frames = FrameStream::new(stream, FrameCodec::new());
+    let mut frames = Framed::new(stream, FrameCodec::new());
     let (sender, recipient) = (WireHolder::from(holder), WireHolder::from(peer));
     let body = encode_document_request(request);
     let envelope = WireEnvelope::new(sender, Some(recipient), body);
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -260,17 +260,17 @@
                 ReplicaEffect::Request {
                     to,
                     request,
-                    channel,
+                    channel: RequestChannel::Datagram,
                 } => {
                     self.state.versions.record_request();
-                    match channel {
-                        RequestChannel::Datagram => {
-                            let body = encode_document_request(&request);
-                            self.send_to_member(&to, body).await;
-                        }
-                        RequestChannel::Connection => self.fetch_document(to, request),
-                    }
+                    let body = encode_document_request(&request);
+                    self.send_to_member(&to, body).await;
                 }
+                ReplicaEffect::Request {
+                    to,
+                    request,
+                    channel: RequestChannel::Connection,
+                } => self.fetch_document(to, request),
                 ReplicaEffect::Activate(document) => {
                     self.state.activate_document(*document, "peer");
                 }
@@ -289,6 +289,7 @@
         let Some(Ok(address)) = address else {
             return log::debug!("peer {to} is not asked: its address is unknown");
         };
+        self.state.versions.record_request();
         let (state, holder) = (Arc::clone(&self.state), self.holder.clone());
         let fetch = fetch_document(state, holder, (to, address), request, permit);
         self.fetches.spawn(fetch);
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -203,3 +203,19 @@
     assert!(closed.await.is_ok(), "an idle connection stays open");
     assert!(!fetch(fixture.peers).await.is_empty());
 }
+
+/// Guards against a frame that is far larger than any request and for which memory is reserved.
+#[tokio::test]
+async fn oversized_request_is_buffered() {
+    let fixture = start().await;
+    let mut stream = TcpStream::connect(fixture.peers).await.expect("connect");
+    let length: u32 = 1024 * 1024;
+    stream
+        .write_all(&length.to_be_bytes())
+        .await
+        .expect("write");
+    let mut rest = Vec::new();
+    let closed = timeout(Duration::from_millis(1_000), stream.read_to_end(&mut rest));
+    assert!(closed.await.is_ok(), "the connection stays open");
+    assert!(!fetch(fixture.peers).await.is_empty());
+}
--- a/crates/wire/src/connection/mod.rs
+++ b/crates/wire/src/connection/mod.rs
@@ -23,7 +23,7 @@
 /// An error while reading or writing a frame.
 #[derive(Debug, Snafu)]
 pub enum FrameError {
-    /// The connection failed, or a frame is larger than [`MAX_FRAME_BYTES`].
+    /// The connection failed, or a frame is larger than the limit of the codec.
     #[snafu(display("peer connection failed: {source}"))]
     Connection {
         /// The cause.
@@ -90,8 +90,14 @@
     /// Creates a codec for one connection.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_limit(MAX_FRAME_BYTES)
+    }
+
+    /// Creates a codec that accepts frames up to a size in bytes.
+    #[must_use]
+    pub fn with_limit(bytes_max: usize) -> Self {
         let inner = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
+            .max_frame_length(bytes_max)
             .new_codec();
         Self { inner }
     }
