Show at the router that errors and half answers do not pass for answers

Two reports of other operators had been tried at the gateway only: a stream that begins at one engine and gets the error of the next one, and an upstream that stops in its head or body.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -54,6 +54,8 @@
     pub request_timeout: Duration,
     /// Address of an instance of the service `shop` that the test runs itself.
     pub own_service: Option<SocketAddr>,
+    /// Address of a further engine, in domain `b`, that the test runs itself.
+    pub own_engine: Option<SocketAddr>,
 }
 
 /// Raises the time a reservation waits for tokens. The first draw normally takes milliseconds, but
@@ -73,6 +75,7 @@
             upstream: "",
             request_timeout: Duration::from_secs(30),
             own_service: None,
+            own_engine: None,
         }
     }
 }
@@ -163,6 +166,12 @@
                  domain = {domain}\nmodels = tiny\n{upstream}\n"
             ));
         }
+        if let Some(address) = self.options.own_engine {
+            text.push_str(&format!(
+                "[upstream own-engine]\nkind = engine\naddress = {address}\ndomain = b\n\
+                 models = tiny\n{upstream}\n"
+            ));
+        }
         let services = self.services.iter().map(ServiceHandle::address);
         for (index, address) in services.chain(self.options.own_service).enumerate() {
             text.push_str(&format!(
--- /dev/null
+++ b/crates/router/tests/reports.rs
@@ -0,0 +1,137 @@
+//! Faults of upstreams that operators of similar systems have reported.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use common::{FleetOptions, TestFleet, read_stream};
+use cornelarch_standin::engine::{
+    self, EngineFaults, EngineHandle, EngineOptions, completion_text,
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const PROMPT: &str = "go on [tokens=120]";
+/// Tokens after which the first engine breaks a stream off.
+const TOKENS: u64 = 30;
+const ERROR: &str = "HTTP/1.1 500 Error\r\ncontent-length: 10\r\n\r\nerror text";
+const NO_STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nerror text";
+const REFUSAL: &str = "HTTP/1.1 503 Busy\r\ncontent-length: 10\r\n\r\nerror text";
+const HALF_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/ev";
+const SHORT_BODY: &str = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nok";
+const HALF_STATUS: &str = "HTTP/1.1 20";
+
+/// Upstream that answers calls with fixed bytes and then closes the connection. Polls of the load
+/// are answered by an engine behind it.
+struct FixedUpstream {
+    address: SocketAddr,
+    calls: Arc<AtomicU32>,
+}
+
+impl FixedUpstream {
+    async fn start(answer: &'static str, engine: Option<EngineHandle>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let calls = Arc::new(AtomicU32::new(0));
+        let counter = Arc::clone(&calls);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let behind = engine.as_ref().map(EngineHandle::address);
+                let counter = Arc::clone(&counter);
+                tokio::spawn(answer_calls(stream, answer, behind, counter));
+            }
+        });
+        Self { address, calls }
+    }
+
+    fn calls(&self) -> u32 {
+        self.calls.load(Ordering::SeqCst)
+    }
+}
+
+async fn answer_calls(
+    mut stream: TcpStream,
+    answer: &'static str,
+    behind: Option<SocketAddr>,
+    calls: Arc<AtomicU32>,
+) {
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+        let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
+        let path = text.split(' ').nth(1).unwrap_or_default();
+        let Some(behind) = behind.filter(|_| text.starts_with("GET")) else {
+            calls.fetch_add(u32::from(text.starts_with("POST")), Ordering::SeqCst);
+            let _ = stream.write_all(answer.as_bytes()).await;
+            return;
+        };
+        let polled = reqwest::get(format!("http://{behind}{path}")).await;
+        let body = polled.unwrap().text().await.unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let _ = stream.write_all((head + &body).as_bytes()).await;
+    }
+}
+
+/// Guards against the error of an engine that is passed on inside a stream which has begun at
+/// another one, and against such a stream that looks complete.
+#[rstest]
+#[case::error(ERROR)]
+#[case::no_stream(NO_STREAM)]
+#[case::refusal(REFUSAL)]
+#[case::half_a_head(HALF_HEAD)]
+#[tokio::test(flavor = "multi_thread")]
+async fn error_ends_up_inside_a_stream(#[case] answer: &'static str) {
+    let behind = engine::bind(EngineOptions::default()).await.unwrap();
+    let other = FixedUpstream::start(answer, Some(behind)).await;
+    let fleet = TestFleet::start(FleetOptions {
+        own_engine: Some(other.address),
+        limits: "remote_penalty_ms = 60000",
+        ..FleetOptions::default()
+    })
+    .await;
+    // The other engine is in another failure domain, so that it only continues the stream.
+    fleet.engines[0].set_faults(EngineFaults {
+        reset_mid_stream: u32::MAX,
+        reset_after_tokens: TOKENS,
+        ..EngineFaults::default()
+    });
+    let response = fleet.chat(0, PROMPT, true).send().await.unwrap();
+    let stream = read_stream(response).await;
+    assert!(other.calls() > 0, "the stream was not continued");
+    assert!(!stream.done, "{stream:?}");
+    assert!(stream.error.is_some(), "{stream:?}");
+    let whole = completion_text(&[PROMPT], 2_000);
+    assert!(whole.starts_with(&stream.text), "{stream:?}");
+    let sequences: Vec<u64> = (0..stream.sequences.len() as u64).collect();
+    assert_eq!(stream.sequences, sequences);
+    assert!(sequences.len() >= TOKENS as usize);
+}
+
+/// Guards against an empty or short success when an upstream stops in the middle of its answer.
+#[rstest]
+#[case::status(HALF_STATUS)]
+#[case::head(HALF_HEAD)]
+#[case::body(SHORT_BODY)]
+#[tokio::test(flavor = "multi_thread")]
+async fn half_an_answer_is_passed_on_as_a_success(#[case] answer: &'static str) {
+    let shop = FixedUpstream::start(answer, None).await;
+    let fleet = TestFleet::start(FleetOptions {
+        services: Vec::new(),
+        own_service: Some(shop.address),
+        ..FleetOptions::default()
+    })
+    .await;
+    let order = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    assert_eq!(shop.calls(), 1);
+    assert!(order.status().is_server_error(), "{}", order.status());
+    let run = order.headers().get("x-cornelarch-run");
+    assert_eq!(run.and_then(|run| run.to_str().ok()), Some("unknown"));
+}
