--- a/crates/core/src/route/replica/options.rs
+++ b/crates/core/src/route/replica/options.rs
@@ -13,7 +13,7 @@
     /// must not add to its load.
     pub retry_max: Duration,
     /// The number of peers that are asked when a request is sent again: a full link loses many
-    /// datagrams.
+    /// datagrams. One of them is also asked over a connection.
     pub retry_peers: usize,
     /// The maximum number of peers remembered as having the newest version.
     pub sources: usize,
--- a/crates/gateway/src/process/exchange.rs
+++ b/crates/gateway/src/process/documents.rs
@@ -102,14 +102,14 @@
     request: DocumentRequest,
     permit: OwnedSemaphorePermit,
 ) {
-    let result = exchange(&state, &holder, (&peer, address), &request).await;
+    let result = receive_parts(&state, &holder, (&peer, address), &request).await;
     if let Err(error) = result {
         log::debug!("configuration was not received from peer {peer}: {error}");
     }
     drop(permit);
 }
 
-async fn exchange(
+async fn receive_parts(
     state: &GatewayState,
     holder: &HolderId,
     (peer, address): (&HolderId, SocketAddr),
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -2,8 +2,8 @@
 
 mod blocklist;
 mod crash;
+mod documents;
 mod event;
-mod exchange;
 mod gateway;
 mod ledger;
 mod log;
@@ -16,9 +16,9 @@
 
 pub(crate) use blocklist::sync_blocklist;
 pub(crate) use crash::{CrashMonitor, LostRequest, run_blocking};
+pub(crate) use documents::serve_documents;
 pub use event::LogEvent;
 pub(crate) use event::log_event;
-pub(crate) use exchange::serve_documents;
 pub use gateway::{Gateway, GatewayError};
 pub use ledger::ledger_options;
 pub(crate) use ledger::{SharedLedger, TOKEN_WAIT, run_ledger};
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -28,7 +28,7 @@
     task::JoinSet,
 };
 
-use crate::process::{GatewayState, exchange::fetch_document, log_event};
+use crate::process::{GatewayState, documents::fetch_document, log_event};
 
 /// Interval between ticks of the member table.
 const MEMBER_TICK: Duration = Duration::from_millis(200);
