Test entries larger than a datagram and connections with a broken request

Found in the last read: answer_over_a_connection_is_incomplete said that it covers entries that do not fit into a datagram, but its document has none, and it compared counts only; now it compares the parts. large_entry_never_arrives covers such an entry (27 kB of keys); it fails if the limit of datagrams is applied to connections. idle_connections_keep_peers_from_being_answered sent its garbage after idle connections had taken all places, so that it was turned away unread; it now comes first, as a frame that is no message, and has to end the connection. One copy of the ping and the member record in the gateway's tests, and the comment of is_asked says what the field holds.

--- a/crates/core/src/route/replica/state.rs
+++ b/crates/core/src/route/replica/state.rs
@@ -18,7 +18,7 @@
     buckets: DocumentIndex,
     /// Number of peers for the next request.
     peers: usize,
-    /// Whether a request has been sent that is not answered yet.
+    /// Whether a request was sent before.
     is_asked: bool,
     /// When an unanswered request is sent again.
     retry_at: MonotonicTime,
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -362,6 +362,33 @@
     assert_eq!(*instance.active, target);
 }
 
+/// Guards against an entry that does not fit into a datagram and therefore never arrives from a
+/// peer.
+#[test]
+fn large_entry_never_arrives() {
+    let mut target = document(3, 60);
+    let keys = (0..1_000).map(|number| format!("key-number-{number:08}"));
+    target.add_customer(customer("large"), keys);
+    let target = DocumentIndex::new(&target);
+    let mut instance = Instance::new(Some(document(2, 10)));
+    instance.hear(1, 3);
+    let mut requests = VecDeque::new();
+    while instance.active.version() < 3 {
+        let elapsed = instance.now.since(MonotonicTime::START);
+        assert!(elapsed < Duration::from_secs(2), "version 3 is late");
+        requests.extend(instance.tick());
+        while let Some(ReplicaEffect::Request {
+            request, channel, ..
+        }) = requests.pop_front()
+        {
+            for part in target.answer(&request, channel) {
+                requests.extend(instance.receive(part));
+            }
+        }
+    }
+    assert_eq!(*instance.active, target);
+}
+
 /// Guards against asking a peer that has stopped although others have the version.
 #[test]
 fn only_one_peer_is_asked() {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -8,7 +8,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
-    base::{CustomerName, DomainName, EnvironmentName, InstanceName, ServiceName, TokenCount},
+    base::{
+        CustomerName, DomainName, EnvironmentName, HolderId, InstanceName, ServiceName, TokenCount,
+    },
+    membership::{MemberMessage, MemberRecord, MemberState, PingBody},
     placement::UpstreamRecord,
     retry::WindowOptions,
     route::{
@@ -150,6 +153,28 @@
     }
 }
 
+/// Builds the record of a live member of domain `a`.
+pub(crate) fn member(name: &str, address: SocketAddr) -> MemberRecord {
+    MemberRecord {
+        holder: HolderId::new(InstanceName::new(name), 1),
+        domain: DomainName::new("a"),
+        address: address.to_string(),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+/// Builds a ping of a member that has a configuration version active.
+pub(crate) fn ping(sender: &MemberRecord, config_version: u64) -> MemberMessage {
+    MemberMessage::Ping(PingBody {
+        nonce: 1,
+        sender: sender.clone(),
+        config_version,
+        load_permille: 0,
+        updates: Vec::new(),
+    })
+}
+
 /// Returns an address that was free at the time of the call.
 pub(crate) fn free_address() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -5,10 +5,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use common::{FakeUpstream, Fixture, FixtureOptions, document};
+use common::{FakeUpstream, Fixture, FixtureOptions, document, member, ping};
 use cornelarch_core::{
-    base::{DomainName, HolderId, InstanceName},
-    membership::{MemberMessage, MemberRecord, MemberState, PingBody},
+    membership::MemberRecord,
     route::{
         RouteDocument,
         replica::{DocumentIndex, DocumentPart, RequestChannel},
@@ -49,17 +48,10 @@
             let Ok(socket) = UdpSocket::bind(address).await else {
                 continue;
             };
-            let record = MemberRecord {
-                holder: HolderId::new(InstanceName::new("peer"), 1),
-                domain: DomainName::new("a"),
-                address: address.to_string(),
-                incarnation: 1,
-                state: MemberState::Alive,
-            };
             return Self {
                 socket,
                 listener,
-                record,
+                record: member("peer", address),
             };
         }
     }
@@ -70,14 +62,8 @@
 
     /// Tells the gateway that the peer has a version active.
     async fn announce(&self, to: SocketAddr, version: u64) {
-        let ping = MemberMessage::Ping(PingBody {
-            nonce: 1,
-            sender: self.record.clone(),
-            config_version: version,
-            load_permille: 0,
-            updates: Vec::new(),
-        });
-        let bytes = encode_envelope(&self.envelope(WireBody::from(&ping))).expect("encode");
+        let body = WireBody::from(&ping(&self.record, version));
+        let bytes = encode_envelope(&self.envelope(body)).expect("encode");
         self.socket.send_to(&bytes, to).await.expect("send");
     }
 
@@ -158,8 +144,8 @@
     }
 }
 
-/// Guards against an answer over a connection that lacks entries, such as those which do not fit
-/// into a datagram.
+/// Guards against an answer over a connection that lacks parts, such as those which do not fit into
+/// an answer in datagrams.
 #[tokio::test]
 async fn answer_over_a_connection_is_incomplete() {
     let fixture = start().await;
@@ -169,19 +155,9 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let parts = fetch(fixture.peers).await;
-    let buckets: usize = parts.iter().map(|part| part.buckets.len()).sum();
-    let expected = DocumentIndex::new(&large);
-    let expected = expected.answer(
-        &DocumentIndex::empty().request(0),
-        RequestChannel::Connection,
-    );
-    assert_eq!(
-        buckets,
-        expected
-            .iter()
-            .map(|part| part.buckets.len())
-            .sum::<usize>()
-    );
+    let request = DocumentIndex::empty().request(0);
+    let index = DocumentIndex::new(&large);
+    assert_eq!(parts, index.answer(&request, RequestChannel::Connection));
     assert!(parts.last().is_some_and(|part| part.is_last));
 }
 
@@ -190,15 +166,22 @@
 #[tokio::test]
 async fn idle_connections_keep_peers_from_being_answered() {
     let fixture = start().await;
+    let mut rest = Vec::new();
+    // A frame of eight bytes that is no message.
+    let mut garbage = TcpStream::connect(fixture.peers).await.expect("connect");
+    let frame = [&8_u32.to_be_bytes()[..], &[0xff; 8]].concat();
+    garbage.write_all(&frame).await.expect("write");
+    let closed = timeout(Duration::from_millis(1_000), garbage.read_to_end(&mut rest));
+    assert!(
+        closed.await.is_ok(),
+        "a connection without a request stays open"
+    );
     let mut idle = Vec::new();
     for _ in 0..200 {
         idle.push(TcpStream::connect(fixture.peers).await.expect("connect"));
     }
-    let mut garbage = TcpStream::connect(fixture.peers).await.expect("connect");
-    garbage.write_all(&[0xff; 64]).await.expect("write");
     // The gateway closes them after the time limit of a request.
     tokio::time::sleep(Duration::from_millis(3_000)).await;
-    let mut rest = Vec::new();
     let closed = timeout(Duration::from_millis(500), idle[0].read_to_end(&mut rest));
     assert!(closed.await.is_ok(), "an idle connection stays open");
     assert!(!fetch(fixture.peers).await.is_empty());
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -5,11 +5,8 @@
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
-use common::{FakeUpstream, Fixture, FixtureOptions, document};
-use cornelarch_core::{
-    base::{DomainName, HolderId, InstanceName},
-    membership::{MemberMessage, MemberRecord, MemberState, PingBody},
-};
+use common::{FakeUpstream, Fixture, FixtureOptions, document, member, ping};
+use cornelarch_core::membership::{MemberMessage, MemberRecord};
 use cornelarch_wire::{
     encode_envelope,
     peer::{WireBody, WireEnvelope, WireHolder},
@@ -23,16 +20,6 @@
 /// Time limit for activating a configuration that a peer has active. Users allow two seconds.
 const IN_FORCE: Duration = Duration::from_millis(1_500);
 
-fn member(number: u64, address: SocketAddr) -> MemberRecord {
-    MemberRecord {
-        holder: HolderId::new(InstanceName::new(&format!("member-{number}")), 1),
-        domain: DomainName::new("a"),
-        address: address.to_string(),
-        incarnation: 1,
-        state: MemberState::Alive,
-    }
-}
-
 async fn send(socket: &UdpSocket, to: SocketAddr, from: &MemberRecord, message: &MemberMessage) {
     let sender = WireHolder::from(&from.holder);
     let envelope = WireEnvelope::new(sender, None, WireBody::from(message));
@@ -42,21 +29,16 @@
 
 /// Tells the gateway that a member has a configuration version active.
 async fn announce(socket: &UdpSocket, fixture: &Fixture, from: &MemberRecord, version: u64) {
-    let ping = MemberMessage::Ping(PingBody {
-        nonce: 1,
-        sender: from.clone(),
-        config_version: version,
-        load_permille: 0,
-        updates: Vec::new(),
-    });
-    send(socket, fixture.peers, from, &ping).await;
+    send(socket, fixture.peers, from, &ping(from, version)).await;
 }
 
 /// Announces many members of its domain to the gateway.
 async fn join_members(fixture: &Fixture) -> (UdpSocket, Vec<MemberRecord>) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
     let address = socket.local_addr().expect("address");
-    let records: Vec<MemberRecord> = (0..MEMBERS).map(|n| member(n, address)).collect();
+    let records: Vec<MemberRecord> = (0..MEMBERS)
+        .map(|number| member(&format!("member-{number}"), address))
+        .collect();
     for part in records.chunks(4) {
         let records = part.to_vec();
         let message = MemberMessage::TableChunk { records };
