Log and count what responses say about their upstream

Cause of the missing evidence: no line and no counter showed that a response carried the header of a leaving upstream, or a 503 with Retry-After, so that a request that reached such an upstream looked like any other.

Change: the gateway decodes both headers into UpstreamNotice (core); the adapter names the header. E2305 logs each notice, and cornelarch_upstream_notices counts them by kind. No decision depends on them yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 pub mod limit;
 pub mod membership;
+pub mod notice;
 pub mod order;
 pub mod placement;
 pub mod retry;
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -32,6 +32,8 @@
     pub not_run: HeaderName,
     /// Proves that the upstream itself produced the response.
     pub response_seal: HeaderName,
+    /// Marks, with the value `1`, the responses of an upstream that is shutting down.
+    pub leaving: HeaderName,
     /// Headers that only the gateway may set; they are removed from the requests of callers.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -41,6 +41,8 @@
     ContentBlocked => 2303, Warn, "content blocked";
     /// Requests with this content are served again.
     ContentUnblocked => 2304, Info, "content unblocked";
+    /// A response says that its upstream leaves or wants no requests for some time.
+    NoticeReceived => 2305, Info, "notice of an upstream";
     /// A request was rejected before it was sent to an upstream.
     RequestRefused => 2400, Info, "request refused";
     /// An attempt at an upstream ended without a response.
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -2,7 +2,9 @@
 
 use std::{fmt, time::Duration};
 
-use cornelarch_core::{error::ErrorKind, placement::FlightOutcome, route::RouteKind};
+use cornelarch_core::{
+    error::ErrorKind, notice::UpstreamNotice, placement::FlightOutcome, route::RouteKind,
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text::encode},
     metrics::{
@@ -33,6 +35,11 @@
     end: EndLabel,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NoticeLabels {
+    notice: NoticeKind,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StageLabels {
     stage: TimedStage,
@@ -82,6 +89,13 @@
     EventGap,
 }
 
+/// Statement of a response about its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum NoticeKind {
+    Leaving,
+    Pause,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum PlatformCall {
     /// List or watch of the configuration.
@@ -163,6 +177,7 @@
     attempts: Family<AttemptLabels, Counter>,
     stages: Family<StageLabels, Histogram>,
     calls: Family<CallLabels, Counter>,
+    notices: Family<NoticeLabels, Counter>,
     resumes: Counter,
     crashes: Counter,
     blocked: Gauge,
@@ -183,6 +198,7 @@
             attempts: Family::default(),
             stages: Family::new_with_constructor(buckets),
             calls: Family::default(),
+            notices: Family::default(),
             resumes: Counter::default(),
             crashes: Counter::default(),
             blocked: Gauge::default(),
@@ -197,6 +213,8 @@
         registry.register("attempts", "Attempts by end", metrics.attempts.clone());
         registry.register("seconds", "Time by stage", metrics.stages.clone());
         registry.register("calls", "Calls to the platform", metrics.calls.clone());
+        let notices = metrics.notices.clone();
+        registry.register("upstream_notices", "Notices of upstreams", notices);
         registry.register("resumes", "Streams resumed", metrics.resumes.clone());
         let (crashes, blocked) = (metrics.crashes.clone(), metrics.blocked.clone());
         registry.register("upstream_crashes", "Upstream crashes", crashes);
@@ -238,6 +256,19 @@
         self.calls.get_or_create(&CallLabels { call, result }).inc();
     }
 
+    /// Counts the statements of a response about its upstream.
+    pub(crate) fn count_notice(&self, notice: &UpstreamNotice) {
+        let count = |notice| {
+            self.notices.get_or_create(&NoticeLabels { notice }).inc();
+        };
+        if notice.is_leaving {
+            count(NoticeKind::Leaving);
+        }
+        if notice.pause.is_some() {
+            count(NoticeKind::Pause);
+        }
+    }
+
     pub(crate) fn count_resume(&self) {
         self.resumes.inc();
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -13,7 +13,7 @@
     connection::{PooledConnection, SendFailure},
     process::{GatewayState, TimedStage},
     request::{
-        head::{LAST_EVENT_ID, RequestHead},
+        head::{LAST_EVENT_ID, RequestHead, read_notice},
         in_flight::InFlightRequest,
     },
 };
@@ -88,7 +88,7 @@
         match sent {
             Ok(Ok(response)) => {
                 flight.record_load(response.headers());
-                return check_response(state, request, connection, response, is_first);
+                return check_response(state, request, flight, connection, response, is_first);
             }
             Ok(Err(SendFailure::NotSent)) => {}
             Ok(Err(SendFailure::Unknown(reason))) => {
@@ -175,6 +175,7 @@
 fn check_response(
     state: &GatewayState,
     request: &AttemptRequest<'_>,
+    flight: &InFlightRequest,
     connection: PooledConnection,
     response: Response<Incoming>,
     is_first: bool,
@@ -196,6 +197,10 @@
         ));
     }
     let status = response.status();
+    // Another upstream may have answered at the address of the expected one.
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        flight.record_notice(&read_notice(status, headers, names));
+    }
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run) {
         let reason = format!("upstream refused the request with status {status}");
         return Err(AttemptFailure::new(FlightOutcome::Refused, reason));
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use cornelarch_core::placement::{PromptPart, RequestSize};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
+use cornelarch_core::{
+    notice::UpstreamNotice,
+    placement::{PromptPart, RequestSize},
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 use hyper::body::Body;
 
 use crate::edge::HeaderNames;
@@ -112,3 +115,24 @@
     let mut counts = text.split(',').map(|count| count.trim().parse::<u32>());
     Some((counts.next()?.ok()?, counts.next()?.ok()?))
 }
+
+/// Returns what a response says about its upstream.
+pub(crate) fn read_notice(
+    status: StatusCode,
+    headers: &HeaderMap,
+    names: &HeaderNames,
+) -> UpstreamNotice {
+    let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
+    let pause = header_text(headers, &header::RETRY_AFTER).filter(|_| is_refusal);
+    UpstreamNotice {
+        is_leaving: header_text(headers, &names.leaving).is_some_and(|text| text.trim() == "1"),
+        pause: pause.and_then(read_seconds),
+    }
+}
+
+/// Parses a number of seconds that is not negative. Numbers too large for a duration yield the
+/// longest one.
+fn read_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    (seconds >= 0.0).then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -5,12 +5,13 @@
 use cornelarch_core::{
     base::UpstreamName,
     blocklist::content::{ContentKey, CrashName},
+    notice::UpstreamNotice,
     placement::{FlightKey, FlightOutcome, Placement, PlacementKey, RequestSize},
 };
 use http::HeaderMap;
 
 use crate::{
-    process::{GatewayState, LostRequest},
+    process::{GatewayState, LostRequest, log_event},
     request::head::read_load,
 };
 
@@ -76,6 +77,22 @@
         }
     }
 
+    /// Records what a response says about its upstream.
+    pub(crate) fn record_notice(&self, notice: &UpstreamNotice) {
+        if notice.is_empty() {
+            return;
+        }
+        self.state.metrics.count_notice(notice);
+        let pause = notice.pause.map(|pause| pause.as_millis().to_string());
+        log_event!(
+            NoticeReceived,
+            "upstream={} leaving={} pause_ms={}",
+            self.upstream,
+            notice.is_leaving,
+            pause.as_deref().unwrap_or("-")
+        );
+    }
+
     /// Returns whether the response is complete after its last byte. One without a length or chunks
     /// ends with its connection, whether it is complete or the upstream has crashed.
     pub(crate) async fn is_complete(&self, is_unframed: bool) -> bool {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -85,6 +85,7 @@
         upstream_load: name("t-load"),
         not_run: name("t-not-run"),
         response_seal: name("t-seal"),
+        leaving: name("t-leaving"),
         reserved: ["t-customer", "t-expect", "t-priority", "t-pin"]
             .map(name)
             .to_vec(),
