Reproduce requests to upstreams that leave or want a pause

What callers and upstreams saw: requests reached an upstream after one of its answers had announced its shutdown, and in the pause that its 503 had asked for.

--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -22,6 +22,8 @@
 pub(crate) enum Reply {
     /// Responds with a status and a body.
     Answer(u16, &'static str),
+    /// Responds with a status, additional header lines and a body.
+    AnswerWith(u16, &'static str, &'static str),
     /// Responds that it did not run the request.
     Refuse,
     /// Reads the request and resets the connection.
@@ -41,6 +43,8 @@
     PartialHead(usize),
     /// Sends these texts as chunks of an event stream and ends the response properly.
     Events(Vec<String>),
+    /// As [`Reply::Events`], with additional header lines.
+    EventsWith(&'static str, Vec<String>),
     /// Sends these texts as chunks of an event stream and resets the connection.
     Interrupted(Vec<String>),
     /// Sends these texts as chunks of an event stream with a pause after each.
@@ -94,6 +98,8 @@
 #[derive(Default)]
 struct UpstreamState {
     replies: Mutex<VecDeque<Reply>>,
+    /// Reply once the queued ones are used up, if it is not the usual one.
+    last_reply: Mutex<Option<Reply>>,
     requests: Mutex<Vec<ReceivedRequest>>,
     connections: AtomicU32,
     /// Requests whose connection the gateway closed before the response was complete.
@@ -118,6 +124,9 @@
         match is_deadly {
             true => Reply::Crash,
             false => self.replies.lock().pop_front().unwrap_or_else(|| {
+                if let Some(reply) = self.last_reply.lock().clone() {
+                    return reply;
+                }
                 let is_stream = request.head.contains(" /stream/");
                 match (is_stream, self.deadly.lock().is_some()) {
                     (true, true) => Reply::Events(vec!["id: 1\ndata: t1\n\n".to_owned()]),
@@ -186,6 +195,11 @@
         *self.state.replies.lock() = replies.into();
     }
 
+    /// Sets the reply to all requests for which no reply is queued.
+    pub(crate) fn set_last_reply(&self, reply: Reply) {
+        *self.state.last_reply.lock() = Some(reply);
+    }
+
     pub(crate) fn requests(&self) -> Vec<ReceivedRequest> {
         self.state.requests.lock().clone()
     }
@@ -258,6 +272,7 @@
     let is_reset = matches!(reply, Reply::PacedReset(..));
     let text = match reply {
         Reply::Answer(status, body) => response_text(id, status, "", body),
+        Reply::AnswerWith(status, headers, body) => response_text(id, status, headers, body),
         Reply::Refuse => response_text(id, 503, "t-not-run: 1\r\n", ""),
         Reply::Unsolicited(body) => {
             let second = response_text("another", 200, "", "wrong");
@@ -296,6 +311,12 @@
             let chunks: String = events.iter().map(|event| encode_chunk(event)).collect();
             stream_head + &chunks + "0\r\n\r\n"
         }
+        Reply::EventsWith(headers, events) => {
+            let chunks: String = events.iter().map(|event| encode_chunk(event)).collect();
+            let head =
+                stream_head.replace("transfer-encoding", &format!("{headers}transfer-encoding"));
+            head + &chunks + "0\r\n\r\n"
+        }
         Reply::Interrupted(events) => {
             let chunks: String = events.iter().map(|event| encode_chunk(event)).collect();
             let _ = stream.write_all((stream_head + &chunks).as_bytes()).await;
