Learn from responses that an upstream is shutting down

Callers' requests reached an upstream after it had announced its shutdown in a response (DRAIN).

Cause: only the directory told a gateway that an upstream leaves; the header Server-Leaving was not read. Ruled out: that a later step ignores a known notice (there was none to ignore), and that a late directory explains it (requests also arrived with a directory that never changed).

Change: the placement table keeps, for each incarnation of an upstream, what its responses have said. An announced upstream counts as unlisted at once: for placement, for requests that wait for a connection, for resumed streams, and for the question whether a lost request is a crash. Idle connections to it are closed; running requests go on. A directory entry that calls it ready, a lapsed entry that comes back, a new configuration and an outage of the platform change nothing. Another address or start time is another incarnation and is not affected, nor does a late response of the earlier one count for it.

--- a/crates/core/src/placement/entry.rs
+++ b/crates/core/src/placement/entry.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     base::MonotonicTime,
+    notice::NoticeState,
     placement::{
         FlightOutcome, PlacementOptions, PromptPart, RequestSize, UpstreamRecord, shared_parts,
     },
@@ -36,6 +37,8 @@
     pub(super) record: UpstreamRecord,
     /// Whether the upstream is no longer listed by the platform.
     pub(super) is_removed: bool,
+    /// What the responses of this incarnation have said.
+    pub(super) notices: NoticeState,
     /// Requests of this instance in flight.
     pub(super) in_flight: u32,
     /// Uncached prompt tokens of requests of this instance that have no first token yet.
@@ -57,6 +60,7 @@
         Self {
             record,
             is_removed: false,
+            notices: NoticeState::default(),
             in_flight: 0,
             pending_tokens: 0.0,
             memory_used: 0,
@@ -73,9 +77,7 @@
 
     /// Replaces the record. Statistics are reset if it describes a new incarnation.
     pub(super) fn update(&mut self, record: UpstreamRecord) {
-        let is_same = record.address == self.record.address
-            && record.started_unix_ms == self.record.started_unix_ms;
-        if !is_same {
+        if record.incarnation() != self.record.incarnation() {
             let fresh = Self::new(record.clone());
             let (in_flight, pending, memory) =
                 (self.in_flight, self.pending_tokens, self.memory_used);
@@ -88,7 +90,7 @@
 
     /// Returns whether the upstream accepts new requests.
     pub(super) const fn is_listed(&self) -> bool {
-        !self.is_removed && !self.record.is_leaving
+        !self.is_removed && !self.record.is_leaving && !self.notices.is_leaving()
     }
 
     /// Returns whether the upstream is ejected because of failures. After the ejection time, it gets
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -8,6 +8,7 @@
 //! - A request that cannot start within its latency limit is refused before it is sent.
 
 mod entry;
+mod former;
 mod missing;
 mod options;
 mod request;
@@ -17,6 +18,6 @@
 pub use options::PlacementOptions;
 pub use request::{
     FlightOutcome, Placement, PlacementRefusal, PlacementRequest, PromptPart, RequestSize,
-    UpstreamRecord, shared_parts,
+    UpstreamIncarnation, UpstreamRecord, shared_parts,
 };
 pub use table::{FlightKey, PlacementKey, PlacementTable};
--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -28,6 +28,26 @@
     pub started_unix_ms: Option<u64>,
 }
 
+impl UpstreamRecord {
+    /// Returns what tells the runs of the upstream's process apart.
+    #[must_use]
+    pub const fn incarnation(&self) -> UpstreamIncarnation {
+        UpstreamIncarnation {
+            address: self.address,
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+}
+
+/// Tells apart the runs of an upstream that restarts under the same name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct UpstreamIncarnation {
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Start time in Unix milliseconds, if known.
+    pub started_unix_ms: Option<u64>,
+}
+
 /// A consecutive part of a prompt that an engine may have cached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct PromptPart {
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -7,9 +7,11 @@
 
 use crate::{
     base::{MonotonicTime, ServiceName, UpstreamName},
+    notice::UpstreamNotice,
     placement::{
         FlightOutcome, Placement, PlacementOptions, PlacementRefusal, PlacementRequest,
-        RequestSize, UpstreamRecord, entry::UpstreamEntry, shared_parts,
+        RequestSize, UpstreamIncarnation, UpstreamRecord, entry::UpstreamEntry,
+        former::FormerUpstreams, shared_parts,
     },
 };
 
@@ -23,6 +25,8 @@
 #[derive(Clone, Debug)]
 struct InFlightRequest {
     upstream: PlacementKey,
+    /// Incarnation of the upstream that got the request.
+    incarnation: Option<UpstreamIncarnation>,
     size: RequestSize,
     /// Uncached prompt tokens, counted as pending until the first token.
     pending_tokens: f64,
@@ -40,6 +44,7 @@
     names: HashMap<UpstreamName, PlacementKey>,
     groups: HashMap<ServiceName, Vec<PlacementKey>>,
     flights: SlotMap<FlightKey, InFlightRequest>,
+    former: FormerUpstreams,
 }
 
 impl PlacementTable {
@@ -52,6 +57,7 @@
             names: HashMap::new(),
             groups: HashMap::new(),
             flights: SlotMap::with_key(),
+            former: FormerUpstreams::default(),
         }
     }
 
@@ -66,11 +72,32 @@
             return;
         }
         let (name, service) = (record.name.clone(), record.service.clone());
-        let key = self.entries.insert(UpstreamEntry::new(record));
+        let key = match self.find_removed(&record) {
+            Some(key) => {
+                self.entries[key].update(record);
+                key
+            }
+            None => {
+                let mut entry = UpstreamEntry::new(record);
+                entry.notices = self.former.take(&entry.record);
+                self.entries.insert(entry)
+            }
+        };
         self.names.insert(name, key);
         self.join_group(key, service);
     }
 
+    /// Returns the entry of a removed upstream that still runs requests.
+    fn find_removed(&self, record: &UpstreamRecord) -> Option<PlacementKey> {
+        let mut entries = self.entries.iter();
+        let found = entries.find(|(_, entry)| {
+            entry.is_removed
+                && entry.record.name == record.name
+                && entry.record.incarnation() == record.incarnation()
+        });
+        found.map(|(key, _)| key)
+    }
+
     /// Removes an upstream. Its requests in flight continue.
     pub fn remove(&mut self, name: &UpstreamName) {
         if let Some(key) = self.names.remove(name) {
@@ -233,6 +260,7 @@
     ) -> FlightKey {
         let mut flight = InFlightRequest {
             upstream: placement.key,
+            incarnation: self.record(placement.key).map(UpstreamRecord::incarnation),
             size: size.clone(),
             pending_tokens: 0.0,
             predicted_s: None,
@@ -275,6 +303,17 @@
         }
     }
 
+    /// Records what a response says about its upstream. Returns whether that is news.
+    pub fn record_notice(&mut self, key: FlightKey, notice: &UpstreamNotice) -> bool {
+        let Some(flight) = self.flights.get(key) else {
+            return false;
+        };
+        let entry = self.entries.get_mut(flight.upstream);
+        // The response of an earlier incarnation says nothing about the present one.
+        let entry = entry.filter(|entry| Some(entry.record.incarnation()) == flight.incarnation);
+        entry.is_some_and(|entry| entry.notices.record(notice))
+    }
+
     /// Records the end of a request.
     pub fn finish(&mut self, key: FlightKey, end: FlightOutcome, now: MonotonicTime) {
         let Some(flight) = self.flights.remove(key) else {
@@ -312,8 +351,9 @@
             .entries
             .get(key)
             .is_some_and(|entry| entry.is_removed && entry.in_flight == 0)
+            && let Some(entry) = self.entries.remove(key)
         {
-            self.entries.remove(key);
+            self.former.keep(&entry.record, entry.notices);
         }
     }
 }
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -83,6 +83,13 @@
             return;
         }
         self.state.metrics.count_notice(notice);
+        let record = |flight| self.state.placement.lock().record_notice(flight, notice);
+        if !self.flight.is_some_and(record) {
+            return;
+        }
+        if notice.is_leaving {
+            self.state.pool.close_idle(&self.upstream);
+        }
         let pause = notice.pause.map(|pause| pause.as_millis().to_string());
         log_event!(
             NoticeReceived,
