Keep the pauses that upstreams ask for

Cause: the gateway read no Retry-After of an upstream. A refusal only raised the failure rate, so the upstream was chosen again as soon as it was the cheapest one, or at once if it was the only one.

Change: the notices of an incarnation hold the end of its pause. A paused upstream is not chosen, and a request that waits for a connection to it is not sent; one check, PlacementTable::accepts, serves first attempts, repeats and resumed streams. Such a request ends as NotSent, which is no failure of the upstream. If all upstreams of a service pause, callers are refused at once with the time until the first pause ends, spread over up to 2 s more. A pause is never shortened, lasts pause_max (60 s) at most, survives directory changes, and ends with the incarnation. A delay that is no number is logged (E2306) and ignored.

New in core: waiting requests, shortened and endless pauses, restarts, ejection (five cases).

--- a/crates/core/src/notice/state.rs
+++ b/crates/core/src/notice/state.rs
@@ -1,20 +1,34 @@
 //! What is known from the responses of one incarnation of an upstream.
 
-use crate::notice::UpstreamNotice;
+use std::time::Duration;
+
+use crate::{base::MonotonicTime, notice::UpstreamNotice};
 
 /// What the responses of one incarnation of an upstream have said so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NoticeState {
     is_leaving: bool,
+    paused_until: Option<MonotonicTime>,
 }
 
 impl NoticeState {
-    /// Records a notice and returns whether it changes what is known. An upstream that leaves does
-    /// so until it ends, so that a response without the notice, which may be older, changes nothing.
-    pub const fn record(&mut self, notice: &UpstreamNotice) -> bool {
-        let is_news = notice.is_leaving && !self.is_leaving;
+    /// Records a notice and returns whether the upstream leaves or pauses and did not before.
+    ///
+    /// An upstream that leaves does so until it ends, so that a response without the notice, which
+    /// may be older, changes nothing. Likewise, a pause is never shortened. It lasts `pause_max` at
+    /// most.
+    pub fn record(
+        &mut self,
+        notice: &UpstreamNotice,
+        pause_max: Duration,
+        now: MonotonicTime,
+    ) -> bool {
+        let has_left = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
-        is_news
+        let was_paused = self.pause_left(now).is_some();
+        let end = notice.pause.map(|pause| now + pause.min(pause_max));
+        self.paused_until = self.paused_until.max(end);
+        has_left || !was_paused && self.pause_left(now).is_some()
     }
 
     /// Returns whether the upstream is shutting down.
@@ -22,4 +36,11 @@
     pub const fn is_leaving(&self) -> bool {
         self.is_leaving
     }
+
+    /// Returns the time until the upstream accepts requests again, or `None` if it does not pause.
+    #[must_use]
+    pub fn pause_left(&self, now: MonotonicTime) -> Option<Duration> {
+        let until = self.paused_until.filter(|until| now < *until)?;
+        Some(until.since(now))
+    }
 }
--- a/crates/core/src/placement/entry.rs
+++ b/crates/core/src/placement/entry.rs
@@ -93,6 +93,11 @@
         !self.is_removed && !self.record.is_leaving && !self.notices.is_leaving()
     }
 
+    /// Returns whether a request may be sent to the upstream now.
+    pub(super) fn accepts(&self, now: MonotonicTime) -> bool {
+        self.is_listed() && self.notices.pause_left(now).is_none()
+    }
+
     /// Returns whether the upstream is ejected because of failures. After the ejection time, it gets
     /// one probing request at a time until one succeeds.
     pub(super) fn is_ejected(&self, now: MonotonicTime) -> bool {
@@ -251,7 +256,7 @@
                 self.consecutive_failures = 0;
                 self.ejected_until = None;
             }
-            FlightOutcome::Cancelled => {}
+            FlightOutcome::Cancelled | FlightOutcome::NotSent => {}
             FlightOutcome::Failed | FlightOutcome::Refused => {
                 self.failure_rate = rate + (1.0 - rate) * FAILURE_WEIGHT;
                 self.failure_at = now;
--- a/crates/core/src/placement/options.rs
+++ b/crates/core/src/placement/options.rs
@@ -29,6 +29,8 @@
     pub eject_min: Duration,
     /// Longest ejection.
     pub eject_max: Duration,
+    /// Longest pause of an upstream, whatever time it asks for.
+    pub pause_max: Duration,
     /// Age after which a load report is ignored.
     pub report_max_age: Duration,
     /// Time after its last use for which a prompt part counts as cached.
@@ -55,6 +57,7 @@
             failure_half_life: Duration::from_secs(3),
             eject_min: Duration::from_millis(500),
             eject_max: Duration::from_secs(4),
+            pause_max: Duration::from_secs(60),
             report_max_age: Duration::from_millis(1_500),
             cache_ttl: Duration::from_secs(30),
             preferred_fraction: 0.8,
--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -124,6 +124,12 @@
         /// Predicted time until the queue is short enough.
         retry_after: Duration,
     },
+    /// Every listed upstream has refused requests and asked for a pause.
+    #[snafu(display("every upstream has asked for a pause, which ends in {} ms", retry_after.as_millis()))]
+    Paused {
+        /// Time until the first pause ends.
+        retry_after: Duration,
+    },
     /// The request exceeds the memory of an engine.
     #[snafu(display("the request exceeds the memory of an engine"))]
     TooLarge,
@@ -140,6 +146,8 @@
     Refused,
     /// No connection could be opened.
     NotReached,
+    /// Nothing was sent, because the upstream accepts no requests any more.
+    NotSent,
     /// The connection broke, or the answer was unusable.
     Lost,
     /// No answer came within the time limit.
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -125,13 +125,28 @@
         self.entries.get(key).map(|entry| &entry.record)
     }
 
-    /// Returns whether an upstream accepts new requests.
+    /// Returns whether an upstream is listed and not shutting down.
     #[must_use]
     pub fn is_listed(&self, key: PlacementKey) -> bool {
         self.entries.get(key).is_some_and(UpstreamEntry::is_listed)
     }
 
-    /// Returns the number of upstreams that accept new requests.
+    /// Returns whether a request may be sent to an upstream now.
+    #[must_use]
+    pub fn accepts(&self, key: PlacementKey, now: MonotonicTime) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|entry| entry.accepts(now))
+    }
+
+    /// Returns the time until an upstream of a service accepts requests again, or `None` if one does
+    /// now or none is listed.
+    #[must_use]
+    pub fn pause_left(&self, service: &ServiceName, now: MonotonicTime) -> Option<Duration> {
+        self.shortest_pause(&self.listed(service, &[]), now)
+    }
+
+    /// Returns the number of upstreams that are listed and not shutting down.
     #[must_use]
     pub fn listed_count(&self) -> usize {
         self.entries.values().filter(|e| e.is_listed()).count()
@@ -150,16 +165,14 @@
         if request.memory_tokens > 0 && request.size.total() > request.memory_tokens {
             return Err(PlacementRefusal::TooLarge);
         }
-        let group = self.groups.get(request.service);
-        let listed = group
-            .into_iter()
-            .flatten()
-            .copied()
-            .filter(|key| self.entries[*key].is_listed() && !request.excluded.contains(key));
-        let listed: Vec<PlacementKey> = listed.collect();
+        let mut listed = self.listed(request.service, request.excluded);
         if listed.is_empty() {
             return Err(PlacementRefusal::NoUpstream);
         }
+        if let Some(retry_after) = self.shortest_pause(&listed, now) {
+            return Err(PlacementRefusal::Paused { retry_after });
+        }
+        listed.retain(|key| self.entries[*key].accepts(now));
         let is_healthy = |key: &&PlacementKey| !self.entries[**key].is_ejected(now);
         let healthy: Vec<PlacementKey> = listed.iter().filter(is_healthy).copied().collect();
         // If every upstream is ejected, trying one is better than refusing all requests.
@@ -197,6 +210,23 @@
         })
     }
 
+    /// Returns the upstreams of a service that are listed and not shutting down.
+    fn listed(&self, service: &ServiceName, excluded: &[PlacementKey]) -> Vec<PlacementKey> {
+        let group = self.groups.get(service).into_iter().flatten().copied();
+        group
+            .filter(|key| self.entries[*key].is_listed() && !excluded.contains(key))
+            .collect()
+    }
+
+    /// Returns the time until one of these upstreams accepts requests, or `None` if one does now.
+    fn shortest_pause(&self, keys: &[PlacementKey], now: MonotonicTime) -> Option<Duration> {
+        let pauses = keys
+            .iter()
+            .map(|key| self.entries[*key].notices.pause_left(now));
+        let pauses: Option<Vec<Duration>> = pauses.collect();
+        pauses?.into_iter().min()
+    }
+
     fn evaluate(
         &self,
         key: PlacementKey,
@@ -303,15 +333,22 @@
         }
     }
 
-    /// Records what a response says about its upstream. Returns whether that is news.
-    pub fn record_notice(&mut self, key: FlightKey, notice: &UpstreamNotice) -> bool {
+    /// Records what a response says about its upstream. Returns whether the upstream leaves or
+    /// pauses and did not before.
+    pub fn record_notice(
+        &mut self,
+        key: FlightKey,
+        notice: &UpstreamNotice,
+        now: MonotonicTime,
+    ) -> bool {
         let Some(flight) = self.flights.get(key) else {
             return false;
         };
         let entry = self.entries.get_mut(flight.upstream);
         // The response of an earlier incarnation says nothing about the present one.
         let entry = entry.filter(|entry| Some(entry.record.incarnation()) == flight.incarnation);
-        entry.is_some_and(|entry| entry.notices.record(notice))
+        let pause_max = self.options.pause_max;
+        entry.is_some_and(|entry| entry.notices.record(notice, pause_max, now))
     }
 
     /// Records the end of a request.
--- a/crates/core/tests/notices.rs
+++ b/crates/core/tests/notices.rs
@@ -17,6 +17,14 @@
     pause: None,
 };
 
+/// Returns the notice of an upstream that wants no requests for this time.
+fn pause(duration: Duration) -> UpstreamNotice {
+    UpstreamNotice {
+        is_leaving: false,
+        pause: Some(duration),
+    }
+}
+
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
 }
@@ -34,9 +42,13 @@
     }
 }
 
+fn options() -> PlacementOptions {
+    PlacementOptions::new(DomainName::new("a"))
+}
+
 /// Returns a table with one upstream.
 fn table() -> PlacementTable {
-    let mut table = PlacementTable::new(PlacementOptions::new(DomainName::new("a")));
+    let mut table = PlacementTable::new(options());
     table.apply(record(1));
     table
 }
@@ -65,8 +77,8 @@
     let mut table = table();
     let (waiting, _) = start(&mut table);
     let (_, answered) = start(&mut table);
-    assert!(table.record_notice(answered, &LEAVING));
-    assert!(!table.is_listed(waiting.key));
+    assert!(table.record_notice(answered, &LEAVING, at(1)));
+    assert!(!table.accepts(waiting.key, at(1)));
     assert_eq!(choose(&table, at(1)), Err(PlacementRefusal::NoUpstream));
 }
 
@@ -85,7 +97,7 @@
     if is_removed_first {
         table.remove(&UpstreamName::new("u"));
     }
-    table.record_notice(flight, &LEAVING);
+    table.record_notice(flight, &LEAVING, at(1));
     if is_finished_first {
         table.finish(flight, FlightOutcome::Answered, at(5));
     }
@@ -107,14 +119,82 @@
     let mut table = table();
     let (_, flight) = start(&mut table);
     if !is_late {
-        table.record_notice(flight, &LEAVING);
+        table.record_notice(flight, &LEAVING, at(1));
     }
     if is_removed {
         table.remove(&UpstreamName::new("u"));
     }
     table.apply(record(2));
     if is_late {
-        table.record_notice(flight, &LEAVING);
+        table.record_notice(flight, &LEAVING, at(1));
     }
     assert!(choose(&table, at(10)).is_ok());
 }
+
+/// Guards against a request that waits for a connection and is sent in a pause that began meanwhile.
+#[test]
+fn waiting_request_reaches_paused_upstream() {
+    let mut table = table();
+    let (waiting, _) = start(&mut table);
+    let (_, refused) = start(&mut table);
+    table.record_notice(refused, &pause(Duration::from_secs(2)), at(10));
+    assert!(!table.accepts(waiting.key, at(2_009)));
+    assert!(table.accepts(waiting.key, at(2_010)));
+    let retry_after = Duration::from_millis(500);
+    let refusal = PlacementRefusal::Paused { retry_after };
+    assert_eq!(choose(&table, at(1_510)), Err(refusal));
+    assert!(choose(&table, at(2_010)).is_ok());
+}
+
+/// Guards against a pause that a later, shorter one, or a response without one, ends too early.
+#[test]
+fn later_response_shortens_a_pause() {
+    let mut table = table();
+    let (_, first) = start(&mut table);
+    let (waiting, second) = start(&mut table);
+    assert!(table.record_notice(first, &pause(Duration::from_secs(5)), at(0)));
+    assert!(!table.record_notice(second, &pause(Duration::from_secs(1)), at(100)));
+    assert!(!table.record_notice(second, &UpstreamNotice::default(), at(200)));
+    assert!(!table.accepts(waiting.key, at(4_999)));
+    assert!(table.accepts(waiting.key, at(5_000)));
+}
+
+/// Guards against an upstream that is unusable for good because of an absurd delay.
+#[test]
+fn endless_pause_makes_upstream_unusable() {
+    let mut table = table();
+    let (waiting, refused) = start(&mut table);
+    table.record_notice(refused, &pause(Duration::MAX), at(0));
+    let end = MonotonicTime::START + options().pause_max;
+    assert!(table.accepts(waiting.key, end));
+}
+
+/// Guards against an upstream that stays paused after a restart under the same name.
+#[test]
+fn restarted_upstream_stays_paused() {
+    let mut table = table();
+    let (_, refused) = start(&mut table);
+    table.record_notice(refused, &pause(Duration::from_secs(9)), at(0));
+    table.apply(record(2));
+    assert!(choose(&table, at(10)).is_ok());
+}
+
+/// Guards against requests that were not sent and count as failures of the upstream, which would be
+/// ejected for longer than its pause.
+#[test]
+fn pause_ejects_upstream() {
+    let mut table = table();
+    let flights: Vec<FlightKey> = (0..6).map(|_| start(&mut table).1).collect();
+    table.record_notice(flights[0], &pause(Duration::from_millis(100)), at(0));
+    for flight in flights {
+        table.finish(flight, FlightOutcome::NotSent, at(10));
+    }
+    table.apply(UpstreamRecord {
+        name: UpstreamName::new("other"),
+        address: ([127, 0, 0, 1], 1_001).into(),
+        domain: DomainName::new("b"),
+        ..record(1)
+    });
+    let chosen = choose(&table, at(100)).expect("upstreams are usable");
+    assert_eq!(chosen.upstream, UpstreamName::new("u"));
+}
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -43,6 +43,8 @@
     ContentUnblocked => 2304, Info, "content unblocked";
     /// A response says that its upstream leaves or wants no requests for some time.
     NoticeReceived => 2305, Info, "notice of an upstream";
+    /// A header about the state of an upstream cannot be used.
+    NoticeRejected => 2306, Warn, "notice of an upstream rejected";
     /// A request was rejected before it was sent to an upstream.
     RequestRefused => 2400, Info, "request refused";
     /// An attempt at an upstream ended without a response.
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -148,6 +148,7 @@
             FlightOutcome::Failed => "failed",
             FlightOutcome::Refused => "refused",
             FlightOutcome::NotReached => "not_reached",
+            FlightOutcome::NotSent => "not_sent",
             FlightOutcome::Lost => "lost",
             FlightOutcome::TimedOut => "timed_out",
             FlightOutcome::Cancelled => "cancelled",
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -75,11 +75,11 @@
 ) -> Result<AttemptResponse, AttemptFailure> {
     for _ in 0..CONNECTION_TRIES_MAX {
         let mut connection = open_connection(state, request, placement).await?;
-        // The upstream may have started to shut down while the connection was opened.
-        if !state.placement.lock().is_listed(flight.key) {
+        // The upstream may have started to leave or to pause while the connection was opened.
+        if !state.placement.lock().accepts(flight.key, state.now()) {
             return Err(AttemptFailure::new(
-                FlightOutcome::NotReached,
-                "upstream is shutting down",
+                FlightOutcome::NotSent,
+                "upstream accepts no requests any more",
             ));
         }
         let outgoing = build_request(state, request, placement);
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -37,6 +37,8 @@
 const RETRY_TIME_FRACTION: f64 = 0.45;
 /// Retry delay suggested if no upstream is usable; a replacement appears within about a second.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(300);
+/// Longest retry delay suggested because of predicted load, which may soon be lower.
+const OVERLOAD_RETRY_MAX: Duration = Duration::from_secs(3);
 /// Highest priority that engines support.
 const ENGINE_PRIORITY_MAX: u8 = 9;
 /// Attempts that fail to reach an upstream before a request is refused.
@@ -111,7 +113,7 @@
 
 fn attempt_outcome(end: FlightOutcome) -> AttemptOutcome {
     match end {
-        FlightOutcome::NotReached => AttemptOutcome::NotReached,
+        FlightOutcome::NotReached | FlightOutcome::NotSent => AttemptOutcome::NotReached,
         FlightOutcome::Refused => AttemptOutcome::Refused,
         FlightOutcome::TimedOut => AttemptOutcome::TimedOut,
         FlightOutcome::Answered
@@ -281,7 +283,10 @@
         }
         let (kind, retry_after) = match refusal {
             PlacementRefusal::NoUpstream => (ErrorKind::NoUpstream, NO_UPSTREAM_RETRY),
-            PlacementRefusal::Overloaded { retry_after } => (ErrorKind::Overloaded, retry_after),
+            PlacementRefusal::Overloaded { retry_after } => {
+                (ErrorKind::Overloaded, retry_after.min(OVERLOAD_RETRY_MAX))
+            }
+            PlacementRefusal::Paused { retry_after } => (ErrorKind::Overloaded, retry_after),
             PlacementRefusal::TooLarge => return ErrorKind::BodyTooLarge.into(),
         };
         RequestRefusal {
@@ -330,7 +335,7 @@
         );
         history.last = Some(attempt_outcome(failure.end));
         match failure.end {
-            FlightOutcome::NotReached => history.unreached += 1,
+            FlightOutcome::NotReached | FlightOutcome::NotSent => history.unreached += 1,
             FlightOutcome::Refused => history.sent += 1,
             _ => {
                 history.sent += 1;
@@ -372,9 +377,10 @@
     /// Returns the failure of a request that may not be attempted again.
     fn final_refusal(&self, history: &AttemptHistory) -> RequestRefusal {
         if !history.may_have_run {
+            let placement = self.state.placement.lock();
             return RequestRefusal {
                 kind: ErrorKind::Overloaded,
-                retry_after: None,
+                retry_after: placement.pause_left(&self.service.name, self.state.now()),
             };
         }
         match history.last {
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 use hyper::body::Body;
 
-use crate::edge::HeaderNames;
+use crate::{edge::HeaderNames, process::log_event};
 
 /// Hop-by-hop headers, and the length, which hyper sets anew.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
@@ -122,11 +122,22 @@
     headers: &HeaderMap,
     names: &HeaderNames,
 ) -> UpstreamNotice {
-    let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
-    let pause = header_text(headers, &header::RETRY_AFTER).filter(|_| is_refusal);
+    let is_refusal = matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    let delay = headers.get(header::RETRY_AFTER).filter(|_| is_refusal);
+    let pause = delay.and_then(|delay| delay.to_str().ok().and_then(read_seconds));
+    if let (Some(delay), None) = (delay, pause) {
+        log_event!(
+            NoticeRejected,
+            "header={} value={delay:?}",
+            header::RETRY_AFTER
+        );
+    }
     UpstreamNotice {
         is_leaving: header_text(headers, &names.leaving).is_some_and(|text| text.trim() == "1"),
-        pause: pause.and_then(read_seconds),
+        pause,
     }
 }
 
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -83,7 +83,11 @@
             return;
         }
         self.state.metrics.count_notice(notice);
-        let record = |flight| self.state.placement.lock().record_notice(flight, notice);
+        let now = self.state.now();
+        let record = |flight| {
+            let mut placement = self.state.placement.lock();
+            placement.record_notice(flight, notice, now)
+        };
         if !self.flight.is_some_and(record) {
             return;
         }
--- a/crates/gateway/src/request/response.rs
+++ b/crates/gateway/src/request/response.rs
@@ -13,7 +13,8 @@
 /// `Retry-After` of refusals that carry no delay of their own.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(250);
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
+/// Longest time over which the retries of callers that are refused at the same time spread.
+const RETRY_SPREAD_MAX: Duration = Duration::from_secs(2);
 
 /// Outcome of a request that ends without a response of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,7 +35,7 @@
 }
 
 impl RequestRefusal {
-    /// Builds the response to the caller. `jitter` differs between requests, so that callers that
+    /// Builds the response to the caller. `jitter`, from 0 to 1, differs between requests, so that callers that
     /// are refused at the same time do not retry at the same time.
     pub(crate) fn into_response(self, jitter: f64) -> Response<ResponseBody> {
         let table = self.kind.answer();
@@ -50,9 +51,8 @@
         );
         if table.retry {
             let wait = self.retry_after.unwrap_or(RETRY_AFTER_DEFAULT);
-            let wait = wait
-                .mul_f64(1.0 + jitter)
-                .clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+            let spread = wait.min(RETRY_SPREAD_MAX).mul_f64(jitter);
+            let wait = (wait + spread).max(RETRY_AFTER_MIN);
             let text = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
                 headers.insert(header::RETRY_AFTER, value);
