Keep the pauses that upstreams ask for in the router as well

The same cause as in the gateway: an upstream of cornelarch-router that had refused a call with 503 or 429 and Retry-After got the next call at once. A refusal lowered its concurrency limit only.

Change: entries of the upstream table hold the same NoticeState as those of the placement table. A paused upstream is not usable (state 'paused' in the dump, E1406 in the log); if all of a target are paused, leaving or ejected, the caller is refused at once with the time until the first one is used again, rounded up and spread over up to 2 s. Before, this time was rounded down, and an order lost it. Parsing the delay and spreading retries now have one place in core for both front ends.

Evidence: router request_reaches_upstream_in_its_pause, case order, got six calls in the pause, case chat was told to come back after 1 s; both pass, with one call. Core request_is_sent_in_a_pause is new. Not covered: a call that waits for its TCP connection when the pause begins, since the HTTP client connects and sends in one step. The own interface has no header for leaving; its upstreams tell it in load reports.

Tests: core, gateway and router pass.

--- a/crates/core/src/notice/report.rs
+++ b/crates/core/src/notice/report.rs
@@ -19,3 +19,11 @@
         *self == Self::default()
     }
 }
+
+/// Parses a delay in seconds, which may have a fraction. Returns `None` if the text is no number or
+/// a negative one; numbers too large for a duration yield the longest one.
+#[must_use]
+pub fn parse_delay(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    (seconds >= 0.0).then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
--- a/crates/core/src/notice/state.rs
+++ b/crates/core/src/notice/state.rs
@@ -4,6 +4,9 @@
 
 use crate::{base::MonotonicTime, notice::UpstreamNotice};
 
+/// Default of the longest pause of an upstream.
+pub const PAUSE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+
 /// What the responses of one incarnation of an upstream have said so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NoticeState {
--- a/crates/core/src/placement/options.rs
+++ b/crates/core/src/placement/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::base::DomainName;
+use crate::{base::DomainName, notice::PAUSE_MAX_DEFAULT};
 
 /// Configures [`PlacementTable`](crate::placement::PlacementTable).
 #[derive(Clone, Debug, PartialEq)]
@@ -57,7 +57,7 @@
             failure_half_life: Duration::from_secs(3),
             eject_min: Duration::from_millis(500),
             eject_max: Duration::from_secs(4),
-            pause_max: Duration::from_secs(60),
+            pause_max: PAUSE_MAX_DEFAULT,
             report_max_age: Duration::from_millis(1_500),
             cache_ttl: Duration::from_secs(30),
             preferred_fraction: 0.8,
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -3,9 +3,11 @@
 mod budget;
 mod outcome;
 mod policy;
+mod spread;
 mod window;
 
 pub use budget::{RetryBudget, RetryBudgetOptions};
 pub use outcome::AttemptOutcome;
 pub use policy::{AttemptState, RetryDecision, RetryOptions, RetryPolicy};
+pub use spread::spread_delay;
 pub use window::{WindowBudget, WindowOptions};
--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -5,6 +5,7 @@
 use crate::{
     base::MonotonicTime,
     limit::ConcurrencyLimit,
+    notice::NoticeState,
     routing::{
         InstanceState, RouteRequest, RoutingOptions, UpstreamSpec, UseState,
         health::UpstreamHealth,
@@ -40,6 +41,8 @@
     pub(super) penalty: Duration,
     pub(super) listed_state: InstanceState,
     pub(super) reports_leaving: bool,
+    /// What responses have said.
+    pub(super) notices: NoticeState,
     pub(super) load: LoadEstimate,
     pub(super) speed: SpeedEstimate,
     pub(super) health: UpstreamHealth,
@@ -55,6 +58,7 @@
         self.removed
             || self.spec.leaving
             || self.reports_leaving
+            || self.notices.is_leaving()
             || self.listed_state == InstanceState::Leaving
     }
 
@@ -81,9 +85,11 @@
         self.estimated_load(options, now) / f64::from(self.spec.concurrency.max(1))
     }
 
-    /// Returns whether the upstream is neither leaving nor ejected.
+    /// Returns whether the upstream is neither leaving nor ejected, and does not pause.
     pub(super) fn is_usable(&self, now: MonotonicTime) -> bool {
-        !self.is_leaving() && self.health.ejected_until(now).is_none()
+        !self.is_leaving()
+            && self.health.ejected_until(now).is_none()
+            && self.notices.pause_left(now).is_none()
     }
 
     /// Returns how many more requests the upstream can take.
@@ -111,6 +117,11 @@
         if self.is_leaving() {
             return UseState::Leaving;
         }
+        if let Some(left) = self.notices.pause_left(now) {
+            return UseState::Paused {
+                remaining_ms: left.as_millis() as u64,
+            };
+        }
         if let Some(until) = self.health.ejected_until(now) {
             return UseState::Ejected {
                 remaining_ms: until.since(now).as_millis() as u64,
--- a/crates/core/src/routing/options.rs
+++ b/crates/core/src/routing/options.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     base::{DomainName, InstanceName},
+    notice::PAUSE_MAX_DEFAULT,
     routing::SubsetOptions,
 };
 
@@ -46,6 +47,8 @@
     pub eject_max: Duration,
     /// Maximum fraction of a domain's upstreams for one model that may be ejected at a time.
     pub eject_share: f64,
+    /// Longest pause of an upstream, whatever time it asks for.
+    pub pause_max: Duration,
     /// Duration of the slow start of new and recovered upstreams.
     pub slow_start: Duration,
 }
@@ -83,6 +86,7 @@
             eject_min: Duration::from_secs(5),
             eject_max: Duration::from_secs(300),
             eject_share: 0.5,
+            pause_max: PAUSE_MAX_DEFAULT,
             slow_start: Duration::from_secs(10),
         }
     }
--- a/crates/core/src/routing/select.rs
+++ b/crates/core/src/routing/select.rs
@@ -157,7 +157,7 @@
                     weighted.push((key, entry.weight(self.options(), now)));
                 }
                 UseState::Full => is_full = true,
-                UseState::Ejected { remaining_ms } => {
+                UseState::Ejected { remaining_ms } | UseState::Paused { remaining_ms } => {
                     let remaining = Duration::from_millis(remaining_ms);
                     retry_after = Some(retry_after.map_or(remaining, |old| old.min(remaining)));
                 }
@@ -167,7 +167,7 @@
         if weighted.is_empty() && !is_full {
             return Err(SelectError::Unusable {
                 target: request.target.clone(),
-                retry_after: retry_after.unwrap_or(Duration::from_secs(1)),
+                retry_after,
             });
         }
         Ok(draw_weighted(weighted, self.candidates(pool), rng))
--- a/crates/core/src/routing/snapshot.rs
+++ b/crates/core/src/routing/snapshot.rs
@@ -19,6 +19,11 @@
         /// Milliseconds until it is tried again.
         remaining_ms: u64,
     },
+    /// The upstream refused a request and asked for a pause.
+    Paused {
+        /// Milliseconds until it accepts requests again.
+        remaining_ms: u64,
+    },
     /// The upstream is leaving.
     Leaving,
     /// The upstream is no longer configured, and finishes its requests in flight.
--- a/crates/core/src/routing/spec.rs
+++ b/crates/core/src/routing/spec.rs
@@ -161,13 +161,13 @@
         /// The model or service.
         target: RouteTarget,
     },
-    /// Every upstream is leaving, ejected, not allowed or already tried.
+    /// Every upstream is leaving, ejected, not allowed, already tried, or pauses.
     #[snafu(display("no upstream of {target} is usable"))]
     Unusable {
         /// The model or service.
         target: RouteTarget,
-        /// Time until an ejected upstream is tried again.
-        retry_after: Duration,
+        /// Time until an ejected or pausing upstream is used again, if there is one.
+        retry_after: Option<Duration>,
     },
     /// Every usable upstream is at its limit; the request may wait in the admission queue.
     #[snafu(display("every usable upstream of {target} is at its limit"))]
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -7,6 +7,7 @@
 use crate::{
     base::{InstanceName, MonotonicTime, UpstreamName},
     limit::{ConcurrencyLimit, ConcurrencyOptions},
+    notice::{NoticeState, UpstreamNotice},
     retry::AttemptOutcome,
     routing::{
         CacheEvent, InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions,
@@ -208,6 +209,19 @@
         self.purge_if_removed(attempt.upstream);
     }
 
+    /// Records what a response says about its upstream. Returns whether the upstream leaves or
+    /// pauses and did not before.
+    pub fn record_notice(
+        &mut self,
+        key: AttemptKey,
+        notice: &UpstreamNotice,
+        now: MonotonicTime,
+    ) -> bool {
+        let upstream = self.attempts.get(key).map(|attempt| attempt.upstream);
+        let entry = upstream.and_then(|upstream| self.entries.get_mut(upstream));
+        entry.is_some_and(|entry| entry.notices.record(notice, self.options.pause_max, now))
+    }
+
     /// Records a load report. Reports older than the current one are ignored.
     pub fn load_report(&mut self, upstream: &UpstreamName, report: LoadReport, now: MonotonicTime) {
         let Some(entry) = self.entry_mut(upstream) else {
@@ -263,7 +277,8 @@
         keys.map(|key| &self.entries[key].spec.name)
     }
 
-    /// Returns the names of the upstreams of `target` that are neither leaving nor ejected.
+    /// Returns the names of the upstreams of `target` that are neither leaving nor ejected, and do not
+    /// pause.
     pub fn usable(
         &self,
         target: &RouteTarget,
@@ -340,6 +355,7 @@
             penalty,
             listed_state: InstanceState::Live,
             reports_leaving: false,
+            notices: NoticeState::default(),
             load: LoadEstimate::default(),
             speed: SpeedEstimate::default(),
             health: UpstreamHealth::new(self.is_configured.then_some(now)),
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -5,6 +5,7 @@
 use cornelarch_core::{
     base::{ModelName, MonotonicTime, UpstreamName},
     error::ErrorKind,
+    notice::UpstreamNotice,
     retry::AttemptOutcome,
     routing::{
         CacheEvent, InstanceState, LoadReport, PrefixHint, RouteRequest, RouteTarget,
@@ -457,3 +458,26 @@
         .select(&driver.request, at(20_000), &mut driver.rng);
     assert!(selection.expect("usable").expected < Duration::from_secs(1));
 }
+
+/// Guards against requests to an upstream in the pause that it has asked for, and against one that
+/// stays unused afterwards.
+#[test]
+fn request_is_sent_in_a_pause() {
+    let mut driver = TableDriver::new(&["e1", "e2"]);
+    let refused = driver.table.select(&driver.request, at(0), &mut driver.rng);
+    let refused = refused.expect("usable");
+    let attempt = driver.table.started(refused.key, &driver.request, at(0));
+    let notice = UpstreamNotice {
+        is_leaving: false,
+        pause: Some(Duration::from_secs(2)),
+    };
+    assert!(driver.table.record_notice(attempt, &notice, at(0)));
+    driver
+        .table
+        .finished(attempt, AttemptOutcome::Refused, at(0));
+    let name = refused.upstream.as_str();
+    assert_eq!(driver.spread(100, at(1_999)).get(name), None);
+    let paused = UseState::Paused { remaining_ms: 1 };
+    assert_eq!(driver.use_state(name, at(1_999)), paused);
+    assert!(driver.spread(100, at(2_000)).contains_key(name));
+}
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cornelarch_core::{
-    notice::UpstreamNotice,
+    notice::{UpstreamNotice, parse_delay},
     placement::{PromptPart, RequestSize},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
@@ -127,7 +127,7 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     );
     let delay = headers.get(header::RETRY_AFTER).filter(|_| is_refusal);
-    let pause = delay.and_then(|delay| delay.to_str().ok().and_then(read_seconds));
+    let pause = delay.and_then(|delay| delay.to_str().ok().and_then(parse_delay));
     if let (Some(delay), None) = (delay, pause) {
         log_event!(
             NoticeRejected,
@@ -140,10 +140,3 @@
         pause,
     }
 }
-
-/// Parses a number of seconds that is not negative. Numbers too large for a duration yield the
-/// longest one.
-fn read_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.trim().parse().ok()?;
-    (seconds >= 0.0).then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
-}
--- a/crates/gateway/src/request/response.rs
+++ b/crates/gateway/src/request/response.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use bytes::Bytes;
-use cornelarch_core::error::ErrorKind;
+use cornelarch_core::{error::ErrorKind, retry::spread_delay};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 
@@ -13,8 +13,6 @@
 /// `Retry-After` of refusals that carry no delay of their own.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(250);
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
-/// Longest time over which the retries of callers that are refused at the same time spread.
-const RETRY_SPREAD_MAX: Duration = Duration::from_secs(2);
 
 /// Outcome of a request that ends without a response of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,8 +49,7 @@
         );
         if table.retry {
             let wait = self.retry_after.unwrap_or(RETRY_AFTER_DEFAULT);
-            let spread = wait.min(RETRY_SPREAD_MAX).mul_f64(jitter);
-            let wait = (wait + spread).max(RETRY_AFTER_MIN);
+            let wait = spread_delay(wait, jitter).max(RETRY_AFTER_MIN);
             let text = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
                 headers.insert(header::RETRY_AFTER, value);
--- a/crates/router/src/process/dispatcher/attempt.rs
+++ b/crates/router/src/process/dispatcher/attempt.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use cornelarch_core::{base::UpstreamName, retry::AttemptOutcome, routing::RouteTarget};
+use cornelarch_core::{
+    base::UpstreamName, notice::UpstreamNotice, retry::AttemptOutcome, routing::RouteTarget,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::process::{MetricName, RouterState, dispatcher::StartedWork, log_event};
@@ -49,6 +51,20 @@
         }
     }
 
+    /// Records what the response says about the upstream.
+    pub(crate) fn record_notice(&self, notice: &UpstreamNotice) {
+        let Some(started) = self.started.as_ref().filter(|_| !notice.is_empty()) else {
+            return;
+        };
+        let now = self.state.clock.now();
+        let mut inner = self.state.dispatcher.inner.lock();
+        let is_news = inner.table.record_notice(started.work, notice, now);
+        drop(inner);
+        if is_news {
+            log_event!(UpstreamPaused, "{} ({:?})", started.upstream, notice.pause);
+        }
+    }
+
     /// Records the end of the attempt. `connection_lost` means that the connection broke, which may
     /// be due to a crash of the upstream.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome, connection_lost: bool) {
--- a/crates/router/src/process/dispatcher/mod.rs
+++ b/crates/router/src/process/dispatcher/mod.rs
@@ -19,6 +19,7 @@
     limit::{AdmissionQueue, QueueEffect, QueueOptions, QueueRequest, QueueSnapshot, TicketKey},
     retry::{
         AttemptOutcome, AttemptState, RetryBudget, RetryBudgetOptions, RetryDecision, RetryPolicy,
+        spread_delay,
     },
     routing::{
         AttemptKey, InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions,
@@ -677,7 +678,13 @@
 fn refuse_selection(error: &SelectError) -> RequestRefusal {
     let refusal = RequestRefusal::new(error.kind(), error.to_string());
     match error {
-        SelectError::Unusable { retry_after, .. } => refusal.retry_after(retry_after.as_secs()),
+        SelectError::Unusable {
+            retry_after: Some(delay),
+            ..
+        } => {
+            let delay = spread_delay(*delay, rand::rng().random());
+            refusal.retry_after(delay.as_secs_f64().ceil() as u64)
+        }
         _ => refusal,
     }
 }
--- a/crates/router/src/process/event.rs
+++ b/crates/router/src/process/event.rs
@@ -62,6 +62,8 @@
     StreamResumed => 1404, Info, "stream resumed";
     /// A stream ended before its answer was complete.
     StreamBroken => 1405, Warn, "stream ended before its answer was complete";
+    /// An upstream refused a request and wants no more for some time.
+    UpstreamPaused => 1406, Info, "upstream asked for a pause";
     /// The outcome of an order could not be recorded.
     OrderRecordFailed => 1500, Warn, "order outcome could not be recorded";
     /// An operator request had a missing or wrong key.
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -7,10 +7,11 @@
     base::{MonotonicTime, UpstreamName},
     error::{ErrorKind, RunState},
     limit::QueueRequest,
+    notice::{UpstreamNotice, parse_delay},
     retry::{AttemptOutcome, AttemptState, RetryDecision},
     routing::RouteRequest,
 };
-use http::HeaderMap;
+use http::{HeaderMap, header::RETRY_AFTER};
 use reqwest::{Method, Response, StatusCode};
 
 use crate::{
@@ -148,7 +149,10 @@
         }
         };
         match result {
-            Ok(Ok(response)) => Ok((attempt, response)),
+            Ok(Ok(response)) => {
+                attempt.record_notice(&read_notice(&response));
+                Ok((attempt, response))
+            }
             Ok(Err(error)) if error.is_connect() || error.is_builder() => {
                 attempt.finish(AttemptOutcome::NotReached, false);
                 Err(AttemptOutcome::NotReached)
@@ -250,3 +254,13 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     )
 }
+
+/// Returns what a response says about its upstream.
+fn read_notice(response: &Response) -> UpstreamNotice {
+    let delay = response.headers().get(RETRY_AFTER);
+    let delay = delay.filter(|_| is_refusal(response.status()));
+    UpstreamNotice {
+        is_leaving: false,
+        pause: delay.and_then(|delay| parse_delay(delay.to_str().ok()?)),
+    }
+}
--- a/crates/router/src/request/order.rs
+++ b/crates/router/src/request/order.rs
@@ -56,7 +56,7 @@
         state: Arc::clone(&state),
         call: Some(call),
         reply: Some(sender),
-        message: String::new(),
+        refusal: None,
     };
     state.spawn_request(run.run());
     match receiver.await {
@@ -74,8 +74,8 @@
     /// The call; `None` after the reply was sent.
     call: Option<ServiceCall>,
     reply: Option<oneshot::Sender<OrderReply>>,
-    /// Message of the last refusal.
-    message: String,
+    /// Why the last attempt to send the call failed, with the delay for a retry.
+    refusal: Option<RequestRefusal>,
 }
 
 impl OrderTask {
@@ -133,11 +133,11 @@
                 OrderEvent::Delivered
             }
             OrderEffect::Refuse(kind) => {
-                let message = match self.message.is_empty() {
-                    true => default_message(kind).to_owned(),
-                    false => std::mem::take(&mut self.message),
+                let refusal = match self.refusal.take() {
+                    Some(refusal) => RequestRefusal { kind, ..refusal },
+                    None => RequestRefusal::new(kind, default_message(kind)),
                 };
-                self.send_reply(Err(RequestRefusal::new(kind, message)));
+                self.send_reply(Err(refusal));
                 OrderEvent::Delivered
             }
             OrderEffect::Pause(pause) => {
@@ -226,10 +226,11 @@
                 OrderEvent::UpstreamAnswered(Arc::new(answer))
             }
             Err(refusal) => {
-                self.message = refusal.message;
-                match refusal.kind.answer().run {
-                    RunState::NotRun => OrderEvent::UpstreamNotReached(refusal.kind),
-                    RunState::Unknown | RunState::Ran => OrderEvent::UpstreamLost(refusal.kind),
+                let kind = refusal.kind;
+                self.refusal = Some(refusal);
+                match kind.answer().run {
+                    RunState::NotRun => OrderEvent::UpstreamNotReached(kind),
+                    RunState::Unknown | RunState::Ran => OrderEvent::UpstreamLost(kind),
                 }
             }
         }
--- a/crates/router/tests/reports.rs
+++ b/crates/router/tests/reports.rs
@@ -135,3 +135,39 @@
     let run = order.headers().get("x-cornelarch-run");
     assert_eq!(run.and_then(|run| run.to_str().ok()), Some("unknown"));
 }
+
+const PAUSE_REFUSAL: &str =
+    "HTTP/1.1 503 Busy\r\nretry-after: 20\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against calls to an upstream that has refused one and wants no more for some time.
+#[rstest]
+#[case::order(false)]
+#[case::chat(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_reaches_upstream_in_its_pause(#[case] is_chat: bool) {
+    let behind = engine::bind(EngineOptions::default()).await.unwrap();
+    let paused = FixedUpstream::start(PAUSE_REFUSAL, Some(behind)).await;
+    let fleet = TestFleet::start(FleetOptions {
+        engines: Vec::new(),
+        services: Vec::new(),
+        own_engine: is_chat.then_some(paused.address),
+        own_service: (!is_chat).then_some(paused.address),
+        ..FleetOptions::default()
+    })
+    .await;
+    for number in 0..6 {
+        let request = match is_chat {
+            true => fleet.chat(0, PROMPT, number % 2 == 0),
+            false => fleet.order(0, &format!("key-{number}"), &format!("o{number}")),
+        };
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 503, "request {number}");
+        if number > 0 {
+            let retry_after = response.headers()["retry-after"].to_str().unwrap();
+            let seconds: u64 = retry_after.parse().unwrap();
+            // The delay is spread over up to 2 s more.
+            assert!((15..=22).contains(&seconds), "{seconds} s");
+        }
+    }
+    assert_eq!(paused.calls(), 1);
+}
