Log and count the limits that upstreams name

No line showed that a response named a limit of requests a second, so that the hypotheses about LIMIT could not be told apart: an instance that does not read the limit, one that takes all of it, one that has not heard of it.

Change: the adapter names the header, UpstreamNotice carries the rate, E2305 logs the first response with a limit, with another one, and without one again; cornelarch_upstream_notices counts notices by kind rate_limit. Values that are no rate are logged as E2306. No decision depends on the limit yet. Tests of core and gateway notices pass.

--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -3,5 +3,5 @@
 mod report;
 mod state;
 
-pub use report::{UpstreamNotice, parse_delay};
+pub use report::{UpstreamNotice, parse_delay, parse_rate};
 pub use state::{NoticeState, PAUSE_MAX_DEFAULT};
--- a/crates/core/src/notice/report.rs
+++ b/crates/core/src/notice/report.rs
@@ -10,6 +10,9 @@
     /// Time for which the upstream, which refused the request, wants no further ones from this
     /// instance.
     pub pause: Option<Duration>,
+    /// Requests a second that the upstream takes from all instances together; `None` if it does not
+    /// limit them.
+    pub rate_limit: Option<f64>,
 }
 
 impl UpstreamNotice {
@@ -27,3 +30,11 @@
     let seconds: f64 = text.trim().parse().ok()?;
     (seconds >= 0.0).then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
+
+/// Parses a rate in requests a second. Returns `None` if the text is no finite number or a negative
+/// one.
+#[must_use]
+pub fn parse_rate(text: &str) -> Option<f64> {
+    let rate: f64 = text.trim().parse().ok()?;
+    (rate.is_finite() && rate >= 0.0).then_some(rate)
+}
--- a/crates/core/src/notice/state.rs
+++ b/crates/core/src/notice/state.rs
@@ -11,11 +11,14 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NoticeState {
     is_leaving: bool,
+    /// Requests a second that the upstream takes from all instances together.
+    rate_limit: Option<f64>,
     paused_until: Option<MonotonicTime>,
 }
 
 impl NoticeState {
-    /// Records a notice and returns whether the upstream leaves or pauses and did not before.
+    /// Records a notice and returns whether it is news: the upstream leaves, pauses or names a limit
+    /// and did not before, or does not name that limit any more.
     ///
     /// An upstream that leaves does so until it ends, so that a response without the notice, which
     /// may be older, changes nothing. Likewise, a pause is never shortened. It lasts `pause_max` at
@@ -26,12 +29,14 @@
         pause_max: Duration,
         now: MonotonicTime,
     ) -> bool {
+        let has_new_limit = notice.rate_limit != self.rate_limit;
+        self.rate_limit = notice.rate_limit;
         let has_left = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
         let was_paused = self.pause_left(now).is_some();
         let end = notice.pause.map(|pause| now + pause.min(pause_max));
         self.paused_until = self.paused_until.max(end);
-        has_left || !was_paused && self.pause_left(now).is_some()
+        has_new_limit || has_left || !was_paused && self.pause_left(now).is_some()
     }
 
     /// Returns whether the upstream is shutting down.
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -333,8 +333,7 @@
         }
     }
 
-    /// Records what a response says about its upstream. Returns whether the upstream leaves or
-    /// pauses and did not before.
+    /// Records what a response says about its upstream. Returns whether that is news.
     pub fn record_notice(
         &mut self,
         key: FlightKey,
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -209,8 +209,7 @@
         self.purge_if_removed(attempt.upstream);
     }
 
-    /// Records what a response says about its upstream. Returns whether the upstream leaves or
-    /// pauses and did not before.
+    /// Records what a response says about its upstream. Returns whether that is news.
     pub fn record_notice(
         &mut self,
         key: AttemptKey,
--- a/crates/core/tests/notices.rs
+++ b/crates/core/tests/notices.rs
@@ -15,13 +15,14 @@
 const LEAVING: UpstreamNotice = UpstreamNotice {
     is_leaving: true,
     pause: None,
+    rate_limit: None,
 };
 
 /// Returns the notice of an upstream that wants no requests for this time.
 fn pause(duration: Duration) -> UpstreamNotice {
     UpstreamNotice {
-        is_leaving: false,
         pause: Some(duration),
+        ..UpstreamNotice::default()
     }
 }
 
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -468,8 +468,8 @@
     let refused = refused.expect("usable");
     let attempt = driver.table.started(refused.key, &driver.request, at(0));
     let notice = UpstreamNotice {
-        is_leaving: false,
         pause: Some(Duration::from_secs(2)),
+        ..UpstreamNotice::default()
     };
     assert!(driver.table.record_notice(attempt, &notice, at(0)));
     driver
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -34,6 +34,8 @@
     pub response_seal: HeaderName,
     /// Marks, with the value `1`, the responses of an upstream that is shutting down.
     pub leaving: HeaderName,
+    /// Requests a second that an upstream takes from all instances together, a decimal number.
+    pub rate_limit: HeaderName,
     /// Headers that only the gateway may set; they are removed from the requests of callers.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -94,6 +94,7 @@
 enum NoticeKind {
     Leaving,
     Pause,
+    RateLimit,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
@@ -268,6 +269,9 @@
         if notice.pause.is_some() {
             count(NoticeKind::Pause);
         }
+        if notice.rate_limit.is_some() {
+            count(NoticeKind::RateLimit);
+        }
     }
 
     pub(crate) fn count_resume(&self) {
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cornelarch_core::{
-    notice::{UpstreamNotice, parse_delay},
+    notice::{UpstreamNotice, parse_delay, parse_rate},
     placement::{PromptPart, RequestSize},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
@@ -126,17 +126,25 @@
         status,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     );
-    let delay = headers.get(header::RETRY_AFTER).filter(|_| is_refusal);
-    let pause = delay.and_then(|delay| delay.to_str().ok().and_then(parse_delay));
-    if let (Some(delay), None) = (delay, pause) {
-        log_event!(
-            NoticeRejected,
-            "header={} value={delay:?}",
-            header::RETRY_AFTER
-        );
-    }
+    let pause = is_refusal.then(|| read_value(headers, &header::RETRY_AFTER, parse_delay));
     UpstreamNotice {
         is_leaving: header_text(headers, &names.leaving).is_some_and(|text| text.trim() == "1"),
-        pause,
+        pause: pause.flatten(),
+        rate_limit: read_value(headers, &names.rate_limit, parse_rate),
+    }
+}
+
+/// Parses a header about the state of an upstream, if it is present, and logs values that cannot be
+/// used.
+fn read_value<T>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    parse: impl FnOnce(&str) -> Option<T>,
+) -> Option<T> {
+    let value = headers.get(name)?;
+    let parsed = value.to_str().ok().and_then(parse);
+    if parsed.is_none() {
+        log_event!(NoticeRejected, "header={name} value={value:?}");
     }
+    parsed
 }
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -79,9 +79,6 @@
 
     /// Records what a response says about its upstream.
     pub(crate) fn record_notice(&self, notice: &UpstreamNotice) {
-        if notice.is_empty() {
-            return;
-        }
         self.state.metrics.count_notice(notice);
         let now = self.state.now();
         let record = |flight| {
@@ -95,12 +92,14 @@
             self.state.pool.close_idle(&self.upstream);
         }
         let pause = notice.pause.map(|pause| pause.as_millis().to_string());
+        let limit = notice.rate_limit.map(|limit| limit.to_string());
         log_event!(
             NoticeReceived,
-            "upstream={} leaving={} pause_ms={}",
+            "upstream={} leaving={} pause_ms={} limit={}",
             self.upstream,
             notice.is_leaving,
-            pause.as_deref().unwrap_or("-")
+            pause.as_deref().unwrap_or("-"),
+            limit.as_deref().unwrap_or("-")
         );
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -86,6 +86,7 @@
         not_run: name("t-not-run"),
         response_seal: name("t-seal"),
         leaving: name("t-leaving"),
+        rate_limit: name("t-limit"),
         reserved: ["t-customer", "t-expect", "t-priority", "t-pin"]
             .map(name)
             .to_vec(),
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -260,7 +260,7 @@
     let delay = response.headers().get(RETRY_AFTER);
     let delay = delay.filter(|_| is_refusal(response.status()));
     UpstreamNotice {
-        is_leaving: false,
         pause: delay.and_then(|delay| parse_delay(delay.to_str().ok()?)),
+        ..UpstreamNotice::default()
     }
 }
