Reproduce more requests than the limit that an upstream has named

What the upstream saw: 24 requests in 4 s from instances that it had told a limit of 1.7 a second, 15 allowed.

Two tests count as the users do (any 4 s from 3 s after the first naming, all instances that were told half a second before):

--- /dev/null
+++ b/crates/gateway/tests/limits.rs
@@ -0,0 +1,103 @@
+//! Upstreams that name a limit of requests a second in their responses.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{FakeUpstream, Fixture, FixtureOptions, Reply};
+use rstest::rstest;
+
+/// Limit in requests a second, from all instances together.
+const LIMIT: f64 = 1.5;
+const LIMITED: Reply = Reply::AnswerWith(200, "t-limit: 1.5\r\n", "ok");
+/// Requests that may reach a limited upstream in the window: one and a half times the limit, and 5.
+const WINDOW_MAX: usize = (LIMIT * 4.0 * 1.5 + 5.0) as usize;
+/// Time after the first naming from which the limit has to be kept.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const WINDOW: Duration = Duration::from_secs(4);
+const REQUEST_PERIOD: Duration = Duration::from_millis(25);
+
+struct LimitedFleet {
+    fixture: Fixture,
+    limited: FakeUpstream,
+    /// Keeps the other upstream running, if there is one.
+    other: Option<FakeUpstream>,
+}
+
+impl LimitedFleet {
+    /// Starts a limited upstream, with another one that takes all other requests or alone.
+    async fn start(has_other: bool) -> Self {
+        let limited = FakeUpstream::start(vec![]).await;
+        limited.set_last_reply(LIMITED);
+        let other = match has_other {
+            true => Some(FakeUpstream::start(vec![]).await),
+            false => None,
+        };
+        let mut services = vec![("plain", &limited)];
+        services.extend(other.iter().map(|other| ("plain", other)));
+        Self {
+            fixture: Fixture::start(&FixtureOptions::default(), &services).await,
+            limited,
+            other,
+        }
+    }
+
+    /// Sends requests for some time and returns the times at which the limited upstream got one.
+    async fn send_for(&self, path: &str, duration: Duration) -> Vec<Duration> {
+        let began = Instant::now();
+        let mut times = Vec::new();
+        while began.elapsed() < duration {
+            let before = self.limited.requests().len();
+            let id = format!("r{}", began.elapsed().as_micros());
+            let response = self.fixture.post(path, &id).send().await.expect("answer");
+            let status = response.status().as_u16();
+            let is_refused = status == 503 && self.other.is_none();
+            assert!(status == 200 || is_refused, "{status}");
+            let reached = self.limited.requests().len() - before;
+            times.extend(std::iter::repeat_n(began.elapsed(), reached));
+            tokio::time::sleep(REQUEST_PERIOD).await;
+        }
+        times
+    }
+}
+
+/// Guards against requests to an upstream beyond the limit that it has named.
+#[rstest]
+#[case::call("/again/a")]
+#[case::order("/once/a")]
+#[tokio::test]
+async fn limited_upstream_gets_more_than_it_takes(#[case] path: &str) {
+    let fleet = LimitedFleet::start(true).await;
+    let times = fleet.send_for(path, CONTACT_TIME + WINDOW).await;
+    let first = *times.first().expect("the limited upstream got a request");
+    let judged = times.iter().filter(|at| **at >= first + CONTACT_TIME);
+    let counts = judged.map(|end| {
+        let window = times
+            .iter()
+            .filter(|at| **at <= *end && **at + WINDOW > *end);
+        window.count()
+    });
+    let most = counts.max().unwrap_or(0);
+    assert!(
+        most <= WINDOW_MAX,
+        "{most} requests in 4 s, {WINDOW_MAX} allowed"
+    );
+}
+
+/// Guards against an upstream that stays limited after a response that names no limit, and against a
+/// value that is no rate and ends or replaces the limit.
+#[rstest]
+#[case::not_named(Reply::Answer(200, "ok"), true)]
+#[case::text(Reply::AnswerWith(200, "t-limit: few\r\n", "ok"), false)]
+#[case::negative(Reply::AnswerWith(200, "t-limit: -1\r\n", "ok"), false)]
+#[tokio::test]
+async fn ended_limit_stays_in_force(#[case] reply: Reply, #[case] is_ended: bool) {
+    let fleet = LimitedFleet::start(false).await;
+    fleet.send_for("/again/a", Duration::from_millis(300)).await;
+    fleet.limited.set_last_reply(reply);
+    // One instance's part of the limit is one request in some seconds.
+    fleet.send_for("/again/a", Duration::from_secs(12)).await;
+    let times = fleet.send_for("/again/a", WINDOW).await;
+    let is_limited = times.len() <= WINDOW_MAX;
+    assert_ne!(is_limited, is_ended, "{} requests in 4 s", times.len());
+}
