Send an upstream no more than this instance's part of its limit

An upstream that had named a limit of requests a second got as many requests as before (LIMIT).

Cause: the gateway did not read the limit.

Change: the notices of an incarnation hold this instance's part of the limit, the rate divided by the instances. Requests are placed at a fixed interval, from a phase that differs between instances; a part that is not used within 1 s is lost, so that many instances which become busy at once stay within the limit. Requests of the last 4 s count when the limit is first named. If all upstreams of a service are withheld, callers are refused with the time until the first may be used. A response without a limit to a request that was sent after the naming ends it; a value that is no rate changes nothing (E2306); below 0.1 a second it is taken as 0.1, as otherwise no response could end it.

Weighed: token buckets of a full share each (with 8 instances and 1.3 a second, 8 saved requests at once exceed the allowance), one owner that hands out permits (exact, but a message per request and lost in cuts).

Evidence: gateway limited_upstream_gets_more_than_it_takes (147 requests in 4 s, 14 allowed) and ended_limit_stays_in_force failed and pass.

--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -1,7 +1,9 @@
 //! What upstreams say about themselves in their responses.
 
 mod report;
+mod share;
 mod state;
 
-pub use report::{UpstreamNotice, parse_delay, parse_rate};
-pub use state::{NoticeState, PAUSE_MAX_DEFAULT};
+pub use report::{LimitNotice, UpstreamNotice, parse_delay, parse_rate};
+pub use share::RecentRequests;
+pub use state::{NoticeContext, NoticeState, PAUSE_MAX_DEFAULT};
--- a/crates/core/src/notice/report.rs
+++ b/crates/core/src/notice/report.rs
@@ -10,9 +10,20 @@
     /// Time for which the upstream, which refused the request, wants no further ones from this
     /// instance.
     pub pause: Option<Duration>,
-    /// Requests a second that the upstream takes from all instances together; `None` if it does not
-    /// limit them.
-    pub rate_limit: Option<f64>,
+    /// Whether the upstream limits its requests.
+    pub limit: LimitNotice,
+}
+
+/// What a response says about the number of requests that its upstream takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitNotice {
+    /// The upstream names no limit.
+    #[default]
+    None,
+    /// The named limit cannot be read.
+    Invalid,
+    /// Requests a second that the upstream takes from all instances together.
+    Rate(f64),
 }
 
 impl UpstreamNotice {
--- a/crates/core/src/placement/entry.rs
+++ b/crates/core/src/placement/entry.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     base::MonotonicTime,
-    notice::NoticeState,
+    notice::{NoticeState, RecentRequests},
     placement::{
         FlightOutcome, PlacementOptions, PromptPart, RequestSize, UpstreamRecord, shared_parts,
     },
@@ -39,6 +39,8 @@
     pub(super) is_removed: bool,
     /// What the responses of this incarnation have said.
     pub(super) notices: NoticeState,
+    /// Requests that were placed in the last seconds.
+    pub(super) recent: RecentRequests,
     /// Requests of this instance in flight.
     pub(super) in_flight: u32,
     /// Uncached prompt tokens of requests of this instance that have no first token yet.
@@ -61,6 +63,7 @@
             record,
             is_removed: false,
             notices: NoticeState::default(),
+            recent: RecentRequests::default(),
             in_flight: 0,
             pending_tokens: 0.0,
             memory_used: 0,
@@ -93,11 +96,18 @@
         !self.is_removed && !self.record.is_leaving && !self.notices.is_leaving()
     }
 
-    /// Returns whether a request may be sent to the upstream now.
+    /// Returns whether a request that was placed may be sent to the upstream now.
     pub(super) fn accepts(&self, now: MonotonicTime) -> bool {
         self.is_listed() && self.notices.pause_left(now).is_none()
     }
 
+    /// Records that a request is placed.
+    pub(super) fn record_placement(&mut self, now: MonotonicTime) {
+        self.in_flight += 1;
+        self.recent.record(now);
+        self.notices.take_request(now);
+    }
+
     /// Returns whether the upstream is ejected because of failures. After the ejection time, it gets
     /// one probing request at a time until one succeeds.
     pub(super) fn is_ejected(&self, now: MonotonicTime) -> bool {
--- a/crates/core/src/placement/options.rs
+++ b/crates/core/src/placement/options.rs
@@ -29,6 +29,8 @@
     pub eject_min: Duration,
     /// Longest ejection.
     pub eject_max: Duration,
+    /// Differs between instances, so that they do not use their parts of a limit at the same time.
+    pub seed: u64,
     /// Longest pause of an upstream, whatever time it asks for.
     pub pause_max: Duration,
     /// Age after which a load report is ignored.
@@ -57,6 +59,7 @@
             failure_half_life: Duration::from_secs(3),
             eject_min: Duration::from_millis(500),
             eject_max: Duration::from_secs(4),
+            seed: 0,
             pause_max: PAUSE_MAX_DEFAULT,
             report_max_age: Duration::from_millis(1_500),
             cache_ttl: Duration::from_secs(30),
--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -124,10 +124,10 @@
         /// Predicted time until the queue is short enough.
         retry_after: Duration,
     },
-    /// Every listed upstream has refused requests and asked for a pause.
-    #[snafu(display("every upstream has asked for a pause, which ends in {} ms", retry_after.as_millis()))]
-    Paused {
-        /// Time until the first pause ends.
+    /// Every listed upstream pauses, or has got its limit of requests.
+    #[snafu(display("every upstream pauses or has got its limit of requests, for {} ms", retry_after.as_millis()))]
+    Withheld {
+        /// Time until a request may be sent to one of them.
         retry_after: Duration,
     },
     /// The request exceeds the memory of an engine.
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     base::{MonotonicTime, ServiceName, UpstreamName},
-    notice::UpstreamNotice,
+    notice::{NoticeContext, UpstreamNotice},
     placement::{
         FlightOutcome, Placement, PlacementOptions, PlacementRefusal, PlacementRequest,
         RequestSize, UpstreamIncarnation, UpstreamRecord, entry::UpstreamEntry,
@@ -45,6 +45,8 @@
     groups: HashMap<ServiceName, Vec<PlacementKey>>,
     flights: SlotMap<FlightKey, InFlightRequest>,
     former: FormerUpstreams,
+    /// Number of instances that share the limits of upstreams.
+    instances: usize,
 }
 
 impl PlacementTable {
@@ -58,9 +60,16 @@
             groups: HashMap::new(),
             flights: SlotMap::with_key(),
             former: FormerUpstreams::default(),
+            instances: 1,
         }
     }
 
+    /// Sets the number of instances that share the limits of upstreams, including this one. A limit
+    /// that is in force is divided anew with the next response that names it.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances;
+    }
+
     /// Adds an upstream or updates its record.
     pub fn apply(&mut self, record: UpstreamRecord) {
         if let Some(key) = self.names.get(&record.name).copied() {
@@ -131,7 +140,7 @@
         self.entries.get(key).is_some_and(UpstreamEntry::is_listed)
     }
 
-    /// Returns whether a request may be sent to an upstream now.
+    /// Returns whether a request that was placed at an upstream may be sent now.
     #[must_use]
     pub fn accepts(&self, key: PlacementKey, now: MonotonicTime) -> bool {
         self.entries
@@ -139,11 +148,11 @@
             .is_some_and(|entry| entry.accepts(now))
     }
 
-    /// Returns the time until an upstream of a service accepts requests again, or `None` if one does
-    /// now or none is listed.
+    /// Returns the time until a request may be placed at an upstream of a service, because of pauses
+    /// and limits, or `None` if one may be placed now or none is listed.
     #[must_use]
-    pub fn pause_left(&self, service: &ServiceName, now: MonotonicTime) -> Option<Duration> {
-        self.shortest_pause(&self.listed(service, &[]), now)
+    pub fn wait_left(&self, service: &ServiceName, now: MonotonicTime) -> Option<Duration> {
+        self.shortest_wait(&self.listed(service, &[]), now)
     }
 
     /// Returns the number of upstreams that are listed and not shutting down.
@@ -169,10 +178,10 @@
         if listed.is_empty() {
             return Err(PlacementRefusal::NoUpstream);
         }
-        if let Some(retry_after) = self.shortest_pause(&listed, now) {
-            return Err(PlacementRefusal::Paused { retry_after });
+        if let Some(retry_after) = self.shortest_wait(&listed, now) {
+            return Err(PlacementRefusal::Withheld { retry_after });
         }
-        listed.retain(|key| self.entries[*key].accepts(now));
+        listed.retain(|key| self.entries[*key].notices.wait_left(now).is_none());
         let is_healthy = |key: &&PlacementKey| !self.entries[**key].is_ejected(now);
         let healthy: Vec<PlacementKey> = listed.iter().filter(is_healthy).copied().collect();
         // If every upstream is ejected, trying one is better than refusing all requests.
@@ -218,13 +227,14 @@
             .collect()
     }
 
-    /// Returns the time until one of these upstreams accepts requests, or `None` if one does now.
-    fn shortest_pause(&self, keys: &[PlacementKey], now: MonotonicTime) -> Option<Duration> {
-        let pauses = keys
+    /// Returns the time until a request may be placed at one of these upstreams, or `None` if one may
+    /// be placed now.
+    fn shortest_wait(&self, keys: &[PlacementKey], now: MonotonicTime) -> Option<Duration> {
+        let waits = keys
             .iter()
-            .map(|key| self.entries[*key].notices.pause_left(now));
-        let pauses: Option<Vec<Duration>> = pauses.collect();
-        pauses?.into_iter().min()
+            .map(|key| self.entries[*key].notices.wait_left(now));
+        let waits: Option<Vec<Duration>> = waits.collect();
+        waits?.into_iter().min()
     }
 
     fn evaluate(
@@ -305,7 +315,7 @@
                 entry.memory_used = entry.memory_used.saturating_add(size.total());
                 entry.record_cached_parts(size, now);
             }
-            entry.in_flight += 1;
+            entry.record_placement(now);
         }
         self.flights.insert(flight)
     }
@@ -346,8 +356,18 @@
         let entry = self.entries.get_mut(flight.upstream);
         // The response of an earlier incarnation says nothing about the present one.
         let entry = entry.filter(|entry| Some(entry.record.incarnation()) == flight.incarnation);
-        let pause_max = self.options.pause_max;
-        entry.is_some_and(|entry| entry.notices.record(notice, pause_max, now))
+        let Some(entry) = entry else {
+            return false;
+        };
+        let context = NoticeContext {
+            now,
+            sent_at: flight.started,
+            pause_max: self.options.pause_max,
+            instances: self.instances,
+            phase: phase(&entry.record.name, self.options.seed),
+            recent: entry.recent.count(now),
+        };
+        entry.notices.record(notice, &context)
     }
 
     /// Records the end of a request.
@@ -394,6 +414,11 @@
     }
 }
 
+/// Returns a number from 0 to 1 that differs between instances and upstreams.
+fn phase(upstream: &UpstreamName, seed: u64) -> f64 {
+    xxh3_64_with_seed(upstream.as_bytes(), seed) as f64 / u64::MAX as f64
+}
+
 /// An upstream with its predicted latency and cost for a request.
 struct Candidate {
     key: PlacementKey,
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -7,7 +7,7 @@
 use crate::{
     base::{InstanceName, MonotonicTime, UpstreamName},
     limit::{ConcurrencyLimit, ConcurrencyOptions},
-    notice::{NoticeState, UpstreamNotice},
+    notice::{NoticeContext, NoticeState, UpstreamNotice},
     retry::AttemptOutcome,
     routing::{
         CacheEvent, InstanceState, LoadReport, RouteRequest, RouteTarget, RoutingOptions,
@@ -216,9 +216,19 @@
         notice: &UpstreamNotice,
         now: MonotonicTime,
     ) -> bool {
-        let upstream = self.attempts.get(key).map(|attempt| attempt.upstream);
-        let entry = upstream.and_then(|upstream| self.entries.get_mut(upstream));
-        entry.is_some_and(|entry| entry.notices.record(notice, self.options.pause_max, now))
+        let Some(attempt) = self.attempts.get(key) else {
+            return false;
+        };
+        let context = NoticeContext {
+            now,
+            sent_at: attempt.started,
+            pause_max: self.options.pause_max,
+            instances: self.options.routers as usize,
+            phase: 0.0,
+            recent: 0,
+        };
+        let entry = self.entries.get_mut(attempt.upstream);
+        entry.is_some_and(|entry| entry.notices.record(notice, &context))
     }
 
     /// Records a load report. Reports older than the current one are ignored.
--- a/crates/core/tests/notices.rs
+++ b/crates/core/tests/notices.rs
@@ -4,7 +4,7 @@
 
 use cornelarch_core::{
     base::{DomainName, MonotonicTime, ServiceName, UpstreamName},
-    notice::UpstreamNotice,
+    notice::{LimitNotice, UpstreamNotice},
     placement::{
         FlightKey, FlightOutcome, Placement, PlacementOptions, PlacementRefusal, PlacementRequest,
         PlacementTable, RequestSize, UpstreamRecord,
@@ -15,7 +15,7 @@
 const LEAVING: UpstreamNotice = UpstreamNotice {
     is_leaving: true,
     pause: None,
-    rate_limit: None,
+    limit: LimitNotice::None,
 };
 
 /// Returns the notice of an upstream that wants no requests for this time.
@@ -142,7 +142,7 @@
     assert!(!table.accepts(waiting.key, at(2_009)));
     assert!(table.accepts(waiting.key, at(2_010)));
     let retry_after = Duration::from_millis(500);
-    let refusal = PlacementRefusal::Paused { retry_after };
+    let refusal = PlacementRefusal::Withheld { retry_after };
     assert_eq!(choose(&table, at(1_510)), Err(refusal));
     assert!(choose(&table, at(2_010)).is_ok());
 }
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -4,7 +4,7 @@
 
 use cornelarch_core::{
     base::{DomainName, MonotonicTime, ServiceName, UpstreamName},
-    notice::UpstreamNotice,
+    notice::{LimitNotice, UpstreamNotice},
     placement::{
         FlightKey, FlightOutcome, PlacementOptions, PlacementRequest, PlacementTable, PromptPart,
         RequestSize, UpstreamRecord,
@@ -168,7 +168,10 @@
     fn answer(&mut self, instance: usize, flight: FlightKey, upstream: usize, now: f64) {
         let is_limited = upstream < self.load.limited && LIMITED_S.contains(&now);
         let notice = UpstreamNotice {
-            rate_limit: is_limited.then_some(self.load.limit),
+            limit: match is_limited {
+                true => LimitNotice::Rate(self.load.limit),
+                false => LimitNotice::None,
+            },
             ..UpstreamNotice::default()
         };
         let table = &mut self.tables[instance];
@@ -184,7 +187,11 @@
 
 fn new_table(load: &FleetLoad, index: usize) -> PlacementTable {
     let domain = |index: usize| DomainName::new(&format!("d{}", index % 3));
-    let mut table = PlacementTable::new(PlacementOptions::new(domain(index)));
+    let mut table = PlacementTable::new(PlacementOptions {
+        seed: index as u64,
+        ..PlacementOptions::new(domain(index))
+    });
+    table.set_instances(load.instances);
     for number in 0..load.upstreams {
         let port = u16::try_from(1_000 + number).expect("few upstreams");
         table.apply(UpstreamRecord {
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -3,7 +3,10 @@
 use std::{fmt, time::Duration};
 
 use cornelarch_core::{
-    error::ErrorKind, notice::UpstreamNotice, placement::FlightOutcome, route::RouteKind,
+    error::ErrorKind,
+    notice::{LimitNotice, UpstreamNotice},
+    placement::FlightOutcome,
+    route::RouteKind,
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text::encode},
@@ -269,7 +272,7 @@
         if notice.pause.is_some() {
             count(NoticeKind::Pause);
         }
-        if notice.rate_limit.is_some() {
+        if notice.limit != LimitNotice::None {
             count(NoticeKind::RateLimit);
         }
     }
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -1,6 +1,6 @@
 //! Peer task: fleet membership and messages between ledgers, over UDP.
 
-use std::{net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
     base::HolderId,
@@ -315,9 +315,7 @@
                 domain: record.domain.clone(),
             })
             .collect();
-        self.state
-            .instances
-            .fetch_max(live.len(), Ordering::Relaxed);
+        self.state.record_instances(live.len());
         let domain = self.table.live_members(&self.state.settings.domain);
         let names = domain.map(|record| &record.holder.instance);
         let readers = choose_owners(READER_SELECTION_KEY, names, LATEST_READERS);
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -17,6 +17,7 @@
     route::{ActiveDocument, RouteDocument, replica::DocumentIndex},
 };
 use parking_lot::Mutex;
+use rand::Rng;
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
@@ -37,8 +38,8 @@
 const CONFIRMATION_MAX_AGE: Duration = Duration::from_secs(6);
 /// Place of an instance that does not store the blocked content.
 const NO_WRITER: u32 = u32::MAX;
-/// Assumed number of instances that share the slack of the retry budget until the membership is
-/// known.
+/// Assumed number of instances that share the slack of the retry budget and the limits of upstreams,
+/// until the membership shows more.
 const INSTANCES_INITIAL: usize = 8;
 
 /// Lifecycle phase of a gateway.
@@ -93,12 +94,17 @@
         ledger_events: mpsc::UnboundedSender<LedgerEvent>,
         peer_commands: mpsc::UnboundedSender<PeerCommand>,
     ) -> Self {
-        let options = PlacementOptions::new(settings.domain.clone());
+        let options = PlacementOptions {
+            seed: rand::rng().random(),
+            ..PlacementOptions::new(settings.domain.clone())
+        };
+        let mut placement = PlacementTable::new(options);
+        placement.set_instances(INSTANCES_INITIAL);
         Self {
             headers,
             document: ActiveDocument::default(),
             document_index: Mutex::new(Arc::new(DocumentIndex::empty())),
-            placement: Mutex::new(PlacementTable::new(options)),
+            placement: Mutex::new(placement),
             ledger,
             pool: UpstreamPool::default(),
             metrics: GatewayMetrics::new(),
@@ -276,6 +282,13 @@
             && self.document.load().is_some()
     }
 
+    /// Records the number of live instances. What they share is divided by the largest number seen, as
+    /// those that are not seen any more may only be cut off.
+    pub(crate) fn record_instances(&self, live: usize) {
+        let known = self.instances.fetch_max(live, Ordering::Relaxed);
+        self.placement.lock().set_instances(known.max(live));
+    }
+
     /// Counts a request in the retry budget of its service.
     pub(crate) fn record_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -286,7 +286,7 @@
             PlacementRefusal::Overloaded { retry_after } => {
                 (ErrorKind::Overloaded, retry_after.min(OVERLOAD_RETRY_MAX))
             }
-            PlacementRefusal::Paused { retry_after } => (ErrorKind::Overloaded, retry_after),
+            PlacementRefusal::Withheld { retry_after } => (ErrorKind::Overloaded, retry_after),
             PlacementRefusal::TooLarge => return ErrorKind::BodyTooLarge.into(),
         };
         RequestRefusal {
@@ -380,7 +380,7 @@
             let placement = self.state.placement.lock();
             return RequestRefusal {
                 kind: ErrorKind::Overloaded,
-                retry_after: placement.pause_left(&self.service.name, self.state.now()),
+                retry_after: placement.wait_left(&self.service.name, self.state.now()),
             };
         }
         match history.last {
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cornelarch_core::{
-    notice::{UpstreamNotice, parse_delay, parse_rate},
+    notice::{LimitNotice, UpstreamNotice, parse_delay, parse_rate},
     placement::{PromptPart, RequestSize},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
@@ -130,7 +130,11 @@
     UpstreamNotice {
         is_leaving: header_text(headers, &names.leaving).is_some_and(|text| text.trim() == "1"),
         pause: pause.flatten(),
-        rate_limit: read_value(headers, &names.rate_limit, parse_rate),
+        limit: match headers.contains_key(&names.rate_limit) {
+            true => read_value(headers, &names.rate_limit, parse_rate)
+                .map_or(LimitNotice::Invalid, LimitNotice::Rate),
+            false => LimitNotice::None,
+        },
     }
 }
 
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -5,7 +5,7 @@
 use cornelarch_core::{
     base::UpstreamName,
     blocklist::content::{ContentKey, CrashName},
-    notice::UpstreamNotice,
+    notice::{LimitNotice, UpstreamNotice},
     placement::{FlightKey, FlightOutcome, Placement, PlacementKey, RequestSize},
 };
 use http::HeaderMap;
@@ -92,7 +92,10 @@
             self.state.pool.close_idle(&self.upstream);
         }
         let pause = notice.pause.map(|pause| pause.as_millis().to_string());
-        let limit = notice.rate_limit.map(|limit| limit.to_string());
+        let limit = match notice.limit {
+            LimitNotice::Rate(rate) => Some(rate.to_string()),
+            LimitNotice::None | LimitNotice::Invalid => None,
+        };
         log_event!(
             NoticeReceived,
             "upstream={} leaving={} pause_ms={} limit={}",
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -4,7 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use common::{FakeUpstream, Fixture, FixtureOptions, Reply};
+use common::{FakeUpstream, Fixture, FixtureOptions, Reply, record};
+use cornelarch_core::base::DomainName;
 use rstest::rstest;
 
 /// Limit in requests a second, from all instances together.
@@ -15,6 +16,8 @@
 /// Time after the first naming from which the limit has to be kept.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const WINDOW: Duration = Duration::from_secs(4);
+/// Time in which a gateway learns of a change at the platform.
+const SYNC_TIME: Duration = Duration::from_millis(1_200);
 const REQUEST_PERIOD: Duration = Duration::from_millis(25);
 
 struct LimitedFleet {
@@ -35,8 +38,16 @@
         };
         let mut services = vec![("plain", &limited)];
         services.extend(other.iter().map(|other| ("plain", other)));
+        let fixture = Fixture::start(&FixtureOptions::default(), &services).await;
+        if let Some(other) = &other {
+            // The limited upstream is preferred, since the other one is in another domain.
+            let mut entry = record("u1", "plain", other.address);
+            entry.domain = DomainName::new("b");
+            fixture.platform.list(entry);
+            tokio::time::sleep(SYNC_TIME).await;
+        }
         Self {
-            fixture: Fixture::start(&FixtureOptions::default(), &services).await,
+            fixture,
             limited,
             other,
         }
