Tell the other instances the limit that an upstream names

With hundreds of instances, or when all upstreams name a limit, an upstream still got more than it takes: 1.8 to 39 requests in 4 s too many in the core test.

Cause: each instance learnt a limit from its own responses only, up to 1.5 s after its request, and at 295 instances each of them had to send one first. The end of a limit was learnt just as slowly: a part of 1.7 a second is one request in 173 s.

Change: an instance for which a limit is news, named, changed by more than a tenth, or ended, sends a report (WireLimitReport, UDP) to all live peers, and once more with the next tick of 200 ms, since datagrams may be lost. The report names the incarnation; one about another incarnation is dropped. Builds that do not know the kind drop it.

--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -6,4 +6,4 @@
 
 pub use report::{LimitNotice, UpstreamNotice, parse_delay, parse_rate};
 pub use share::RecentRequests;
-pub use state::{NoticeContext, NoticeState, PAUSE_MAX_DEFAULT};
+pub use state::{NoticeChange, NoticeContext, NoticeState, PAUSE_MAX_DEFAULT};
--- a/crates/core/src/notice/share.rs
+++ b/crates/core/src/notice/share.rs
@@ -10,6 +10,9 @@
 /// Time for which a part that was not used can still be used. It bounds the requests of many
 /// instances that become busy at the same time.
 const KEEP_TIME: Duration = Duration::from_secs(1);
+/// Relative change of a limit that is news, so that one that varies a little with each response does
+/// not cause a message to all peers each time.
+const CHANGE_MIN: f64 = 0.1;
 /// Span of earlier requests that count towards a limit when it is first named.
 const WINDOW: Duration = Duration::from_secs(4);
 
@@ -19,6 +22,8 @@
 pub(super) struct RateShare {
     /// The limit for all instances, in requests a second.
     rate: f64,
+    /// The limit when it was last news.
+    known_rate: f64,
     interval: Duration,
     next_at: MonotonicTime,
     /// Time of the last response that named the limit.
@@ -43,22 +48,31 @@
         let debt = WINDOW.mul_f64(excess / f64::from(recent.max(1)));
         Self {
             rate,
+            known_rate: rate,
             interval,
             next_at: now + interval.mul_f64(phase).max(debt),
             named_at: now,
         }
     }
 
-    /// Records a further response that names a limit. Returns whether it is another one.
+    /// Records a further response that names a limit. Returns whether that is news.
     pub(super) fn update(&mut self, rate: f64, instances: usize, now: MonotonicTime) -> bool {
-        let has_changed = rate != self.rate;
+        let is_news = (rate - self.known_rate).abs() > self.known_rate * CHANGE_MIN;
+        if is_news {
+            self.known_rate = rate;
+        }
         self.interval = share_interval(rate, instances);
         if rate > self.rate {
             self.next_at = self.next_at.min(now + self.interval);
         }
         self.rate = rate;
         self.named_at = now;
-        has_changed
+        is_news
+    }
+
+    /// Returns the limit for all instances, in requests a second.
+    pub(super) const fn rate(&self) -> f64 {
+        self.rate
     }
 
     /// Returns the time of the last response that named the limit.
--- a/crates/core/src/notice/state.rs
+++ b/crates/core/src/notice/state.rs
@@ -27,6 +27,26 @@
     pub recent: u32,
 }
 
+/// What a notice has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoticeChange {
+    /// Whether the upstream leaves and did not before.
+    pub has_left: bool,
+    /// Whether the upstream pauses and did not before.
+    pub has_paused: bool,
+    /// Whether the upstream names a limit and did not before, names quite another one, or names none
+    /// any more.
+    pub has_limit: bool,
+}
+
+impl NoticeChange {
+    /// Returns whether anything has changed.
+    #[must_use]
+    pub const fn is_news(self) -> bool {
+        self.has_left || self.has_paused || self.has_limit
+    }
+}
+
 /// What the responses of one incarnation of an upstream have said so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NoticeState {
@@ -36,13 +56,12 @@
 }
 
 impl NoticeState {
-    /// Records a notice and returns whether it is news: the upstream leaves, pauses or names a limit
-    /// and did not before, or does not name that limit any more.
+    /// Records a notice and returns what of it is news.
     ///
     /// An upstream that leaves does so until it ends, so that a response without the notice, which
     /// may be older, changes nothing. Likewise, a pause is never shortened. It lasts `pause_max` at
     /// most.
-    pub fn record(&mut self, notice: &UpstreamNotice, context: &NoticeContext) -> bool {
+    pub fn record(&mut self, notice: &UpstreamNotice, context: &NoticeContext) -> NoticeChange {
         let now = context.now;
         let has_left = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
@@ -50,11 +69,15 @@
         let end = notice.pause.map(|pause| now + pause.min(context.pause_max));
         self.paused_until = self.paused_until.max(end);
         let has_paused = !was_paused && self.pause_left(now).is_some();
-        self.record_limit(notice.limit, context) || has_left || has_paused
+        NoticeChange {
+            has_left,
+            has_paused,
+            has_limit: self.record_limit(notice.limit, context),
+        }
     }
 
-    /// Records whether a response names a limit, and returns whether that is news.
-    fn record_limit(&mut self, limit: LimitNotice, context: &NoticeContext) -> bool {
+    /// Records whether the upstream names a limit, and returns whether that is news.
+    pub fn record_limit(&mut self, limit: LimitNotice, context: &NoticeContext) -> bool {
         let NoticeContext { now, instances, .. } = *context;
         match (limit, &mut self.share) {
             (LimitNotice::Rate(rate), Some(share)) => share.update(rate, instances, now),
@@ -72,6 +95,12 @@
         }
     }
 
+    /// Returns the limit that the upstream has named, in requests a second.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.share.map(|share| share.rate())
+    }
+
     /// Returns whether the upstream is shutting down.
     #[must_use]
     pub const fn is_leaving(&self) -> bool {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -17,7 +17,7 @@
 pub use missing::MissingUpstreams;
 pub use options::PlacementOptions;
 pub use request::{
-    FlightOutcome, Placement, PlacementRefusal, PlacementRequest, PromptPart, RequestSize,
-    UpstreamIncarnation, UpstreamRecord, shared_parts,
+    FlightOutcome, LimitReport, NoticeNews, Placement, PlacementRefusal, PlacementRequest,
+    PromptPart, RequestSize, UpstreamIncarnation, UpstreamRecord, shared_parts,
 };
 pub use table::{FlightKey, PlacementKey, PlacementTable};
--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -48,6 +48,25 @@
     pub started_unix_ms: Option<u64>,
 }
 
+/// The limit of an upstream, for the instances that share it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitReport {
+    /// Name of the upstream.
+    pub upstream: UpstreamName,
+    /// Incarnation that the report is about.
+    pub incarnation: UpstreamIncarnation,
+    /// Requests a second that it takes from all instances together; `None` if it does not limit them
+    /// any more.
+    pub rate: Option<f64>,
+}
+
+/// What a response has changed in what is known about its upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NoticeNews {
+    /// Report for the peers, if the limit of the upstream is news.
+    pub limit: Option<LimitReport>,
+}
+
 /// A consecutive part of a prompt that an engine may have cached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct PromptPart {
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -7,10 +7,10 @@
 
 use crate::{
     base::{MonotonicTime, ServiceName, UpstreamName},
-    notice::{NoticeContext, UpstreamNotice},
+    notice::{LimitNotice, NoticeContext, UpstreamNotice},
     placement::{
-        FlightOutcome, Placement, PlacementOptions, PlacementRefusal, PlacementRequest,
-        RequestSize, UpstreamIncarnation, UpstreamRecord, entry::UpstreamEntry,
+        FlightOutcome, LimitReport, NoticeNews, Placement, PlacementOptions, PlacementRefusal,
+        PlacementRequest, RequestSize, UpstreamIncarnation, UpstreamRecord, entry::UpstreamEntry,
         former::FormerUpstreams, shared_parts,
     },
 };
@@ -343,31 +343,61 @@
         }
     }
 
-    /// Records what a response says about its upstream. Returns whether that is news.
+    /// Records what a response says about its upstream, and returns what of it is news.
     pub fn record_notice(
         &mut self,
         key: FlightKey,
         notice: &UpstreamNotice,
         now: MonotonicTime,
-    ) -> bool {
-        let Some(flight) = self.flights.get(key) else {
+    ) -> Option<NoticeNews> {
+        let flight = self.flights.get(key)?;
+        let (upstream, sent_at) = (flight.upstream, flight.started);
+        let incarnation = self.record(upstream)?.incarnation();
+        // The response of an earlier incarnation says nothing about the present one.
+        if flight.incarnation != Some(incarnation) {
+            return None;
+        }
+        let context = self.notice_context(upstream, sent_at, now)?;
+        let entry = self.entries.get_mut(upstream)?;
+        let change = entry.notices.record(notice, &context);
+        change.is_news().then(|| NoticeNews {
+            limit: change.has_limit.then(|| LimitReport {
+                upstream: entry.record.name.clone(),
+                incarnation,
+                rate: entry.notices.rate_limit(),
+            }),
+        })
+    }
+
+    /// Merges a report of a peer about the limit of an upstream. Returns whether it is news.
+    pub fn merge_limit(&mut self, report: &LimitReport, now: MonotonicTime) -> bool {
+        let Some(key) = self.names.get(&report.upstream).copied() else {
             return false;
         };
-        let entry = self.entries.get_mut(flight.upstream);
-        // The response of an earlier incarnation says nothing about the present one.
-        let entry = entry.filter(|entry| Some(entry.record.incarnation()) == flight.incarnation);
-        let Some(entry) = entry else {
+        let Some(context) = self.notice_context(key, now, now) else {
             return false;
         };
-        let context = NoticeContext {
+        let entry = &mut self.entries[key];
+        let limit = report.rate.map_or(LimitNotice::None, LimitNotice::Rate);
+        entry.record.incarnation() == report.incarnation
+            && entry.notices.record_limit(limit, &context)
+    }
+
+    fn notice_context(
+        &mut self,
+        key: PlacementKey,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> Option<NoticeContext> {
+        let entry = self.entries.get_mut(key)?;
+        Some(NoticeContext {
             now,
-            sent_at: flight.started,
+            sent_at,
             pause_max: self.options.pause_max,
             instances: self.instances,
             phase: phase(&entry.record.name, self.options.seed),
             recent: entry.recent.count(now),
-        };
-        entry.notices.record(notice, &context)
+        })
     }
 
     /// Records the end of a request.
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -228,7 +228,7 @@
             recent: 0,
         };
         let entry = self.entries.get_mut(attempt.upstream);
-        entry.is_some_and(|entry| entry.notices.record(notice, &context))
+        entry.is_some_and(|entry| entry.notices.record(notice, &context).is_news())
     }
 
     /// Records a load report. Reports older than the current one are ignored.
--- a/crates/core/tests/notices.rs
+++ b/crates/core/tests/notices.rs
@@ -78,7 +78,7 @@
     let mut table = table();
     let (waiting, _) = start(&mut table);
     let (_, answered) = start(&mut table);
-    assert!(table.record_notice(answered, &LEAVING, at(1)));
+    assert!(table.record_notice(answered, &LEAVING, at(1)).is_some());
     assert!(!table.accepts(waiting.key, at(1)));
     assert_eq!(choose(&table, at(1)), Err(PlacementRefusal::NoUpstream));
 }
@@ -153,9 +153,12 @@
     let mut table = table();
     let (_, first) = start(&mut table);
     let (waiting, second) = start(&mut table);
-    assert!(table.record_notice(first, &pause(Duration::from_secs(5)), at(0)));
-    assert!(!table.record_notice(second, &pause(Duration::from_secs(1)), at(100)));
-    assert!(!table.record_notice(second, &UpstreamNotice::default(), at(200)));
+    let news = table.record_notice(first, &pause(Duration::from_secs(5)), at(0));
+    assert!(news.is_some());
+    let news = table.record_notice(second, &pause(Duration::from_secs(1)), at(100));
+    assert_eq!(news, None);
+    let news = table.record_notice(second, &UpstreamNotice::default(), at(200));
+    assert_eq!(news, None);
     assert!(!table.accepts(waiting.key, at(4_999)));
     assert!(table.accepts(waiting.key, at(5_000)));
 }
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -6,8 +6,8 @@
     base::{DomainName, MonotonicTime, ServiceName, UpstreamName},
     notice::{LimitNotice, UpstreamNotice},
     placement::{
-        FlightKey, FlightOutcome, PlacementOptions, PlacementRequest, PlacementTable, PromptPart,
-        RequestSize, UpstreamRecord,
+        FlightKey, FlightOutcome, LimitReport, PlacementOptions, PlacementRequest, PlacementTable,
+        PromptPart, RequestSize, UpstreamRecord,
     },
 };
 use rand::{Rng, SeedableRng};
@@ -21,6 +21,12 @@
 const HEAD_S: Range<f64> = 0.1..1.5;
 /// Time in seconds from the head of a response to its end.
 const BODY_S: Range<f64> = 0.1..0.8;
+/// Time in seconds for a message to a peer.
+const REPORT_S: f64 = 0.002;
+/// Longest time in seconds after which a message is sent once more.
+const REPEAT_S: f64 = 0.2;
+/// Share of the messages to peers that are lost.
+const LOST_SHARE: f64 = 0.1;
 /// Time in seconds for which upstreams name a limit.
 const LIMITED_S: Range<f64> = 8.0..24.0;
 /// Time in seconds after the first naming from which a limit has to be kept.
@@ -40,6 +46,8 @@
     Request,
     Head(FlightKey, usize),
     End(FlightKey),
+    /// Report of a peer, by its number.
+    Report(usize),
 }
 
 /// An event of one instance, in microseconds.
@@ -90,6 +98,7 @@
     /// Cumulated shares of the requests; instances get unequal numbers.
     weights: Vec<f64>,
     events: BinaryHeap<Reverse<TimedEvent>>,
+    reports: Vec<LimitReport>,
     generator: ChaCha8Rng,
     run: FleetRun,
 }
@@ -108,6 +117,7 @@
             weights: weights.collect(),
             tables: tables.collect(),
             events: BinaryHeap::new(),
+            reports: Vec::new(),
             run: FleetRun {
                 told: vec![vec![None; load.upstreams]; load.instances],
                 ..FleetRun::default()
@@ -134,6 +144,10 @@
                     let table = &mut self.tables[instance];
                     table.finish(flight, FlightOutcome::Answered, time(now));
                 }
+                FleetEvent::Report(number) => {
+                    let report = &self.reports[number];
+                    self.tables[instance].merge_limit(report, time(now));
+                }
             }
         }
         self.run
@@ -175,13 +189,31 @@
             ..UpstreamNotice::default()
         };
         let table = &mut self.tables[instance];
-        table.record_notice(flight, &notice, time(now));
+        let news = table.record_notice(flight, &notice, time(now));
+        let report = news.and_then(|news| news.limit);
         table.begin(flight, time(now));
         if is_limited {
             self.run.told[instance][upstream].get_or_insert(now);
         }
         let end = now + self.generator.random_range(BODY_S);
         self.push(end, instance, FleetEvent::End(flight));
+        if let Some(report) = report {
+            self.reports.push(report);
+            self.send_report(instance, now);
+        }
+    }
+
+    /// Sends the latest report of an instance to all others, twice.
+    fn send_report(&mut self, instance: usize, now: f64) {
+        let number = self.reports.len() - 1;
+        let repeat = now + self.generator.random_range(0.0..REPEAT_S);
+        for at in [now, repeat] {
+            for peer in (0..self.load.instances).filter(|peer| *peer != instance) {
+                if self.generator.random::<f64>() >= LOST_SHARE {
+                    self.push(at + REPORT_S, peer, FleetEvent::Report(number));
+                }
+            }
+        }
     }
 }
 
@@ -295,6 +327,21 @@
     assert!(excess <= 0.0, "{excess} requests too many");
 }
 
+/// Guards against the requests of a service whose upstreams all name a limit at the same moment: they
+/// pile up at those that have not answered yet.
+#[test]
+fn requests_pile_up_at_the_last_unlimited_upstreams() {
+    let load = FleetLoad {
+        limited: 9,
+        ..SMALL
+    };
+    for seed in 1..=100 {
+        let run = VirtualFleet::new(load, seed).run(LIMITED_S.end);
+        let excess = run.excess(&load);
+        assert!(excess <= 0.0, "seed {seed}: {excess} requests too many");
+    }
+}
+
 /// Guards against an upstream that stays limited for an instance after it has stopped naming the
 /// limit, and against refusals although other upstreams have room.
 #[rstest]
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -1,15 +1,16 @@
 //! Peer task: fleet membership and messages between ledgers, over UDP.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
-    base::HolderId,
+    base::{HolderId, UpstreamName},
     blocklist::content::ContentReport,
     budget::{BudgetMessage, DomainPeer, LedgerEvent},
     membership::{
         MemberEffect, MemberEvent, MemberOptions, MemberState, MemberTable, choose_owners,
         rendezvous_score,
     },
+    placement::LimitReport,
     route::replica::{
         DocumentPart, DocumentReplica, DocumentRequest, ReplicaEffect, ReplicaEvent,
         ReplicaOptions, RequestChannel,
@@ -17,8 +18,9 @@
 };
 use cornelarch_wire::{
     decode_budget_message, decode_content_report, decode_document_part, decode_document_request,
-    decode_envelope, decode_member_event, encode_budget_message, encode_content_report,
-    encode_document_part, encode_document_request, encode_envelope,
+    decode_envelope, decode_limit_report, decode_member_event, encode_budget_message,
+    encode_content_report, encode_document_part, encode_document_request, encode_envelope,
+    encode_limit_report,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
@@ -69,6 +71,8 @@
     },
     /// Sends a report about content that crashes upstreams to all peers.
     Broadcast(ContentReport),
+    /// Sends the limit of an upstream to all peers, which share it.
+    BroadcastLimit(LimitReport),
     /// Merges a part of a configuration that arrived over a connection.
     MergeDocument { from: HolderId, part: DocumentPart },
     /// Announces to the peers that this instance leaves the fleet.
@@ -82,6 +86,8 @@
     socket: UdpSocket,
     table: MemberTable,
     replica: DocumentReplica,
+    /// Reports about limits that are sent once more with the next tick, because datagrams may be lost.
+    repeated_limits: HashMap<UpstreamName, LimitReport>,
     /// Requests over connections. They end with the peer task.
     fetches: JoinSet<()>,
     fetch_permits: Arc<Semaphore>,
@@ -111,6 +117,7 @@
         socket,
         table,
         replica: DocumentReplica::new(ReplicaOptions::default()),
+        repeated_limits: HashMap::new(),
         fetches: JoinSet::new(),
         fetch_permits: Arc::new(Semaphore::new(FETCHES_MAX)),
         generator: StdRng::from_os_rng(),
@@ -124,7 +131,14 @@
                 Some(PeerCommand::Send { to, message }) => {
                     task.send_to_member(&to, encode_budget_message(message)).await;
                 }
-                Some(PeerCommand::Broadcast(report)) => task.broadcast(&report).await,
+                Some(PeerCommand::Broadcast(report)) => {
+                    let parts = split_report(&report);
+                    task.broadcast(parts.iter().map(encode_content_report)).await;
+                }
+                Some(PeerCommand::BroadcastLimit(report)) => {
+                    task.broadcast([encode_limit_report(&report)]).await;
+                    task.repeated_limits.insert(report.upstream.clone(), report);
+                }
                 Some(PeerCommand::MergeDocument { from, part }) => {
                     task.merge_document(from, part).await;
                 }
@@ -143,6 +157,8 @@
                 task.apply(MemberEvent::ConfigVersion(version)).await;
                 task.apply(MemberEvent::Tick).await;
                 task.state.report_lag();
+                let limits = std::mem::take(&mut task.repeated_limits);
+                task.broadcast(limits.values().map(encode_limit_report)).await;
                 task.update_replica(ReplicaEvent::Tick).await;
             }
         }
@@ -198,6 +214,9 @@
         if let Some(report) = decode_content_report(&envelope.body) {
             return self.state.merge_content(&report);
         }
+        if let Some(report) = decode_limit_report(&envelope.body) {
+            return self.state.merge_limit(&report);
+        }
         if let Some(request) = decode_document_request(&envelope.body) {
             return self.send_document(&from, &request).await;
         }
@@ -337,16 +356,15 @@
         is_writer.then(|| u32::try_from(place).unwrap_or(u32::MAX))
     }
 
-    /// Sends a report to all live peers, in datagrams of limited size.
-    async fn broadcast(&self, report: &ContentReport) {
+    /// Sends messages to all live peers.
+    async fn broadcast(&self, bodies: impl IntoIterator<Item = WireBody>) {
         let peers: Vec<(HolderId, String)> = self
             .table
             .live_records()
             .filter(|record| record.holder != self.holder)
             .map(|record| (record.holder.clone(), record.address.clone()))
             .collect();
-        for part in split_report(report) {
-            let body = encode_content_report(&part);
+        for body in bodies {
             for (holder, address) in &peers {
                 self.send(address, Some(holder), body.clone()).await;
             }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -12,7 +12,7 @@
 use cornelarch_core::{
     base::{BudgetName, MonotonicTime, ServiceName},
     budget::{LedgerEvent, PaidAmount},
-    placement::{PlacementOptions, PlacementTable},
+    placement::{LimitReport, PlacementOptions, PlacementTable},
     retry::WindowBudget,
     route::{ActiveDocument, RouteDocument, replica::DocumentIndex},
 };
@@ -289,6 +289,19 @@
         self.placement.lock().set_instances(known.max(live));
     }
 
+    /// Merges a report of a peer about the limit of an upstream.
+    pub(crate) fn merge_limit(&self, report: &LimitReport) {
+        if self.placement.lock().merge_limit(report, self.now()) {
+            let limit = report.rate.map(|rate| rate.to_string());
+            log_event!(
+                NoticeReceived,
+                "upstream={} leaving=false pause_ms=- limit={} source=peer",
+                report.upstream,
+                limit.as_deref().unwrap_or("-")
+            );
+        }
+    }
+
     /// Counts a request in the retry budget of its service.
     pub(crate) fn record_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 
 use crate::{
-    process::{GatewayState, LostRequest, log_event},
+    process::{GatewayState, LostRequest, PeerCommand, log_event},
     request::head::read_load,
 };
 
@@ -81,13 +81,13 @@
     pub(crate) fn record_notice(&self, notice: &UpstreamNotice) {
         self.state.metrics.count_notice(notice);
         let now = self.state.now();
-        let record = |flight| {
+        let news = self.flight.and_then(|flight| {
             let mut placement = self.state.placement.lock();
             placement.record_notice(flight, notice, now)
-        };
-        if !self.flight.is_some_and(record) {
+        });
+        let Some(news) = news else {
             return;
-        }
+        };
         if notice.is_leaving {
             self.state.pool.close_idle(&self.upstream);
         }
@@ -98,12 +98,16 @@
         };
         log_event!(
             NoticeReceived,
-            "upstream={} leaving={} pause_ms={} limit={}",
+            "upstream={} leaving={} pause_ms={} limit={} source=response",
             self.upstream,
             notice.is_leaving,
             pause.as_deref().unwrap_or("-"),
             limit.as_deref().unwrap_or("-")
         );
+        if let Some(report) = news.limit {
+            let command = PeerCommand::BroadcastLimit(report);
+            self.state.send_peer_command(command);
+        }
     }
 
     /// Returns whether the response is complete after its last byte. One without a length or chunks
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use common::{FakeUpstream, Fixture, FixtureOptions, Reply, record};
 use cornelarch_core::base::DomainName;
@@ -112,3 +115,30 @@
     let is_limited = times.len() <= WINDOW_MAX;
     assert_ne!(is_limited, is_ended, "{} requests in 4 s", times.len());
 }
+
+/// Guards against a limit, or its end, that each instance learns only from its own responses, while
+/// the upstream counts the requests of all.
+#[tokio::test]
+async fn instance_learns_a_limit_alone() {
+    let fleet = LimitedFleet::start(false).await;
+    let platform = Arc::clone(&fleet.fixture.platform);
+    let options = FixtureOptions {
+        instance: "g2",
+        seeds: vec![fleet.fixture.peers],
+        ..FixtureOptions::default()
+    };
+    let second = Fixture::start_with(&options, platform).await;
+    tokio::time::sleep(SYNC_TIME).await;
+    let send = async |fixture: &Fixture| {
+        let response = fixture.post("/again/a", "r1").send().await.expect("answer");
+        response.status().as_u16()
+    };
+    assert_eq!(send(&fleet.fixture).await, 200);
+    tokio::time::sleep(SYNC_TIME / 4).await;
+    // The share of the second instance begins some time after the report.
+    assert_eq!(send(&second).await, 503);
+    assert_eq!(fleet.limited.requests().len(), 1);
+    fleet.limited.set_last_reply(Reply::Answer(200, "ok"));
+    fleet.send_for("/again/a", Duration::from_secs(12)).await;
+    assert_eq!(send(&second).await, 200);
+}
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -152,6 +152,15 @@
   4: required bool is_last
 }
 
+// The requests a second that an incarnation of an upstream takes from all instances, or, without a
+// rate, that it does not limit them any more.
+struct WireLimitReport {
+  1: required string upstream
+  2: required string address
+  3: optional i64 started_unix_ms
+  4: optional double rate
+}
+
 union WireBody {
   1: WirePing ping
   2: WireAck ack
@@ -171,6 +180,7 @@
   16: WireDocumentRequest document_request
   17: WireDocumentPart document_part
   18: WireVersionNotice version_notice
+  19: WireLimitReport limit_report
 }
 
 // One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
--- a/crates/wire/src/connection/mod.rs
+++ b/crates/wire/src/connection/mod.rs
@@ -48,7 +48,10 @@
 fn is_guarded(body: &WireBody) -> bool {
     matches!(
         body,
-        WireBody::DocumentRequest(_) | WireBody::DocumentPart(_) | WireBody::VersionNotice(_)
+        WireBody::DocumentRequest(_)
+            | WireBody::DocumentPart(_)
+            | WireBody::VersionNotice(_)
+            | WireBody::LimitReport(_)
     )
 }
 
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod content;
 mod document;
+mod limit;
 mod member;
 
 pub use budget::{decode_budget_message, encode_budget_message};
@@ -10,4 +11,5 @@
 pub use document::{
     decode_document_part, decode_document_request, encode_document_part, encode_document_request,
 };
+pub use limit::{decode_limit_report, encode_limit_report};
 pub use member::decode_member_event;
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -3,10 +3,16 @@
 use std::fmt::Debug;
 
 use bytes::{BufMut, BytesMut};
+use cornelarch_core::{
+    base::UpstreamName,
+    placement::{LimitReport, UpstreamIncarnation},
+};
 use cornelarch_wire::{
-    FrameCodec, FrameError, decode_envelope, encode_envelope,
+    FrameCodec, FrameError, decode_envelope, decode_limit_report, encode_envelope,
+    encode_limit_report,
     peer::{WireBody, WireEnvelope, WireHolder, WireTransfer, WireVersionNotice},
 };
+use rstest::rstest;
 use thrift::protocol::{TCompactInputProtocol, TSerializable};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -78,13 +84,11 @@
 
 /// Guards against a process of an older build that ends because this build sends it a kind of
 /// message that it does not know: its generated code reads the bytes as they are.
-#[test]
-fn message_of_this_build_stops_an_older_one() {
-    let notice = WireEnvelope::new(
-        WireHolder::new("r1".to_owned(), 1),
-        None,
-        WireBody::VersionNotice(WireVersionNotice::new(7)),
-    );
+#[rstest]
+#[case::version(WireBody::VersionNotice(WireVersionNotice::new(7)))]
+#[case::limit(encode_limit_report(&limit_report(Some(1.7))))]
+fn message_of_this_build_stops_an_older_one(#[case] body: WireBody) {
+    let notice = WireEnvelope::new(WireHolder::new("r1".to_owned(), 1), None, body);
     let bytes = encode_envelope(&notice).unwrap();
     let mut input = TCompactInputProtocol::new(&bytes[..]);
     assert!(WireEnvelope::read_from_in_protocol(&mut input).is_err());
@@ -94,3 +98,26 @@
     let read = WireEnvelope::read_from_in_protocol(&mut input).unwrap();
     assert_eq!(read, transfer());
 }
+
+fn limit_report(rate: Option<f64>) -> LimitReport {
+    LimitReport {
+        upstream: UpstreamName::new("u1"),
+        incarnation: UpstreamIncarnation {
+            address: "10.0.0.1:8000".parse().unwrap(),
+            started_unix_ms: Some(1_790_000_000_000),
+        },
+        rate,
+    }
+}
+
+/// Guards against a limit that changes on its way to a peer, and against one that is no rate.
+#[rstest]
+#[case::named(Some(1.7), true)]
+#[case::ended(None, true)]
+#[case::negative(Some(-1.0), false)]
+#[case::not_a_number(Some(f64::NAN), false)]
+fn limit_changes_on_its_way(#[case] rate: Option<f64>, #[case] is_valid: bool) {
+    let report = limit_report(rate);
+    let decoded = decode_limit_report(&encode_limit_report(&report));
+    assert_eq!(decoded, is_valid.then_some(report));
+}
