Refuse requests late in a shutdown that may outlast it

Other operators report that, in a planned stop, requests which came late in the grace time were taken, passed on and cut at its end without an answer. It could happen here: requests that arrive just before idle connections are closed (3.2 s), or whose body is complete only later, with a time limit beyond the end.

Cause: a draining gateway took every request that it had read; nothing compared its time limit with the rest of the shutdown.

Change: from 3 s after the start of a shutdown a request is taken only if its time limit ends before running requests are cut; otherwise it is refused at once as draining (503, not run). Until then requests are taken as before, since the load balancer still sends callers and most requests take far less than their time limit. Connections on which no request has begun were closed before and are (ruled out as a path). The phase of the gateway follows from these times and needs no value of its own.

--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -19,7 +19,7 @@
     connection::{ConnectionOptions, ServerConnections, bind_listener},
     edge::{HeaderNames, PlatformEdge},
     process::{
-        GatewayPhase, GatewaySettings, GatewayState, PeerCommand, SharedLedger, log_event,
+        DrainTimes, GatewaySettings, GatewayState, PeerCommand, SharedLedger, log_event,
         run_blocking, run_ledger, run_peers, serve_documents, sync_blocklist, sync_directory,
         sync_document,
     },
@@ -29,6 +29,10 @@
 /// Time after the start of a shutdown in which new connections still arrive: the load balancer
 /// checks readiness once a second and removes an instance after two failures.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(3_200);
+/// Time after the start of a shutdown from which a request is taken only if its time limit ends
+/// before the shutdown does. Before, callers have no way to choose another instance, and most
+/// requests take far less than their time limit.
+const LATE_AFTER: Duration = Duration::from_secs(3);
 /// Fraction of the grace period that draining may use; the rest is reserved for process exit.
 const GRACE_FRACTION: f64 = 0.95;
 /// Part of the grace period that is reserved for returning token balances.
@@ -161,7 +165,11 @@
     pub async fn close(mut self) {
         let began = Instant::now();
         let end = began + self.state.settings.grace.mul_f64(GRACE_FRACTION);
-        self.state.enter_phase(GatewayPhase::Draining);
+        let requests_end = end - LEDGER_DRAIN_TIME;
+        self.state.start_drain(DrainTimes {
+            late_from: began + LATE_AFTER,
+            end: requests_end,
+        });
         log_event!(DrainStarted, "running={}", self.state.running());
         let deregistration_end = (began + DEREGISTRATION_DELAY).min(end);
         sleep_until(deregistration_end).await;
@@ -171,7 +179,7 @@
             self.callers.wait_closed().await;
             self.state.wait_idle().await;
         };
-        if timeout_at(end - LEDGER_DRAIN_TIME, closed).await.is_err() {
+        if timeout_at(requests_end, closed).await.is_err() {
             log_event!(DrainTimedOut, "running={}", self.state.running());
         }
         self.state.send_peer_command(PeerCommand::Leave);
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -27,6 +27,6 @@
 pub(crate) use metrics::{GatewayMetrics, MetricGauges, PlatformCall, RequestOutcome, TimedStage};
 pub(crate) use peers::{PeerCommand, run_peers};
 pub use settings::GatewaySettings;
-pub(crate) use state::{GatewayPhase, GatewayState, RunningGuard};
+pub(crate) use state::{DrainTimes, GatewayState, RunningGuard};
 pub(crate) use sync::{PlatformOutage, sync_directory, sync_document};
 pub(crate) use version::VersionMonitor;
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -3,8 +3,8 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering},
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -42,14 +42,13 @@
 /// until the membership shows more.
 const INSTANCES_INITIAL: usize = 8;
 
-/// Lifecycle phase of a gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-#[repr(u8)]
-pub(crate) enum GatewayPhase {
-    /// Normal operation.
-    Serving,
-    /// A shutdown was requested: readiness fails, but requests are still served.
-    Draining,
+/// Times of a shutdown that decide which requests are still taken.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DrainTimes {
+    /// Time from which the load balancer sends no new callers.
+    pub(crate) late_from: Instant,
+    /// Time at which running requests are cut.
+    pub(crate) end: Instant,
 }
 
 /// Shared state of one gateway.
@@ -79,7 +78,8 @@
     has_directory: AtomicBool,
     has_blocklist: AtomicBool,
     confirmed_us: AtomicU64,
-    phase: AtomicU8,
+    /// Set once a shutdown has begun: readiness fails, but requests are still served.
+    drain: OnceLock<DrainTimes>,
     running: AtomicUsize,
     idle: watch::Sender<()>,
     started: Instant,
@@ -122,7 +122,7 @@
             has_directory: AtomicBool::new(false),
             has_blocklist: AtomicBool::new(false),
             confirmed_us: AtomicU64::new(0),
-            phase: AtomicU8::new(GatewayPhase::Serving as u8),
+            drain: OnceLock::new(),
             running: AtomicUsize::new(0),
             idle: watch::Sender::new(()),
             started: Instant::now(),
@@ -136,15 +136,22 @@
         MonotonicTime::from_micros(micros)
     }
 
-    pub(crate) fn phase(&self) -> GatewayPhase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => GatewayPhase::Serving,
-            _ => GatewayPhase::Draining,
-        }
+    /// Returns whether a shutdown has begun.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.drain.get().is_some()
+    }
+
+    /// Begins a shutdown.
+    pub(crate) fn start_drain(&self, times: DrainTimes) {
+        // A second shutdown has no effect.
+        let _ = self.drain.set(times);
     }
 
-    pub(crate) fn enter_phase(&self, phase: GatewayPhase) {
-        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    /// Returns whether a request may be taken that ends at `deadline` at the latest. Late in a
+    /// shutdown, one that may run longer would be cut.
+    pub(crate) fn admits(&self, deadline: Instant) -> bool {
+        let drain = self.drain.get();
+        drain.is_none_or(|drain| Instant::now() < drain.late_from || deadline <= drain.end)
     }
 
     /// Activates a configuration unless the active one is as new. Returns whether it was activated.
@@ -276,7 +283,7 @@
 
     /// Returns whether the instance should get new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase() == GatewayPhase::Serving
+        !self.is_draining()
             && self.has_directory.load(Ordering::Acquire)
             && self.has_blocklist.load(Ordering::Acquire)
             && self.document.load().is_some()
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    process::{GatewayPhase, GatewayState, RequestOutcome, TimedStage, log_event},
+    process::{GatewayState, RequestOutcome, TimedStage, log_event},
     request::{
         RequestRefusal, ResponseBody,
         call::respond_buffered,
@@ -60,7 +60,7 @@
             refusal.into_response(rand::rng().random())
         }
     };
-    if state.phase() != GatewayPhase::Serving {
+    if state.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -95,6 +95,9 @@
     let guard = state.start_request();
     let exchange = open_exchange(state, request, started).await?;
     *kind = Some(exchange.rule.kind);
+    if !state.admits(exchange.hard_deadline) {
+        return Err(ErrorKind::Draining.into());
+    }
     exchange.state.record_request(&exchange.service.name);
     exchange.check_content(&RequestExchange::new_history())?;
     let bill = exchange.reserve().await?;
