Bound the rate of a limit that an upstream names

Change: rates above a million a second count as a million. A version of the test with usize::MAX instances failed as well; that number comes from live members and cannot occur.

--- a/crates/core/src/notice/share.rs
+++ b/crates/core/src/notice/share.rs
@@ -7,6 +7,8 @@
 /// Lowest rate in requests a second that is applied, whatever an upstream names. Without any
 /// request, no response could tell that the limit has ended.
 const RATE_MIN: f64 = 0.1;
+/// Highest rate in requests a second that is told apart from no limit.
+const RATE_MAX: f64 = 1e6;
 /// Time for which a part that was not used can still be used. It bounds the requests of many
 /// instances that become busy at the same time.
 const KEEP_TIME: Duration = Duration::from_secs(1);
@@ -103,7 +105,7 @@
 }
 
 fn share_interval(rate: f64, instances: usize) -> Duration {
-    Duration::from_secs_f64(instances.max(1) as f64 / rate.max(RATE_MIN))
+    Duration::from_secs_f64(instances.max(1) as f64 / rate.clamp(RATE_MIN, RATE_MAX))
 }
 
 /// Counts the requests of the last seconds in steps of half a window.
--- a/crates/core/tests/notices.rs
+++ b/crates/core/tests/notices.rs
@@ -202,3 +202,22 @@
     let chosen = choose(&table, at(100)).expect("upstreams are usable");
     assert_eq!(chosen.upstream, UpstreamName::new("u"));
 }
+
+/// Guards against a limit that ends the process, because it is absurdly large or small.
+#[rstest]
+fn absurd_limit_stops_the_process(#[values(0.0, 1e-300, 1e9, 1e300, f64::MAX)] rate: f64) {
+    let mut table = table();
+    for (sent, instances) in [(0, 100_000), (1, 1)] {
+        table.set_instances(instances);
+        let Ok(placement) = choose(&table, at(sent)) else {
+            continue;
+        };
+        let flight = table.start(&placement, &RequestSize::default(), false, at(sent));
+        let notice = UpstreamNotice {
+            limit: LimitNotice::Rate(rate),
+            ..UpstreamNotice::default()
+        };
+        table.record_notice(flight, &notice, at(sent));
+        let _ = choose(&table, at(60_000));
+    }
+}
