--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -41,7 +41,7 @@
     ContentBlocked => 2303, Warn, "content blocked";
     /// Requests with this content are served again.
     ContentUnblocked => 2304, Info, "content unblocked";
-    /// A response says that its upstream leaves or wants no requests for some time.
+    /// A response says that its upstream leaves, pauses or limits its requests.
     NoticeReceived => 2305, Info, "notice of an upstream";
     /// A header about the state of an upstream cannot be used.
     NoticeRejected => 2306, Warn, "notice of an upstream rejected";
