--- a/review/tests/stand_in.rs
+++ b/review/tests/stand_in.rs
@@ -23,7 +23,10 @@
 // ---------------------------------------------------------------------------------------- time
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 fn sleep_ms(ms: u64) {
@@ -130,7 +133,10 @@
             headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
         }
     }
-    Ok(Some(Head { first: first.trim_end().to_owned(), headers }))
+    Ok(Some(Head {
+        first: first.trim_end().to_owned(),
+        headers,
+    }))
 }
 
 /// Reads a body with a length or in chunks. Returns whether it is complete. `seen` gets each part.
@@ -188,7 +194,12 @@
         let Some(head) = read_head(&mut reader)? else {
             return Ok(());
         };
-        answer.status = head.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        answer.status = head
+            .first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0);
         let mut body = Vec::new();
         let complete = read_body(&mut reader, &head, |part| body.extend_from_slice(part));
         answer.body = body;
@@ -293,8 +304,10 @@
         let mut words = head.first.split(' ');
         let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: HashMap<&str, &str> =
-            query.split('&').filter_map(|field| field.split_once('=')).collect();
+        let query: HashMap<&str, &str> = query
+            .split('&')
+            .filter_map(|field| field.split_once('='))
+            .collect();
         let Some(path) = path.strip_prefix("/v1/objects/") else {
             return (404, "{}".to_owned());
         };
@@ -330,7 +343,9 @@
             true => self.lag_ms.load(Ordering::SeqCst),
             false => 0,
         };
-        Instant::now().checked_sub(Duration::from_millis(lag)).unwrap_or_else(Instant::now)
+        Instant::now()
+            .checked_sub(Duration::from_millis(lag))
+            .unwrap_or_else(Instant::now)
     }
 
     /// Returns the objects of a kind and the revision that they reflect.
@@ -356,11 +371,17 @@
 
     fn list(&self, kind: &str, after: Option<&str>, is_stale: bool) -> (u16, String) {
         let (as_of, objects) = self.objects(kind, is_stale);
-        let entries = objects.iter().filter(|(name, _)| after.is_none_or(|after| &***name > after));
-        let entries: Vec<String> =
-            entries.map(|(name, (revision, spec))| object(name, *revision, spec)).collect();
+        let entries = objects
+            .iter()
+            .filter(|(name, _)| after.is_none_or(|after| &***name > after));
+        let entries: Vec<String> = entries
+            .map(|(name, (revision, spec))| object(name, *revision, spec))
+            .collect();
         let entries = entries.join(",");
-        (200, format!("{{\"Entries\":[{entries}],\"HasMore\":false,\"AsOf\":{as_of}}}"))
+        (
+            200,
+            format!("{{\"Entries\":[{entries}],\"HasMore\":false,\"AsOf\":{as_of}}}"),
+        )
     }
 
     fn watch(&self, kind: &str, revision: u64, wait: u64, is_stale: bool) -> (u16, String) {
@@ -369,18 +390,28 @@
         loop {
             let until = self.visible_before(is_stale);
             let visible = state.changes.iter().take_while(|change| change.at <= until);
-            let as_of = visible.clone().last().map_or(1, |change| change.revision).max(revision);
+            let as_of = visible
+                .clone()
+                .last()
+                .map_or(1, |change| change.revision)
+                .max(revision);
             let events: Vec<String> = visible
                 .filter(|change| change.kind == kind && change.revision > revision)
                 .map(|change| {
                     let spec = change.spec.as_deref().unwrap_or("null");
                     let object = object(&change.name, change.revision, spec);
-                    format!("{{\"Tombstone\":{},\"Object\":{object}}}", change.spec.is_none())
+                    format!(
+                        "{{\"Tombstone\":{},\"Object\":{object}}}",
+                        change.spec.is_none()
+                    )
                 })
                 .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                return (200, format!("{{\"events\":[{}],\"AsOf\":{as_of}}}", events.join(",")));
+                return (
+                    200,
+                    format!("{{\"events\":[{}],\"AsOf\":{as_of}}}", events.join(",")),
+                );
             }
             // A lagging reader sees a change later than the wake-up for it.
             let pause = (end - now).min(Duration::from_millis(20));
@@ -391,12 +422,22 @@
     fn write(&self, is_new: bool, kind: &str, name: Option<&str>, body: &str) -> (u16, String) {
         let members = json_members(body);
         let metadata = json_members(members.get("Metadata").map_or("{}", String::as_str));
-        let named = metadata.get("Name").map(|text| unquote(text)).unwrap_or_default();
+        let named = metadata
+            .get("Name")
+            .map(|text| unquote(text))
+            .unwrap_or_default();
         let name = name.map_or(named, str::to_owned);
         let expected: Option<u64> = metadata.get("Revision").and_then(|text| text.parse().ok());
-        let spec = members.get("Spec").cloned().unwrap_or_else(|| "null".to_owned());
+        let spec = members
+            .get("Spec")
+            .cloned()
+            .unwrap_or_else(|| "null".to_owned());
         let mut state = self.state.lock().unwrap();
-        let present = state.changes.iter().rev().find(|c| c.kind == kind && c.name == name);
+        let present = state
+            .changes
+            .iter()
+            .rev()
+            .find(|c| c.kind == kind && c.name == name);
         let present = present.and_then(|c| c.spec.clone().map(|spec| (c.revision, spec)));
         match (&present, is_new) {
             (Some((revision, spec)), true) => return (409, object(&name, *revision, spec)),
@@ -486,7 +527,10 @@
             self.sequence.load(Ordering::SeqCst),
             self.born,
         );
-        let body = format!("{{\"Metadata\":{{\"Name\":\"{}\"}},\"Spec\":{spec}}}", self.id);
+        let body = format!(
+            "{{\"Metadata\":{{\"Name\":\"{}\"}},\"Spec\":{spec}}}",
+            self.id
+        );
         let (method, path) = match is_new {
             true => ("POST", "servers".to_owned()),
             false => ("PUT", format!("servers/{}", self.id)),
@@ -537,7 +581,11 @@
             stream.write_all(text.as_bytes())?;
             return Ok(true);
         }
-        tell(&format!("RUN {id} {} after {}", head.first, head.get("last-event-id")));
+        tell(&format!(
+            "RUN {id} {} after {}",
+            head.first,
+            head.get("last-event-id")
+        ));
         if head.get("cornelarch-prefix-hash").contains(POISON) {
             // The prompt is read; the runner crashes as it begins to write its answer.
             sleep_ms(15);
@@ -568,7 +616,10 @@
         common: &str,
         id: &str,
     ) -> io::Result<bool> {
-        let numbers: Vec<u64> = body.split(' ').filter_map(|text| text.parse().ok()).collect();
+        let numbers: Vec<u64> = body
+            .split(' ')
+            .filter_map(|text| text.parse().ok())
+            .collect();
         let &[pieces, gap] = &numbers[..] else {
             sleep_ms(numbers.first().copied().unwrap_or(10));
             let text = format!("answer to {id}");
@@ -674,6 +725,12 @@
 
 // --------------------------------------------------------------------------------------- fleet
 
+fn send_signal(name: &str, pid: u32) {
+    let _ = Command::new("sh")
+        .args(["-c", &format!("kill -{name} {pid}")])
+        .status();
+}
+
 /// Processes that run, so that none is left if the case takes too long.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -700,12 +757,14 @@
     fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        PROCESSES.lock().unwrap().retain(|pid| *pid != self.child.id());
+        PROCESSES
+            .lock()
+            .unwrap()
+            .retain(|pid| *pid != self.child.id());
     }
 
     fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        send_signal(name, self.child.id());
     }
 }
 
@@ -725,7 +784,11 @@
     /// Returns the lines that contain a text, with their times.
     fn find(&self, text: &str) -> Vec<(u64, String)> {
         let lines = self.0.lock().unwrap();
-        lines.iter().filter(|(_, line)| line.contains(text)).cloned().collect()
+        lines
+            .iter()
+            .filter(|(_, line)| line.contains(text))
+            .cloned()
+            .collect()
     }
 }
 
@@ -851,8 +914,9 @@
     /// Writes the settings file of an instance and returns its path.
     fn write_settings(&self, number: usize, zone: &str) -> std::path::PathBuf {
         let own = ip(self.network, 10 + number as u8);
-        let seeds: Vec<String> =
-            (0..3).map(|n| format!("{}:8748", ip(self.network, 10 + n))).collect();
+        let seeds: Vec<String> = (0..3)
+            .map(|n| format!("{}:8748", ip(self.network, 10 + n)))
+            .collect();
         let mut text = format!(
             "Node=edge-{number}\nRole=edge\nMachineClass=edge\nServes=edge,control_plane\nIp={own}\n\
              Zone={zone}\nRegion=region\nListen.Front={own}:8740\nListen.Ready={own}:8749\n\
@@ -909,7 +973,9 @@
         self.edges[number].kill();
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         let path = temporary.join(format!("edge-{number}.conf"));
-        let log = File::options().append(true).open(temporary.join(format!("edge-{number}.log")));
+        let log = File::options()
+            .append(true)
+            .open(temporary.join(format!("edge-{number}.log")));
         let log = log.unwrap();
         let child = Command::new(&self.edge)
             .env("CORNELARCH_BOOT", &path)
@@ -994,7 +1060,10 @@
         body: &str,
         deadline_ms: u64,
     ) -> mpsc::Receiver<(String, Answer)> {
-        let id = format!("{:016x}", self.next_id.fetch_add(1, Ordering::SeqCst) * 0x1_0001);
+        let id = format!(
+            "{:016x}",
+            self.next_id.fetch_add(1, Ordering::SeqCst) * 0x1_0001
+        );
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: app.example\r\nCornelarch-Attempt-Id: {id}\r\n\
              Cornelarch-Deadline-Ms: {deadline_ms}\r\nX-Api-Key: {KEY}{}\r\n{headers}\
@@ -1035,7 +1104,13 @@
              Cornelarch-Prefix-Hash: {part:x}:198,{subject:x}:100,{own:x}:528\r\n",
             pieces * 6
         );
-        self.send(edge, ("POST", path), &headers, &format!("{pieces} {gap} x{own:x}"), 12_000)
+        self.send(
+            edge,
+            ("POST", path),
+            &headers,
+            &format!("{pieces} {gap} x{own:x}"),
+            12_000,
+        )
     }
 
     /// Writes the record, in the order of time, with `verdict` at its end.
@@ -1119,11 +1194,16 @@
     for number in 0..180 {
         let path = ["/ask/a", "/plan/a"][number % 2];
         let part = 0x5c1e_0000 + number as u64;
-        streams.push((pieces, fleet.send_stream(number % 3, path, (part, pieces, gap))));
+        streams.push((
+            pieces,
+            fleet.send_stream(number % 3, path, (part, pieces, gap)),
+        ));
         sleep_ms(8);
     }
     if trouble {
-        fleet.record.add("TROUBLE runner i-m2 reports that it is draining");
+        fleet
+            .record
+            .add("TROUBLE runner i-m2 reports that it is draining");
         fleet.runners.get_mut("i-m2").unwrap().say("drain");
         sleep_ms(2_000);
         fleet.record.add("TROUBLE runner i-m2 is gone");
@@ -1194,13 +1274,18 @@
     }
     if trouble {
         fleet.store.lag_ms.store(3_000, Ordering::SeqCst);
-        fleet.record.add("TROUBLE reads with AllowStale return what was 3 s ago");
+        fleet
+            .record
+            .add("TROUBLE reads with AllowStale return what was 3 s ago");
     }
     if !fleet.wait_ready() {
         return Err("not ready".to_owned());
     }
     for edge in 0..4 {
-        let (_, answer) = fleet.send(edge, ("POST", "/order/x"), "", "60", 1_500).recv().unwrap();
+        let (_, answer) = fleet
+            .send(edge, ("POST", "/order/x"), "", "60", 1_500)
+            .recv()
+            .unwrap();
         if answer.status != 200 {
             return Err(format!("edge-{edge} does not serve: {}", answer.status));
         }
@@ -1209,7 +1294,11 @@
     fleet.runners.get_mut("i-o0").unwrap().say("drain");
     let end = unix_ms() + 2_000;
     let acked = loop {
-        if let Some((at, _)) = fleet.record.find("runner i-o0: DRAINING accepted=true").first() {
+        if let Some((at, _)) = fleet
+            .record
+            .find("runner i-o0: DRAINING accepted=true")
+            .first()
+        {
             break *at;
         }
         if unix_ms() > end {
@@ -1233,8 +1322,12 @@
         lost += usize::from(answer.status != 200 && answer.status != 503);
     }
     let ran = fleet.record.find("runner i-o0: RUN");
-    let late: Vec<u64> =
-        ran.iter().map(|(at, _)| *at).filter(|at| *at > acked + 2_000).map(|at| at - acked).collect();
+    let late: Vec<u64> = ran
+        .iter()
+        .map(|(at, _)| *at)
+        .filter(|at| *at > acked + 2_000)
+        .map(|at| at - acked)
+        .collect();
     Ok((
         late.is_empty(),
         format!(
@@ -1260,7 +1353,11 @@
     }
     let (pieces, gap, part) = (44, 240, COMMON_PART);
     // A request with the part is served well before the crashes.
-    let first = fleet.send_stream(0, "/ask/a", (part, 5, 50)).recv().unwrap().1;
+    let first = fleet
+        .send_stream(0, "/ask/a", (part, 5, 50))
+        .recv()
+        .unwrap()
+        .1;
     if first.status != 200 || !first.is_complete {
         return Err(format!("edge-0 does not serve: {}", first.status));
     }
@@ -1288,7 +1385,9 @@
         total += 1;
         if (300..500).contains(&answer.status) && ![408, 421, 429].contains(&answer.status) {
             denied += 1;
-            fleet.record.add(format!("BREACH client {id}: denied with {}", answer.status));
+            fleet
+                .record
+                .add(format!("BREACH client {id}: denied with {}", answer.status));
         }
         // The request had reached a runner that lives, and the gateway closed its channel.
         let cancelled = fleet.record.find(&format!("CANCELLED {id}"));
@@ -1347,7 +1446,10 @@
         sleep_until(start + 100 * (tick + 1));
     }
     let read = |requests: Vec<mpsc::Receiver<(String, Answer)>>| -> Vec<Answer> {
-        requests.into_iter().map(|request| request.recv().unwrap().1).collect()
+        requests
+            .into_iter()
+            .map(|request| request.recv().unwrap().1)
+            .collect()
     };
     let (sound, batch) = (read(sound), read(batch));
     let is_whole = |answer: &&Answer| answer.status == 200 && answer.is_complete;
@@ -1355,9 +1457,15 @@
     let crashes = fleet.record.find("CRASH ");
     let bound = crashes.get(4).map_or(u64::MAX, |(fifth, _)| fifth + 3_000);
     // The request reached its runner when it began there, 15 ms before the crash.
-    let late = crashes.iter().filter(|(at, _)| *at > bound.saturating_add(15)).count();
+    let late = crashes
+        .iter()
+        .filter(|(at, _)| *at > bound.saturating_add(15))
+        .count();
     let mut lost = sound.iter().filter(|answer| !is_whole(answer));
-    let lost = lost.by_ref().filter(|answer| answer.ended_ms > bound).count();
+    let lost = lost
+        .by_ref()
+        .filter(|answer| answer.ended_ms > bound)
+        .count();
     Ok((
         late <= 3 && (trouble || whole == batch.len()),
         format!(
@@ -1410,7 +1518,10 @@
         let events = event_ids(&answer.body).len() as u64;
         tokens += if events > 0 { 826 + events * 6 } else { 0 };
     }
-    Ok((tokens <= prepaid, format!("{tokens} of {prepaid} tokens used; {statuses:?}")))
+    Ok((
+        tokens <= prepaid,
+        format!("{tokens} of {prepaid} tokens used; {statuses:?}"),
+    ))
 }
 
 /// The settings name another rate of the store, and the instances are restarted in turn.
@@ -1443,10 +1554,14 @@
         }
     };
     spend(fleet, &mut used);
-    fleet.record.add(format!("used before the restarts: {used:?}"));
+    fleet
+        .record
+        .add(format!("used before the restarts: {used:?}"));
     let before = used;
     if trouble {
-        fleet.record.add("TROUBLE the settings name 3,200 writes a second instead of 400");
+        fleet
+            .record
+            .add("TROUBLE the settings name 3,200 writes a second instead of 400");
         fleet.writes_per_s.store(3_200, Ordering::SeqCst);
         for (number, zone) in ZONES.into_iter().enumerate() {
             fleet.write_settings(number, zone);
@@ -1482,7 +1597,7 @@
     thread::spawn(|| {
         sleep_ms(110_000);
         for pid in PROCESSES.lock().unwrap().iter() {
-            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+            send_signal("KILL", *pid);
         }
         println!("NOT RUN: the time is over");
         std::process::exit(2);
