Do not take the end of a leaving upstream for the end of its answer

Callers saw: a stream without a length or chunks looked complete (200, whole framing) with about half of its events. It came from an upstream that had announced its shutdown and ended while the stream ran. It was not resumed.

Cause: such an answer ends with its connection, and the operating system closes the connection both at the end of the answer and at the end of the process. The gateway asked which of them it was only for upstreams that are listed as ready; for all others the end counted as the end of the answer, because an upstream that leaves may refuse new connections and yet serve to the end. So the choice was between losing complete answers and passing on parts as whole ones.

Change: the gateway keeps a second, silent connection to the upstream while an answer without a length runs. If new connections are refused at the end of the answer, the second one decides: the process runs if and only if it stays open. Ruled out: to ask for a new connection alone (the test with an upstream that refuses them and serves to the end fails), and the answer of a health probe (costs a request, and needs a port that accepts).

E2407 names the upstream and whether the stream ended with its connection, without which the two cases cannot be told apart in logs.

Not covered: an upstream that ends within 5 ms of the last byte of a complete answer counts as broken off.

--- a/crates/gateway/src/process/crash.rs
+++ b/crates/gateway/src/process/crash.rs
@@ -1,29 +1,24 @@
 //! Crashes of upstreams, and content that is blocked because of them.
 
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
     base::{MonotonicTime, UpstreamName},
     blocklist::content::{
         BlockedContent, ContentKey, ContentOptions, ContentReport, ContentTable, CrashName,
     },
-    placement::PlacementKey,
 };
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
-use crate::{
-    connection::connect,
-    process::{GatewayState, PeerCommand, log_event},
+use crate::process::{
+    GatewayState, PeerCommand, log_event,
+    witness::{GATHER_TIME, UpstreamStatus, check_upstream},
 };
 
-/// Time in which the other requests at a lost upstream notice the loss as well.
-const GATHER_TIME: Duration = Duration::from_millis(5);
 /// Time from the first report of a crash until content is blocked, in which the reports of the
 /// other instances arrive.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
-/// Connect timeout of the check whether an upstream has crashed.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A request that was lost in flight.
 #[derive(Clone, Debug)]
@@ -125,16 +120,6 @@
         }
     }
 
-    /// Returns whether a response that ended with its connection is complete. If its upstream does
-    /// not run any more, it may have broken off.
-    pub(crate) async fn is_complete(&self, key: PlacementKey, address: SocketAddr) -> bool {
-        // An upstream that is leaving refuses connections although it serves to the end.
-        if !self.placement.lock().is_listed(key) {
-            return true;
-        }
-        matches!(check_upstream(address).await, UpstreamStatus::Running)
-    }
-
     /// Records the loss of a request. If the upstream has crashed, its content is charged with it.
     pub(crate) fn record_loss(self: &Arc<Self>, lost: LostRequest) {
         let mut unconfirmed = self.crashes.unconfirmed.lock();
@@ -197,25 +182,9 @@
     !added.is_empty() || !removed.is_empty()
 }
 
-/// Whether the process of an upstream runs.
-enum UpstreamStatus {
-    Running,
-    Ended,
-    Unknown(io::Error),
-}
-
-/// Checks whether the process of an upstream runs. One that has ended refuses connections, and one
-/// behind a partition neither refuses nor accepts them.
-async fn check_upstream(address: SocketAddr) -> UpstreamStatus {
-    match connect(address, CONFIRM_TIMEOUT).await {
-        Ok(_) => UpstreamStatus::Running,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => UpstreamStatus::Ended,
-        Err(error) => UpstreamStatus::Unknown(error),
-    }
-}
-
 /// Checks whether a lost upstream has crashed, or has only lost an answer or a connection.
 async fn confirm_crash(state: Arc<GatewayState>, lost: LostRequest) {
+    // The other requests at the upstream notice the loss as well.
     tokio::time::sleep(GATHER_TIME).await;
     let status = check_upstream(lost.address).await;
     let content = state.crashes.unconfirmed.lock().remove(&lost.crash);
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod state;
 mod sync;
 mod version;
+mod witness;
 
 pub(crate) use blocklist::sync_blocklist;
 pub(crate) use crash::{CrashMonitor, LostRequest, run_blocking};
@@ -30,3 +31,4 @@
 pub(crate) use state::{DrainTimes, GatewayState, RunningGuard};
 pub(crate) use sync::{PlatformOutage, sync_directory, sync_document};
 pub(crate) use version::VersionMonitor;
+pub(crate) use witness::ProcessWitness;
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -85,16 +85,18 @@
 ) -> Result<BufferedResponse, FlightOutcome> {
     let OpenResponse { attempt, flight } = opened;
     let (parts, body) = attempt.response.into_parts();
-    let is_unframed = is_unframed(&parts.headers, &body);
+    let witness = flight.watch_process(is_unframed(&parts.headers, &body));
     let collected = timeout_at(
         exchange.hard_deadline,
         Limited::new(body, RESPONSE_MAX).collect(),
     )
     .await;
+    let is_complete = match witness {
+        Some(witness) if matches!(collected, Ok(Ok(_))) => witness.has_survived().await,
+        _ => true,
+    };
     let (end, reason) = match collected {
-        Ok(Ok(_)) if !flight.is_complete(is_unframed).await => {
-            (FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned())
-        }
+        Ok(Ok(_)) if !is_complete => (FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned()),
         Ok(Ok(body)) => {
             let pool = &exchange.state.pool;
             pool.release(&flight.upstream, attempt.connection, &parts.headers);
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 
 use crate::{
-    process::{GatewayState, LostRequest, PeerCommand, log_event},
+    process::{GatewayState, LostRequest, PeerCommand, ProcessWitness, log_event},
     request::head::read_load,
 };
 
@@ -110,10 +110,10 @@
         }
     }
 
-    /// Returns whether the response is complete after its last byte. One without a length or chunks
-    /// ends with its connection, whether it is complete or the upstream has crashed.
-    pub(crate) async fn is_complete(&self, is_unframed: bool) -> bool {
-        !is_unframed || self.state.is_complete(self.key, self.lost.address).await
+    /// Starts to watch the process of the upstream if the response ends with its connection, which is
+    /// closed both at the end of the response and at the end of the process.
+    pub(crate) fn watch_process(&self, is_unframed: bool) -> Option<ProcessWitness> {
+        is_unframed.then(|| ProcessWitness::spawn(self.lost.address))
     }
 
     /// Records how the request ended.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     connection::PooledConnection,
-    process::{RequestOutcome, RunningGuard, TimedStage, log_event},
+    process::{ProcessWitness, RequestOutcome, RunningGuard, TimedStage, log_event},
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
@@ -61,17 +61,29 @@
     headers: http::HeaderMap,
     flight: InFlightRequest,
     is_unframed: bool,
+    /// Watches the upstream until the end of a response without a length or chunks.
+    witness: Option<ProcessWitness>,
 }
 
 impl UpstreamBody {
     fn open(opened: OpenResponse) -> Self {
         let (parts, body) = opened.attempt.response.into_parts();
+        let is_unframed = is_unframed(&parts.headers, &body);
         Self {
-            is_unframed: is_unframed(&parts.headers, &body),
+            witness: opened.flight.watch_process(is_unframed),
             body,
             connection: opened.attempt.connection,
             headers: parts.headers,
             flight: opened.flight,
+            is_unframed,
+        }
+    }
+
+    /// Returns whether the response is complete after its last byte.
+    async fn is_complete(&mut self) -> bool {
+        match self.witness.take() {
+            Some(witness) => witness.has_survived().await,
+            None => true,
         }
     }
 }
@@ -160,11 +172,9 @@
                     }
                 }
                 NextChunk::End => {
+                    self.log_end();
                     self.finish_upstream(FlightOutcome::Answered, true);
                     self.is_finished = true;
-                    let ms = self.exchange.started.elapsed().as_millis();
-                    let (id, events) = (self.exchange.id(), self.events);
-                    log_event!(StreamEnded, "id={id} events={events} ms={ms}");
                 }
                 NextChunk::Broken(end, reason) => {
                     if let Err(error) = self.resume(end, &reason).await {
@@ -175,6 +185,19 @@
         }
     }
 
+    fn log_end(&self) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        let (id, events) = (self.exchange.id(), self.events);
+        let ms = self.exchange.started.elapsed().as_millis();
+        let (name, is_unframed) = (&upstream.flight.upstream, upstream.is_unframed);
+        log_event!(
+            StreamEnded,
+            "id={id} events={events} ms={ms} upstream={name} unframed={is_unframed}"
+        );
+    }
+
     /// Returns whether a response that only ends with its connection has no event.
     fn is_empty_unframed(&self) -> bool {
         let upstream = self.upstream.as_ref();
@@ -221,7 +244,7 @@
                 Err(_) => NextChunk::Data(Bytes::new()),
             },
             Ok(Some(Err(error))) => NextChunk::Broken(FlightOutcome::Lost, error.to_string()),
-            Ok(None) if upstream.flight.is_complete(upstream.is_unframed).await => NextChunk::End,
+            Ok(None) if upstream.is_complete().await => NextChunk::End,
             Ok(None) => NextChunk::Broken(FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned()),
             Err(_) => NextChunk::Broken(
                 FlightOutcome::TimedOut,
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -4,7 +4,7 @@
     collections::VecDeque,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU32, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -61,6 +61,8 @@
     EndlessHead,
     /// Sends these texts without a length or chunks and ends in this way.
     Unframed(Vec<String>, UnframedEnd),
+    /// As [`Reply::Unframed`], with additional header lines.
+    UnframedWith(&'static str, Vec<String>, UnframedEnd),
     /// Sends the head of an event stream; then the process ends: all connections are closed and the
     /// port refuses new ones.
     Crash,
@@ -75,6 +77,10 @@
     Reset,
     /// The process ends, which closes the connection as well.
     Crashed,
+    /// The process ends, and another one accepts connections at its address at once.
+    Restarted,
+    /// The upstream refuses new connections, but sends the response to its end.
+    Refusing,
 }
 
 /// A request as an upstream received it.
@@ -109,6 +115,9 @@
     /// Prompt part or path of the requests that crash the upstream.
     deadly: Mutex<Option<String>>,
     crashed: CancellationToken,
+    /// Cancelled once the port refuses new connections.
+    refusing: CancellationToken,
+    address: OnceLock<SocketAddr>,
     /// Time from a deadly request until the upstream crashes, unless the connection is closed.
     crash_delay: Mutex<Duration>,
 }
@@ -151,25 +160,8 @@
             replies: Mutex::new(replies.into()),
             ..UpstreamState::default()
         });
-        let server_state = Arc::clone(&state);
-        tokio::spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    () = server_state.crashed.cancelled() => return,
-                };
-                let Ok((stream, _)) = accepted else { return };
-                server_state.connections.fetch_add(1, Ordering::SeqCst);
-                let connection_state = Arc::clone(&server_state);
-                tokio::spawn(async move {
-                    let crashed = connection_state.crashed.clone();
-                    tokio::select! {
-                        () = serve(stream, connection_state) => {}
-                        () = crashed.cancelled() => {}
-                    }
-                });
-            }
-        });
+        state.address.set(address).expect("is set once");
+        tokio::spawn(accept(listener, Arc::clone(&state)));
         Self { address, state }
     }
 
@@ -217,6 +209,46 @@
     }
 }
 
+/// Serves connections until the process ends or refuses them.
+async fn accept(listener: TcpListener, state: Arc<UpstreamState>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.crashed.cancelled() => return,
+            () = state.refusing.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else { return };
+        state.connections.fetch_add(1, Ordering::SeqCst);
+        let connection_state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let crashed = connection_state.crashed.clone();
+            tokio::select! {
+                () = serve(stream, connection_state) => {}
+                () = crashed.cancelled() => {}
+            }
+        });
+    }
+}
+
+/// Ends the process and starts another one at its address.
+async fn restart(state: &UpstreamState) {
+    let address = *state.address.get().expect("is set");
+    state.refusing.cancel();
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    tokio::spawn(async move {
+        let mut connections = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            connections.push(stream);
+        }
+    });
+    state.crashed.cancel();
+}
+
 async fn serve(mut stream: TcpStream, state: Arc<UpstreamState>) {
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
@@ -270,7 +302,12 @@
         "HTTP/1.1 200 OK\r\nt-attempt: {id}\r\nt-seal: seal-{id}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     let is_reset = matches!(reply, Reply::PacedReset(..));
+    let reply = match reply {
+        Reply::Unframed(texts, end) => Reply::UnframedWith("", texts, end),
+        other => other,
+    };
     let text = match reply {
+        Reply::Unframed(..) => unreachable!("is replaced above"),
         Reply::Answer(status, body) => response_text(id, status, "", body),
         Reply::AnswerWith(status, headers, body) => response_text(id, status, headers, body),
         Reply::Refuse => response_text(id, 503, "t-not-run: 1\r\n", ""),
@@ -339,13 +376,19 @@
             state.crashed.cancel();
             return false;
         }
-        Reply::Unframed(texts, end) => {
-            let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
+        Reply::UnframedWith(headers, texts, end) => {
+            let head = stream_head.replace("transfer-encoding: chunked\r\n", headers);
             let _ = stream.write_all((head + &texts.concat()).as_bytes()).await;
             let _ = stream.flush().await;
+            if end == UnframedEnd::Refusing {
+                // The gateway has received the head by then.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                state.refusing.cancel();
+            }
             tokio::time::sleep(Duration::from_millis(50)).await;
             match end {
-                UnframedEnd::Closed => {}
+                UnframedEnd::Closed | UnframedEnd::Refusing => {}
+                UnframedEnd::Restarted => restart(state).await,
                 UnframedEnd::Reset => {
                     let _ = stream.set_zero_linger();
                 }
--- a/crates/gateway/tests/unframed.rs
+++ b/crates/gateway/tests/unframed.rs
@@ -5,6 +5,8 @@
 use common::{FakeUpstream, Fixture, FixtureOptions, Reply, UnframedEnd};
 use rstest::rstest;
 
+const LEAVING: &str = "t-leaving: 1\r\n";
+
 fn events(range: std::ops::Range<u32>) -> Vec<String> {
     range
         .map(|id| format!("id: {id}\ndata: t{id}\n\n"))
@@ -51,6 +53,30 @@
     assert_eq!(fetch(path, Reply::Unframed(events(1..4), end)).await, None);
 }
 
+/// Guards against a part of a response that reaches the caller as the whole one when the process of
+/// an upstream ends that has announced its shutdown.
+#[rstest]
+#[tokio::test]
+async fn response_of_a_leaving_upstream_breaks_off_and_looks_complete(
+    #[values("/stream/a", "/again/a", "/once/a")] path: &str,
+    #[values(UnframedEnd::Reset, UnframedEnd::Crashed)] end: UnframedEnd,
+) {
+    let reply = Reply::UnframedWith(LEAVING, events(1..4), end);
+    assert_eq!(fetch(path, reply).await, None);
+}
+
+/// Guards against breaking off a complete response of an upstream that has announced its shutdown,
+/// also if it accepts no more connections.
+#[rstest]
+#[tokio::test]
+async fn complete_response_of_a_leaving_upstream_is_lost(
+    #[values("/stream/a", "/again/a", "/once/a")] path: &str,
+    #[values(UnframedEnd::Closed, UnframedEnd::Refusing)] end: UnframedEnd,
+) {
+    let reply = Reply::UnframedWith(LEAVING, events(1..4), end);
+    assert_eq!(fetch(path, reply).await, Some(events(1..4).concat()));
+}
+
 /// Guards against a stream that ends inside an event, or before the first one, and looks complete.
 #[rstest]
 #[case::inside_an_event(vec!["id: 1\ndata: t1\n\nid: 2\nda".to_owned()])]
