Do not take a restarted upstream for the one that sent an answer

Change: if the second connection to the upstream has ended together with the answer, the process has ended, whoever accepts connections now. A second connection that the upstream closes earlier, as idle, is replaced and tells nothing.

Not covered: a whole answer that arrives while the instance is suspended, head included; the gateway opens its second connection only afterwards. An upstream that closes an idle connection within 50 ms of the end of an answer makes that answer count as broken off.

--- a/crates/gateway/src/process/witness.rs
+++ b/crates/gateway/src/process/witness.rs
@@ -19,8 +19,13 @@
 /// the minimum retransmission timeout of TCP and a round trip.
 const CLOSE_WAIT: Duration = Duration::from_millis(250);
 /// Shortest life of a connection after which another one is opened in its place. Some upstreams
-/// close connections at once on which they get no request.
+/// soon close connections on which they get no request.
 const LIFE_MIN: Duration = Duration::from_millis(500);
+/// Life up to which a connection counts as rejected: the upstream may have too many.
+const REJECTION_TIME: Duration = Duration::from_millis(20);
+/// Longest time between the end of the second connection and that of the response if both ended with
+/// the process. The tasks that notice them may run one after the other.
+const TOGETHER_TIME: Duration = Duration::from_millis(50);
 
 /// Whether the process of an upstream runs.
 pub(super) enum UpstreamStatus {
@@ -41,7 +46,7 @@
 
 /// Second connection to an upstream, on which nothing is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WitnessConnection {
+enum ConnectionPhase {
     Opening,
     Open,
     /// The upstream closed it and refuses another one.
@@ -50,38 +55,52 @@
     Unavailable,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct WitnessState {
+    phase: ConnectionPhase,
+    /// Time at which the upstream last closed an established connection.
+    closed: Option<Instant>,
+}
+
 /// Tells at the end of a response whether the process that sent it still runs.
 ///
 /// The operating system closes all connections of a process that ends, so that one which stays open
 /// proves that the process runs, even if it accepts no more connections.
 pub(crate) struct ProcessWitness {
     address: SocketAddr,
-    connection: watch::Receiver<WitnessConnection>,
+    state: watch::Receiver<WitnessState>,
     _task: AbortOnDropHandle<()>,
 }
 
 impl ProcessWitness {
     /// Opens a connection to the upstream in the background and keeps one open.
     pub(crate) fn spawn(address: SocketAddr) -> Self {
-        let (sender, connection) = watch::channel(WitnessConnection::Opening);
+        let (sender, state) = watch::channel(WitnessState {
+            phase: ConnectionPhase::Opening,
+            closed: None,
+        });
         Self {
             address,
-            connection,
+            state,
             _task: AbortOnDropHandle::new(tokio::spawn(keep_open(address, sender))),
         }
     }
 
     /// Returns whether the process runs that has just ended a response.
     pub(crate) async fn has_survived(mut self) -> bool {
+        let ended = Instant::now();
         sleep(GATHER_TIME).await;
         let status = check_upstream(self.address).await;
-        let connection = *self.connection.borrow_and_update();
-        match (status, connection) {
-            (_, WitnessConnection::Lost) => false,
+        let WitnessState { phase, closed } = *self.state.borrow_and_update();
+        // Another process may have been started at the address before the end was noticed.
+        if closed.is_some_and(|closed| closed + TOGETHER_TIME >= ended) {
+            return false;
+        }
+        match (status, phase) {
+            (_, ConnectionPhase::Lost) => false,
             (UpstreamStatus::Running, _) => true,
-            (UpstreamStatus::Ended, WitnessConnection::Open) => {
-                let closed = self.connection.changed();
-                timeout(CLOSE_WAIT, closed).await.is_err()
+            (UpstreamStatus::Ended, ConnectionPhase::Open) => {
+                timeout(CLOSE_WAIT, self.state.changed()).await.is_err()
             }
             (UpstreamStatus::Ended | UpstreamStatus::Unknown(_), _) => false,
         }
@@ -90,28 +109,27 @@
 
 /// Keeps a connection to an upstream open. Another one is opened when the upstream closes it,
 /// because it may have been idle too long.
-async fn keep_open(address: SocketAddr, state: watch::Sender<WitnessConnection>) {
+async fn keep_open(address: SocketAddr, state: watch::Sender<WitnessState>) {
+    let enter = |phase| state.send_modify(|state| state.phase = phase);
     loop {
-        let opened = connect(address, CHECK_TIMEOUT).await;
-        let stream = match opened {
+        let stream = match connect(address, CHECK_TIMEOUT).await {
             Ok(stream) => stream,
-            Err(error) => {
-                let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
-                state.send_replace(match is_refused {
-                    true => WitnessConnection::Lost,
-                    false => WitnessConnection::Unavailable,
-                });
-                return;
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return enter(ConnectionPhase::Lost);
             }
+            Err(_) => return enter(ConnectionPhase::Unavailable),
         };
-        let opened_at = Instant::now();
-        state.send_replace(WitnessConnection::Open);
+        let opened = Instant::now();
+        enter(ConnectionPhase::Open);
         wait_closed(&stream).await;
-        if opened_at.elapsed() < LIFE_MIN {
-            state.send_replace(WitnessConnection::Unavailable);
-            return;
+        let life = opened.elapsed();
+        if life > REJECTION_TIME {
+            state.send_modify(|state| state.closed = Some(Instant::now()));
+        }
+        if life < LIFE_MIN {
+            return enter(ConnectionPhase::Unavailable);
         }
-        state.send_replace(WitnessConnection::Opening);
+        enter(ConnectionPhase::Opening);
     }
 }
 
--- a/crates/gateway/tests/unframed.rs
+++ b/crates/gateway/tests/unframed.rs
@@ -77,6 +77,20 @@
     assert_eq!(fetch(path, reply).await, Some(events(1..4).concat()));
 }
 
+/// Guards against a part of a response that looks complete because the upstream has been restarted
+/// at the same address before the gateway checks it, such as after a suspension of the gateway.
+#[rstest]
+#[case::listed("")]
+#[case::leaving(LEAVING)]
+#[tokio::test]
+async fn response_of_a_restarted_upstream_breaks_off_and_looks_complete(
+    #[values("/stream/a", "/again/a", "/once/a")] path: &str,
+    #[case] headers: &'static str,
+) {
+    let reply = Reply::UnframedWith(headers, events(1..4), UnframedEnd::Restarted);
+    assert_eq!(fetch(path, reply).await, None);
+}
+
 /// Guards against a stream that ends inside an event, or before the first one, and looks complete.
 #[rstest]
 #[case::inside_an_event(vec!["id: 1\ndata: t1\n\nid: 2\nda".to_owned()])]
