--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -273,7 +273,7 @@
 /// Keeps the upstreams in sync with the platform until the task is dropped.
 pub(crate) async fn sync_directory<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
     let mut monitor = DependencyMonitor::new("directory", Arc::clone(&state));
-    let mut revision = None;
+    let mut revision: Option<u64> = None;
     let mut freshness = ListFreshness::default();
     let mut lapsed: HashSet<UpstreamName> = HashSet::new();
     let mut confirmed = state.confirmed.subscribe();
@@ -292,20 +292,24 @@
                 let age = freshness.next_read_age(&state);
                 let listed = edge.read_directory(age).await;
                 listed.map(|list| {
-                    let is_accepted = freshness.accept(list.revision);
+                    let revision = list.revision;
+                    let is_accepted = freshness.accept(revision);
                     if is_accepted {
-                        apply_list(&state, list.value, &mut lapsed);
+                        let read = DirectoryRead { revision, age };
+                        apply_list(&state, read, list.value, &mut lapsed);
                     }
-                    is_accepted.then_some(list.revision)
+                    is_accepted.then_some(revision)
                 })
             }
             Some(revision) => {
                 let age = routine_read_age(&state);
                 let watched = edge.watch_directory(revision, wait, age).await;
                 watched.map(|change| {
-                    apply_events(&state, change.value, &mut lapsed);
-                    freshness.observe(change.revision);
-                    Some(change.revision)
+                    let revision = change.revision;
+                    let read = DirectoryRead { revision, age };
+                    apply_events(&state, read, change.value, &mut lapsed);
+                    freshness.observe(revision);
+                    Some(revision)
                 })
             }
         };
@@ -343,8 +347,18 @@
     }
 }
 
+/// A read of the directory.
+#[derive(Clone, Copy, Debug)]
+struct DirectoryRead {
+    /// Revision of the directory that was returned.
+    revision: u64,
+    /// How recent the read had to be.
+    age: ReadAge,
+}
+
 fn apply_list(
     state: &GatewayState,
+    read: DirectoryRead,
     records: Vec<UpstreamRecord>,
     lapsed: &mut HashSet<UpstreamName>,
 ) {
@@ -355,16 +369,18 @@
     };
     log_event!(
         DirectoryRead,
-        "upstreams={} gone={} lapsed={}",
+        "upstreams={} gone={} lapsed={} revision={} read={:?}",
         records.len(),
         missing.gone.len(),
-        missing.lapsed.len()
+        missing.lapsed.len(),
+        read.revision,
+        read.age
     );
     for record in records {
         lapsed.remove(&record.name);
         // For the first list, the event above covers all upstreams.
         if !is_first {
-            log_change(state, &record);
+            log_change(state, read, &record);
         }
         add_upstream(state, record);
     }
@@ -377,6 +393,7 @@
 
 fn apply_events(
     state: &GatewayState,
+    read: DirectoryRead,
     events: Vec<DirectoryEvent>,
     lapsed: &mut HashSet<UpstreamName>,
 ) {
@@ -384,7 +401,7 @@
         match event {
             DirectoryEvent::Listed(record) => {
                 lapsed.remove(&record.name);
-                log_change(state, &record);
+                log_change(state, read, &record);
                 add_upstream(state, record);
             }
             // The entry was still in the list after the outage, so it was removed, not expired.
@@ -397,17 +414,19 @@
 }
 
 /// Logs an upstream record that differs from the known one.
-fn log_change(state: &GatewayState, record: &UpstreamRecord) {
+fn log_change(state: &GatewayState, read: DirectoryRead, record: &UpstreamRecord) {
     if state.placement.lock().find(&record.name) == Some(record) {
         return;
     }
     log_event!(
         UpstreamChanged,
-        "upstream={} service={} address={} leaving={}",
+        "upstream={} service={} address={} leaving={} revision={} read={:?}",
         record.name,
         record.service,
         record.address,
-        record.is_leaving
+        record.is_leaving,
+        read.revision,
+        read.age
     );
 }
 
