Tell the instances of a domain which upstreams have left

Callers saw: two of 32 streams that may not be repeated were sent to a leaving upstream 2.2 s after the platform had accepted its notice, and were lost when it exited. All came from the fourth instance of a domain.

Cause: three instances of a domain watch the latest state of the directory; the others accept one that may be seconds old. For configurations the peers announce a newer state, for the directory they did not, so that an upstream that leaves is used for as long as the reads lag. Ruled out: a slow reaction of the fourth instance (it placed requests until its own read showed the entry, and none afterwards).

Change: an instance that reads the latest state sends the peers of its domain the names of upstreams that are leaving or removed, with the revision of the directory (new message DepartureReport), at once and each second for 5 s, as datagrams may be lost. Others use the upstream no more until they have read a directory of that revision, which is then all that counts: an upstream that has come back, or one that is merely late in the report, is not hidden. Domains of up to three instances send nothing. Ruled out: latest reads at all instances (the store's rate and ten times the price of each call), and a latest read after each announcement (as many reads at once as there are instances).

The same on related paths: the configuration has its announcements; blocked content and balances are written with conditions on a latest read. An older build drops the new message and says so in its log.

--- a/crates/core/src/placement/entry.rs
+++ b/crates/core/src/placement/entry.rs
@@ -37,6 +37,8 @@
     pub(super) record: UpstreamRecord,
     /// Whether the upstream is no longer listed by the platform.
     pub(super) is_removed: bool,
+    /// Whether a newer state of the directory shows that the upstream has left.
+    pub(super) has_departed: bool,
     /// What the responses of this incarnation have said.
     pub(super) notices: NoticeState,
     /// Requests that were placed in the last seconds.
@@ -62,6 +64,7 @@
         Self {
             record,
             is_removed: false,
+            has_departed: false,
             notices: NoticeState::default(),
             recent: RecentRequests::default(),
             in_flight: 0,
@@ -93,7 +96,10 @@
 
     /// Returns whether the upstream accepts new requests.
     pub(super) const fn is_listed(&self) -> bool {
-        !self.is_removed && !self.record.is_leaving && !self.notices.is_leaving()
+        !self.is_removed
+            && !self.has_departed
+            && !self.record.is_leaving
+            && !self.notices.is_leaving()
     }
 
     /// Returns whether a request that was placed may be sent to the upstream now.
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! - Failing and slow upstreams get less traffic in proportion to their cost.
 //! - A request that cannot start within its latency limit is refused before it is sent.
 
+mod departure;
 mod entry;
 mod former;
 mod missing;
@@ -14,6 +15,7 @@
 mod request;
 mod table;
 
+pub use departure::UpstreamDeparture;
 pub use missing::MissingUpstreams;
 pub use options::PlacementOptions;
 pub use request::{
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -10,8 +10,8 @@
     notice::{LimitNotice, NoticeContext, UpstreamNotice},
     placement::{
         FlightOutcome, LimitReport, NoticeNews, Placement, PlacementOptions, PlacementRefusal,
-        PlacementRequest, RequestSize, UpstreamIncarnation, UpstreamRecord, entry::UpstreamEntry,
-        former::FormerUpstreams, shared_parts,
+        PlacementRequest, RequestSize, UpstreamDeparture, UpstreamIncarnation, UpstreamRecord,
+        departure::PendingDepartures, entry::UpstreamEntry, former::FormerUpstreams, shared_parts,
     },
 };
 
@@ -45,6 +45,7 @@
     groups: HashMap<ServiceName, Vec<PlacementKey>>,
     flights: SlotMap<FlightKey, InFlightRequest>,
     former: FormerUpstreams,
+    departures: PendingDepartures,
     /// Number of instances that share the limits of upstreams.
     instances: usize,
 }
@@ -60,6 +61,7 @@
             groups: HashMap::new(),
             flights: SlotMap::with_key(),
             former: FormerUpstreams::default(),
+            departures: PendingDepartures::default(),
             instances: 1,
         }
     }
@@ -77,18 +79,19 @@
                 self.leave_group(key);
                 self.join_group(key, record.service.clone());
             }
-            self.entries[key].update(record);
+            self.update(key, record);
             return;
         }
         let (name, service) = (record.name.clone(), record.service.clone());
         let key = match self.find_removed(&record) {
             Some(key) => {
-                self.entries[key].update(record);
+                self.update(key, record);
                 key
             }
             None => {
                 let mut entry = UpstreamEntry::new(record);
                 entry.notices = self.former.take(&entry.record);
+                entry.has_departed = self.departures.contains(&name);
                 self.entries.insert(entry)
             }
         };
@@ -96,6 +99,13 @@
         self.join_group(key, service);
     }
 
+    fn update(&mut self, key: PlacementKey, record: UpstreamRecord) {
+        let has_departed = self.departures.contains(&record.name);
+        let entry = &mut self.entries[key];
+        entry.update(record);
+        entry.has_departed = has_departed;
+    }
+
     /// Returns the entry of a removed upstream that still runs requests.
     fn find_removed(&self, record: &UpstreamRecord) -> Option<PlacementKey> {
         let mut entries = self.entries.iter();
@@ -116,6 +126,30 @@
         }
     }
 
+    /// Records that an upstream has left in a state of the directory that this instance may not have
+    /// read yet. The upstream gets no more requests until it has. Returns whether it was listed.
+    pub fn record_departure(&mut self, departure: &UpstreamDeparture) -> bool {
+        if !self.departures.record(departure) {
+            return false;
+        }
+        let key = self.names.get(&departure.upstream);
+        let Some(entry) = key.and_then(|key| self.entries.get_mut(*key)) else {
+            return false;
+        };
+        let was_listed = entry.is_listed();
+        entry.has_departed = true;
+        was_listed
+    }
+
+    /// Records that this instance has read a revision of the directory and applied it.
+    pub fn confirm_directory(&mut self, revision: u64) {
+        for name in self.departures.confirm(revision) {
+            if let Some(key) = self.names.get(&name) {
+                self.entries[*key].has_departed = false;
+            }
+        }
+    }
+
     /// Returns the record of a known upstream.
     #[must_use]
     pub fn find(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -3,24 +3,24 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cornelarch_core::{
-    base::{HolderId, UpstreamName},
+    base::{HolderId, MonotonicTime, UpstreamName},
     blocklist::content::ContentReport,
     budget::{BudgetMessage, DomainPeer, LedgerEvent},
     membership::{
         MemberEffect, MemberEvent, MemberOptions, MemberState, MemberTable, choose_owners,
         rendezvous_score,
     },
-    placement::LimitReport,
+    placement::{LimitReport, UpstreamDeparture},
     route::replica::{
         DocumentPart, DocumentReplica, DocumentRequest, ReplicaEffect, ReplicaEvent,
         ReplicaOptions, RequestChannel,
     },
 };
 use cornelarch_wire::{
-    decode_budget_message, decode_content_report, decode_document_part, decode_document_request,
-    decode_envelope, decode_limit_report, decode_member_event, encode_budget_message,
-    encode_content_report, encode_document_part, encode_document_request, encode_envelope,
-    encode_limit_report,
+    decode_budget_message, decode_content_report, decode_departure_report, decode_document_part,
+    decode_document_request, decode_envelope, decode_limit_report, decode_member_event,
+    encode_budget_message, encode_content_report, encode_departure_report, encode_document_part,
+    encode_document_request, encode_envelope, encode_limit_report,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
@@ -46,13 +46,17 @@
 const WRITER_SELECTION_KEY: &str = "blocklist";
 /// Number of instances that tell a new one what is blocked; datagrams may be lost.
 const INFORMANTS: usize = 3;
-/// Interval at which an instance tells random peers what is blocked.
+/// Interval at which an instance tells random peers what is blocked, and the peers of its domain
+/// which upstreams have left.
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Number of these peers. With three, an instance that missed the reports of a crash learns of it
 /// within two seconds with a probability of 0.998.
 const REPEAT_PEERS: usize = 3;
 /// Maximum number of entries of a report in one datagram, which then has about 4 kB.
 const REPORT_ENTRIES_MAX: usize = 48;
+/// Time for which the peers of a domain are told that an upstream has left: by then, instances that
+/// had not joined yet have read a state of the directory that shows it.
+const DEPARTURE_REPEAT_TIME: Duration = Duration::from_secs(5);
 /// Size of the receive buffer, in bytes. The largest datagrams, parts of a configuration, have up to
 /// 14 kB.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
@@ -73,6 +77,9 @@
     Broadcast(ContentReport),
     /// Sends the limit of an upstream to all peers, which share it.
     BroadcastLimit(LimitReport),
+    /// Tells the peers of the domain, whose state of the directory may be older, which upstreams have
+    /// left.
+    ReportDepartures(Vec<UpstreamDeparture>),
     /// Merges a part of a configuration that arrived over a connection.
     MergeDocument { from: HolderId, part: DocumentPart },
     /// Announces to the peers that this instance leaves the fleet.
@@ -88,6 +95,8 @@
     replica: DocumentReplica,
     /// Reports about limits that are sent once more with the next tick, because datagrams may be lost.
     repeated_limits: HashMap<UpstreamName, LimitReport>,
+    /// Upstreams that have left, with the time at which they were first reported.
+    departures: Vec<(UpstreamDeparture, MonotonicTime)>,
     /// Requests over connections. They end with the peer task.
     fetches: JoinSet<()>,
     fetch_permits: Arc<Semaphore>,
@@ -118,6 +127,7 @@
         table,
         replica: DocumentReplica::new(ReplicaOptions::default()),
         repeated_limits: HashMap::new(),
+        departures: Vec::new(),
         fetches: JoinSet::new(),
         fetch_permits: Arc::new(Semaphore::new(FETCHES_MAX)),
         generator: StdRng::from_os_rng(),
@@ -139,6 +149,9 @@
                     task.broadcast([encode_limit_report(&report)]).await;
                     task.repeated_limits.insert(report.upstream.clone(), report);
                 }
+                Some(PeerCommand::ReportDepartures(departures)) => {
+                    task.report_departures(departures).await;
+                }
                 Some(PeerCommand::MergeDocument { from, part }) => {
                     task.merge_document(from, part).await;
                 }
@@ -151,7 +164,10 @@
                 // member table detects unreachable peers by itself.
                 Err(error) => log::trace!("failed to receive datagram: {error}"),
             },
-            _ = repeat.tick() => task.repeat_blocked().await,
+            _ = repeat.tick() => {
+                task.repeat_blocked().await;
+                task.repeat_departures().await;
+            }
             _ = interval.tick() => {
                 let version = task.state.version();
                 task.apply(MemberEvent::ConfigVersion(version)).await;
@@ -216,6 +232,9 @@
         if let Some(report) = decode_limit_report(&envelope.body) {
             return self.state.merge_limit(&report);
         }
+        if let Some(departures) = decode_departure_report(&envelope.body) {
+            return self.state.merge_departures(&departures);
+        }
         if let Some(request) = decode_document_request(&envelope.body) {
             return self.send_document(&from, &request).await;
         }
@@ -380,6 +399,47 @@
             .await;
     }
 
+    /// Tells the peers of the domain which upstreams have left, now and repeatedly.
+    async fn report_departures(&mut self, departures: Vec<UpstreamDeparture>) {
+        self.send_departures(&departures).await;
+        let now = self.state.now();
+        let departures = departures.into_iter().map(|departure| (departure, now));
+        self.departures.extend(departures);
+    }
+
+    /// Repeats the reports about upstreams that have left, because datagrams may be lost.
+    async fn repeat_departures(&mut self) {
+        let now = self.state.now();
+        self.departures
+            .retain(|(_, at)| now.since(*at) < DEPARTURE_REPEAT_TIME);
+        let departures: Vec<UpstreamDeparture> = self
+            .departures
+            .iter()
+            .map(|(departure, _)| departure.clone())
+            .collect();
+        self.send_departures(&departures).await;
+    }
+
+    /// Sends the peers of the domain a report about upstreams that have left, unless all of them read
+    /// the latest state of the directory.
+    async fn send_departures(&self, departures: &[UpstreamDeparture]) {
+        let peers: Vec<(HolderId, String)> = self
+            .table
+            .live_members(&self.state.settings.domain)
+            .filter(|record| record.holder != self.holder)
+            .map(|record| (record.holder.clone(), record.address.clone()))
+            .collect();
+        if peers.len() < LATEST_READERS {
+            return;
+        }
+        for part in departures.chunks(REPORT_ENTRIES_MAX) {
+            let body = encode_departure_report(part);
+            for (holder, address) in &peers {
+                self.send(address, Some(holder), body.clone()).await;
+            }
+        }
+    }
+
     /// Tells a peer what is blocked.
     async fn send_blocked(&self, to: &HolderId) {
         let report = self.state.crashes.blocked_report(self.state.now());
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -12,7 +12,7 @@
 use cornelarch_core::{
     base::{BudgetName, MonotonicTime, ServiceName},
     budget::{LedgerEvent, PaidAmount},
-    placement::{LimitReport, PlacementOptions, PlacementTable},
+    placement::{LimitReport, PlacementOptions, PlacementTable, UpstreamDeparture},
     retry::WindowBudget,
     route::{ActiveDocument, RouteDocument, replica::DocumentIndex},
 };
@@ -271,8 +271,9 @@
         );
     }
 
-    /// Records that the directory was read.
-    pub(crate) fn confirm_directory(&self) {
+    /// Records that a revision of the directory was read and applied.
+    pub(crate) fn confirm_directory(&self, revision: u64) {
+        self.placement.lock().confirm_directory(revision);
         self.has_directory.store(true, Ordering::Release);
     }
 
@@ -309,6 +310,21 @@
         }
     }
 
+    /// Merges a report of a peer about upstreams that have left.
+    pub(crate) fn merge_departures(&self, departures: &[UpstreamDeparture]) {
+        for departure in departures {
+            if !self.placement.lock().record_departure(departure) {
+                continue;
+            }
+            let (name, revision) = (&departure.upstream, departure.revision);
+            self.pool.close_idle(name);
+            log_event!(
+                UpstreamChanged,
+                "upstream={name} departed revision={revision} read=peer"
+            );
+        }
+    }
+
     /// Counts a request in the retry budget of its service.
     pub(crate) fn record_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -8,14 +8,14 @@
 
 use cornelarch_core::{
     base::UpstreamName,
-    placement::{MissingUpstreams, UpstreamRecord},
+    placement::{MissingUpstreams, UpstreamDeparture, UpstreamRecord},
 };
 use rand::Rng;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::{
     edge::{DirectoryEvent, DocumentChange, EdgeError, PlatformEdge, ReadAge, Versioned},
-    process::{GatewayState, PlatformCall, TimedStage, log_event},
+    process::{GatewayState, PeerCommand, PlatformCall, TimedStage, log_event},
 };
 
 /// Longest wait of one watch. A dead connection is detected after this time, which must stay well
@@ -321,7 +321,7 @@
             }
             Ok(Some(new)) => {
                 monitor.record_success();
-                state.confirm_directory();
+                state.confirm_directory(new);
                 revision = Some(new);
                 let pause = began + DIRECTORY_WATCH_PERIOD;
                 let grace_end = state.outage.lock().grace_end();
@@ -356,6 +356,20 @@
     age: ReadAge,
 }
 
+impl DirectoryRead {
+    /// Tells the peers of the domain, whose reads may be older, which upstreams have left.
+    fn report_departures(self, state: &GatewayState, upstreams: Vec<UpstreamName>) {
+        if self.age == ReadAge::Any || upstreams.is_empty() {
+            return;
+        }
+        let revision = self.revision;
+        let departures = upstreams
+            .into_iter()
+            .map(|upstream| UpstreamDeparture { upstream, revision });
+        state.send_peer_command(PeerCommand::ReportDepartures(departures.collect()));
+    }
+}
+
 fn apply_list(
     state: &GatewayState,
     read: DirectoryRead,
@@ -376,6 +390,10 @@
         read.revision,
         read.age
     );
+    let leaving = records.iter().filter(|record| record.is_leaving);
+    let leaving = leaving.map(|record| record.name.clone());
+    let departed = leaving.chain(missing.gone.iter().cloned()).collect();
+    read.report_departures(state, departed);
     for record in records {
         lapsed.remove(&record.name);
         // For the first list, the event above covers all upstreams.
@@ -397,6 +415,7 @@
     events: Vec<DirectoryEvent>,
     lapsed: &mut HashSet<UpstreamName>,
 ) {
+    read.report_departures(state, find_departed(&events));
     for event in events {
         match event {
             DirectoryEvent::Listed(record) => {
@@ -413,6 +432,23 @@
     }
 }
 
+/// Returns the upstreams that have left after the last of these events.
+fn find_departed(events: &[DirectoryEvent]) -> Vec<UpstreamName> {
+    let mut departed = BTreeSet::new();
+    for event in events {
+        match event {
+            DirectoryEvent::Listed(record) if !record.is_leaving => {
+                departed.remove(&record.name);
+            }
+            DirectoryEvent::Listed(UpstreamRecord { name, .. })
+            | DirectoryEvent::Unlisted(name) => {
+                departed.insert(name.clone());
+            }
+        }
+    }
+    departed.into_iter().collect()
+}
+
 /// Logs an upstream record that differs from the known one.
 fn log_change(state: &GatewayState, read: DirectoryRead, record: &UpstreamRecord) {
     if state.placement.lock().find(&record.name) == Some(record) {
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -255,8 +255,13 @@
         &self,
         revision: u64,
         wait: Duration,
-        _age: ReadAge,
+        age: ReadAge,
     ) -> Result<DirectoryChange, EdgeError> {
+        if age == ReadAge::Any && self.is_stale.load(Ordering::SeqCst) {
+            tokio::time::sleep(wait).await;
+            let value = Vec::new();
+            return Ok(Versioned { revision, value });
+        }
         let found = self
             .wait(revision, wait, |content| {
                 let changes = content.changes.iter().filter(|(at, _)| *at > revision);
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -3,15 +3,20 @@
 
 mod common;
 
-use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use common::{FakeUpstream, Fixture, FixtureOptions, document, member, ping};
+use common::{FakePlatform, FakeUpstream, Fixture, FixtureOptions, document, member, ping, record};
 use cornelarch_core::membership::{MemberMessage, MemberRecord};
 use cornelarch_wire::{
     encode_envelope,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
 use reqwest::header::HeaderValue;
+use rstest::rstest;
 use tokio::net::UdpSocket;
 
 /// Number of members besides the gateway: enough that others are chosen to read the latest
@@ -19,6 +24,8 @@
 const MEMBERS: u64 = 40;
 /// Time limit for activating a configuration that a peer has active. Users allow two seconds.
 const IN_FORCE: Duration = Duration::from_millis(1_500);
+/// Time after which a leaving upstream gets no more requests.
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 
 async fn send(socket: &UdpSocket, to: SocketAddr, from: &MemberRecord, message: &MemberMessage) {
     let sender = WireHolder::from(&from.holder);
@@ -125,3 +132,65 @@
     tokio::time::sleep(IN_FORCE).await;
     assert_eq!(fixture.gauge("upstreams").await, 1);
 }
+
+/// How an upstream leaves the directory.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    /// Its entry says that it is leaving.
+    Leaving,
+    /// Its entry is removed.
+    Removed,
+}
+
+/// Guards against requests to an upstream that has left, from instances whose reads of the directory
+/// are seconds old.
+#[rstest]
+#[tokio::test]
+async fn upstream_that_has_left_gets_requests_while_stale_reads_lag(
+    #[values(Departure::Leaving, Departure::Removed)] departure: Departure,
+) {
+    let upstreams = [
+        FakeUpstream::start(vec![]).await,
+        FakeUpstream::start(vec![]).await,
+    ];
+    let platform = Arc::new(FakePlatform::default());
+    platform.publish(document(1, &FixtureOptions::default()));
+    for (name, upstream) in ["staying", "departing"].iter().zip(&upstreams) {
+        platform.list(record(name, "plain", upstream.address));
+    }
+    let mut fixtures: Vec<Fixture> = Vec::new();
+    // One more than read the latest state.
+    for instance in ["g1", "g2", "g3", "g4"] {
+        let options = FixtureOptions {
+            instance,
+            seeds: fixtures.iter().map(|fixture| fixture.peers).collect(),
+            ..FixtureOptions::default()
+        };
+        fixtures.push(Fixture::start_with(&options, Arc::clone(&platform)).await);
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    platform.is_stale.store(true, Ordering::SeqCst);
+    // The open watches still report this change; the next stale ones report nothing.
+    platform.list(record("other", "engine", upstreams[0].address));
+    tokio::time::sleep(IN_FORCE).await;
+    match departure {
+        Departure::Leaving => {
+            let mut entry = record("departing", "plain", upstreams[1].address);
+            entry.is_leaving = true;
+            platform.list(entry);
+        }
+        Departure::Removed => platform.unlist("departing"),
+    }
+    tokio::time::sleep(DRAIN_TIME).await;
+    let before = upstreams[1].requests().len();
+    for (number, fixture) in fixtures.iter().enumerate() {
+        let requests = (0..24).map(|request| {
+            let id = format!("r{number}-{request}");
+            let request = fixture.post("/again/x", &id);
+            async { request.send().await.expect("answer").status().as_u16() }
+        });
+        let statuses = futures_util::future::join_all(requests).await;
+        assert_eq!(statuses, vec![200; 24]);
+    }
+    assert_eq!(upstreams[1].requests().len(), before);
+}
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -161,6 +161,17 @@
   4: optional double rate
 }
 
+// An upstream that was leaving or removed in this revision of the directory.
+struct WireDeparture {
+  1: required string upstream
+  2: required i64 revision
+}
+
+// Upstreams that have left, for instances whose state of the directory may be older.
+struct WireDepartureReport {
+  1: required list<WireDeparture> departures
+}
+
 union WireBody {
   1: WirePing ping
   2: WireAck ack
@@ -181,6 +192,7 @@
   17: WireDocumentPart document_part
   18: WireVersionNotice version_notice
   19: WireLimitReport limit_report
+  20: WireDepartureReport departure_report
 }
 
 // One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
--- a/crates/wire/src/connection/mod.rs
+++ b/crates/wire/src/connection/mod.rs
@@ -52,6 +52,7 @@
             | WireBody::DocumentPart(_)
             | WireBody::VersionNotice(_)
             | WireBody::LimitReport(_)
+            | WireBody::DepartureReport(_)
     )
 }
 
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -2,12 +2,14 @@
 
 mod budget;
 mod content;
+mod departure;
 mod document;
 mod limit;
 mod member;
 
 pub use budget::{decode_budget_message, encode_budget_message};
 pub use content::{decode_content_report, encode_content_report};
+pub use departure::{decode_departure_report, encode_departure_report};
 pub use document::{
     decode_document_part, decode_document_request, encode_document_part, encode_document_request,
 };
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -5,12 +5,15 @@
 use bytes::{BufMut, BytesMut};
 use cornelarch_core::{
     base::UpstreamName,
-    placement::{LimitReport, UpstreamIncarnation},
+    placement::{LimitReport, UpstreamDeparture, UpstreamIncarnation},
 };
 use cornelarch_wire::{
-    FrameCodec, FrameError, decode_envelope, decode_limit_report, encode_envelope,
-    encode_limit_report,
-    peer::{WireBody, WireEnvelope, WireHolder, WireTransfer, WireVersionNotice},
+    FrameCodec, FrameError, decode_departure_report, decode_envelope, decode_limit_report,
+    encode_departure_report, encode_envelope, encode_limit_report,
+    peer::{
+        WireBody, WireDeparture, WireDepartureReport, WireEnvelope, WireHolder, WireTransfer,
+        WireVersionNotice,
+    },
 };
 use rstest::rstest;
 use thrift::protocol::{TCompactInputProtocol, TSerializable};
@@ -87,6 +90,7 @@
 #[rstest]
 #[case::version(WireBody::VersionNotice(WireVersionNotice::new(7)))]
 #[case::limit(encode_limit_report(&limit_report(Some(1.7))))]
+#[case::departure(encode_departure_report(&[departure(7)]))]
 fn message_of_this_build_stops_an_older_one(#[case] body: WireBody) {
     let notice = WireEnvelope::new(WireHolder::new("r1".to_owned(), 1), None, body);
     let bytes = encode_envelope(&notice).unwrap();
@@ -121,3 +125,30 @@
     let decoded = decode_limit_report(&encode_limit_report(&report));
     assert_eq!(decoded, is_valid.then_some(report));
 }
+
+fn departure(revision: u64) -> UpstreamDeparture {
+    UpstreamDeparture {
+        upstream: UpstreamName::new("u1"),
+        revision,
+    }
+}
+
+/// Guards against departures that change on their way to a peer.
+#[test]
+fn departures_change_on_their_way() {
+    let departures = [departure(0), departure(i64::MAX as u64)];
+    let decoded = decode_departure_report(&encode_departure_report(&departures));
+    assert_eq!(decoded.as_deref(), Some(&departures[..]));
+}
+
+/// Guards against a departure at a revision that no directory can have.
+#[test]
+fn departure_at_an_invalid_revision_is_taken() {
+    assert_eq!(
+        encode_departure_report(&[departure(u64::MAX)]),
+        encode_departure_report(&[])
+    );
+    let invalid = WireDeparture::new("u1".to_owned(), -1);
+    let body = WireBody::DepartureReport(WireDepartureReport::new(vec![invalid]));
+    assert_eq!(decode_departure_report(&body), None);
+}
