Limit the bytes of a response that are neither its head nor its body

Cause: the HTTP library bounds the status line and headers, chunk extensions and trailers, but not these three.

Change: connections to upstreams count the bytes of a response. More than 256 kB besides eight times the body (a chunk of one byte has six) end it with an error. Buffered bodies are read frame by frame for this, which also ends their list of small pieces.

Ruled out: a callback for informational responses (leaves the chunk sizes).

--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! Connections from callers and to upstreams.
 
+mod meter;
 mod pool;
 mod server;
 mod socket;
--- a/crates/gateway/src/connection/pool.rs
+++ b/crates/gateway/src/connection/pool.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -18,7 +19,10 @@
 use parking_lot::Mutex;
 use tokio::{task::AbortHandle, time::Instant};
 
-use crate::connection::connect;
+use crate::connection::{
+    connect,
+    meter::{MeteredStream, ResponseMeter},
+};
 
 /// Maximum number of idle connections per upstream.
 const IDLE_CONNECTIONS_MAX: usize = 64;
@@ -42,6 +46,7 @@
 pub(crate) struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    meter: Arc<ResponseMeter>,
     /// Whether no request was sent on the connection yet.
     pub(crate) is_unused: bool,
 }
@@ -68,12 +73,19 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.is_unused = false;
+        self.meter.start_response();
         let result = self.sender.try_send_request(request).await;
         result.map_err(|mut error| match error.take_message() {
             Some(_) => SendFailure::NotSent,
             None => SendFailure::Unknown(error.into_error().to_string()),
         })
     }
+
+    /// Records that a part of the body of the response was processed. Without it, the connection ends
+    /// once the upstream has sent more than a head may have.
+    pub(crate) fn record_body(&self, bytes: usize) {
+        self.meter.record_body(bytes);
+    }
 }
 
 /// Idle connections by upstream.
@@ -94,9 +106,10 @@
             return Ok(connection);
         }
         let stream = connect(address, timeout).await?;
+        let meter = Arc::new(ResponseMeter::default());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_MAX)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(MeteredStream::new(stream, Arc::clone(&meter))))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -107,6 +120,7 @@
         Ok(PooledConnection {
             sender,
             task: task.abort_handle(),
+            meter,
             is_unused: true,
         })
     }
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cornelarch_core::placement::FlightOutcome;
 use http::{Response, StatusCode, response::Parts};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
 use crate::{
+    connection::PooledConnection,
     process::log_event,
     request::{
         RequestRefusal, ResponseBody,
@@ -78,6 +80,27 @@
         && status != StatusCode::GATEWAY_TIMEOUT
 }
 
+/// Reads a response body to its end.
+///
+/// # Errors
+///
+/// Returns why the body is incomplete, or that it is larger than [`RESPONSE_MAX`].
+async fn collect_body(mut body: Incoming, connection: &PooledConnection) -> Result<Bytes, String> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are not forwarded.
+        let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > RESPONSE_MAX {
+            return Err("response exceeds the size limit".to_owned());
+        }
+        connection.record_body(data.len());
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
 /// Reads a response body to its end, or returns how it was interrupted.
 async fn read_response(
     exchange: &RequestExchange,
@@ -88,7 +111,7 @@
     let witness = flight.watch_process(is_unframed(&parts.headers, &body));
     let collected = timeout_at(
         exchange.hard_deadline,
-        Limited::new(body, RESPONSE_MAX).collect(),
+        collect_body(body, &attempt.connection),
     )
     .await;
     let is_complete = match witness {
@@ -104,10 +127,9 @@
                 true => FlightOutcome::Failed,
                 false => FlightOutcome::Answered,
             });
-            let body = body.to_bytes();
             return Ok(BufferedResponse { parts, body });
         }
-        Ok(Err(error)) => (FlightOutcome::Lost, error.to_string()),
+        Ok(Err(reason)) => (FlightOutcome::Lost, reason),
         Err(_) => (
             FlightOutcome::TimedOut,
             "response body is incomplete at the deadline".to_owned(),
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -239,7 +239,10 @@
         };
         match frame {
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => NextChunk::Data(data),
+                Ok(data) => {
+                    upstream.connection.record_body(data.len());
+                    NextChunk::Data(data)
+                }
                 // Trailers are not forwarded.
                 Err(_) => NextChunk::Data(Bytes::new()),
             },
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -24,7 +24,7 @@
 use reqwest::{Client, RequestBuilder};
 
 pub(crate) use platform::FakePlatform;
-pub(crate) use upstream::{FakeUpstream, Reply, UnframedEnd};
+pub(crate) use upstream::{EndlessStage, FakeUpstream, Reply, UnframedEnd};
 
 pub(crate) const KEY: &str = "key-1";
 /// Attempts to bind a gateway, each with a new set of free addresses.
@@ -240,17 +240,58 @@
 
     pub(crate) async fn start_with(options: &FixtureOptions, platform: Arc<FakePlatform>) -> Self {
         let (gateway, settings) = bind_gateway(options, &platform).await;
-        let fixture = Self {
+        let fixture = Self::with_gateway(Some(gateway), &settings, platform);
+        fixture.wait_ready().await;
+        fixture
+    }
+
+    fn with_gateway(
+        gateway: Option<Gateway>,
+        settings: &GatewaySettings,
+        platform: Arc<FakePlatform>,
+    ) -> Self {
+        Self {
             platform,
-            gateway: Some(gateway),
+            gateway,
             listen: settings.listen,
             ready: settings.ready_listen,
             metrics: settings.metrics_listen.expect("is set"),
             peers: settings.peer_listen,
             client: Client::builder().no_proxy().build().expect("client"),
-        };
+        }
+    }
+
+    /// As [`Fixture::start`], with a gateway that has a thread of its own. Returns the number of the
+    /// thread as well.
+    pub(crate) async fn start_on_thread(
+        options: FixtureOptions,
+        upstreams: &[(&str, &FakeUpstream)],
+    ) -> (Self, String) {
+        let platform = Arc::new(FakePlatform::default());
+        platform.publish(document(1, &options));
+        for (index, (service, upstream)) in upstreams.iter().enumerate() {
+            platform.list(record(&format!("u{index}"), service, upstream.address));
+        }
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        let served = Arc::clone(&platform);
+        std::thread::spawn(move || {
+            let link = std::fs::read_link("/proc/thread-self").expect("thread");
+            let thread = link.file_name().expect("number").to_string_lossy();
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("runtime");
+            runtime.block_on(async {
+                let (_gateway, settings) = bind_gateway(&options, &served).await;
+                // The test has ended if nobody receives.
+                let _ = sender.send((settings, thread.into_owned()));
+                std::future::pending::<()>().await;
+            });
+        });
+        let (settings, thread) = receiver.await.expect("gateway");
+        let fixture = Self::with_gateway(None, &settings, platform);
         fixture.wait_ready().await;
-        fixture
+        (fixture, thread)
     }
 
     /// Returns the value of a gauge, such as the configuration version in force.
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -59,6 +59,8 @@
     EndlessBody,
     /// Sends header lines until the gateway closes the connection.
     EndlessHead,
+    /// Sends bytes in this stage of a response until the gateway closes the connection.
+    Endless(EndlessStage),
     /// Sends these texts without a length or chunks and ends in this way.
     Unframed(Vec<String>, UnframedEnd),
     /// As [`Reply::Unframed`], with additional header lines.
@@ -68,6 +70,74 @@
     Crash,
 }
 
+/// Stage of a response that has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndlessStage {
+    /// Reason phrase of the status line.
+    StatusLine,
+    /// Informational responses, such as `100 Continue`.
+    Informational,
+    /// Header lines.
+    HeaderLines,
+    /// Value of one header.
+    HeaderValue,
+    /// Leading zeros of a chunk size.
+    ChunkSize,
+    /// Blanks after a chunk size.
+    ChunkBlanks,
+    /// Extension of a chunk.
+    ChunkExtension,
+    /// Large chunks without event boundaries.
+    LargeChunks,
+    /// Chunks of one byte without event boundaries.
+    TinyChunks,
+    /// Body with an absurd length.
+    Length,
+    /// Body without a length or chunks.
+    Unframed,
+    /// Blank lines, each of which ends an event.
+    EmptyEvents,
+    /// Body of an error response.
+    ErrorBody,
+    /// Trailer lines.
+    Trailers,
+}
+
+impl EndlessStage {
+    /// Returns the text before the endless part, with the head of a proper event stream given, and
+    /// a piece of the endless part.
+    fn texts(self, head: &str) -> (String, String) {
+        let chunked = head.to_owned();
+        let unframed = head.replace("transfer-encoding: chunked\r\n", "");
+        let status = |line: &str| head.replacen("HTTP/1.1 200 OK\r\n", line, 1);
+        let (start, unit) = match self {
+            Self::StatusLine => ("HTTP/1.1 200 ".to_owned(), "O".to_owned()),
+            Self::Informational => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".to_owned()),
+            Self::HeaderLines => ("HTTP/1.1 200 OK\r\n".to_owned(), "a: b\r\n".to_owned()),
+            Self::HeaderValue => ("HTTP/1.1 200 OK\r\na: ".to_owned(), "b".to_owned()),
+            Self::ChunkSize => (chunked, "0".to_owned()),
+            Self::ChunkBlanks => (chunked + "1", " ".to_owned()),
+            Self::ChunkExtension => (chunked + "1;", "x".to_owned()),
+            Self::LargeChunks => (chunked, encode_chunk(&"x".repeat(16_384))),
+            Self::TinyChunks => (chunked, encode_chunk("x")),
+            Self::Length => {
+                let length = "content-length: 1000000000000\r\n";
+                let head = head.replace("transfer-encoding: chunked\r\n", length);
+                (head, "x".to_owned())
+            }
+            Self::Unframed => (unframed, "x".to_owned()),
+            Self::EmptyEvents => (unframed, "\n\n".to_owned()),
+            Self::ErrorBody => (
+                status("HTTP/1.1 500 -\r\n"),
+                encode_chunk(&"x\n".repeat(8_192)),
+            ),
+            Self::Trailers => (chunked + "0\r\n", "a: b\r\n".to_owned()),
+        };
+        let count = 16_384_usize.div_ceil(unit.len());
+        (start, unit.repeat(count))
+    }
+}
+
 /// How a response without a length or chunks ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UnframedEnd {
@@ -405,6 +475,10 @@
             )
             .await;
         }
+        Reply::Endless(stage) => {
+            let (start, part) = stage.texts(&stream_head);
+            return send_endless(stream, state, &start, &part).await;
+        }
         Reply::EndlessHead => {
             return send_endless(stream, state, "HTTP/1.1 200 OK\r\n", "a: b\r\n").await;
         }
--- /dev/null
+++ b/crates/gateway/tests/endless.rs
@@ -0,0 +1,76 @@
+//! Upstreams that send bytes without end, in each stage of a response.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{EndlessStage, FakeUpstream, Fixture, FixtureOptions, Reply};
+use rstest::rstest;
+use tokio::time::{Instant, sleep};
+
+/// Maximum number of bytes that a gateway may accept of an endless response, including the socket
+/// buffers of both sides.
+const ENDLESS_MAX: usize = 16 * 1024 * 1024;
+/// Maximum processor time of an endless response: a tenth of the time limit of the route, so that
+/// other requests get the rest of it.
+const PROCESSOR_TIME_MAX: Duration = Duration::from_millis(300);
+
+/// Returns the time for which a thread has run.
+fn processor_time(thread: &str) -> Duration {
+    let path = format!("/proc/self/task/{thread}/schedstat");
+    let text = std::fs::read_to_string(path).expect("statistics of the thread");
+    let nanos = text.split(' ').next().and_then(|text| text.parse().ok());
+    Duration::from_nanos(nanos.expect("number"))
+}
+
+/// Guards against a faulty upstream that sends bytes without end and takes the memory and the
+/// processor time of an instance until the request times out.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_response_takes_the_resources_of_an_instance(
+    #[values("/stream/a", "/again/a", "/once/a")] path: &str,
+    #[values(
+        EndlessStage::StatusLine,
+        EndlessStage::Informational,
+        EndlessStage::HeaderLines,
+        EndlessStage::HeaderValue,
+        EndlessStage::ChunkSize,
+        EndlessStage::ChunkBlanks,
+        EndlessStage::ChunkExtension,
+        EndlessStage::LargeChunks,
+        EndlessStage::Length,
+        EndlessStage::Trailers
+    )]
+    stage: EndlessStage,
+) {
+    let upstream = FakeUpstream::start(vec![Reply::Endless(stage)]).await;
+    let service = match path.starts_with("/stream/") {
+        true => "engine",
+        false => "plain",
+    };
+    let options = FixtureOptions {
+        attempts: 1,
+        ..FixtureOptions::default()
+    };
+    let (fixture, thread) = Fixture::start_on_thread(options, &[(service, &upstream)]).await;
+    let before = processor_time(&thread);
+    let started = Instant::now();
+    let request = fixture.post(path, "r1").header("t-tokens", "100,50");
+    let response = request.send().await;
+    let is_whole = match response {
+        Ok(response) => response.status().is_success() && response.bytes().await.is_ok(),
+        Err(_) => false,
+    };
+    let elapsed = started.elapsed();
+    // The connection of the upstream is closed by then.
+    sleep(Duration::from_millis(50)).await;
+    let used = processor_time(&thread) - before;
+    let bytes = upstream.endless_bytes();
+    println!("{stage:?} {path}: {elapsed:?}, {used:?} of processor time, {bytes} bytes");
+    assert!(!is_whole);
+    // Well before the time limit of the route, 3 s.
+    assert!(elapsed < Duration::from_secs(2), "{elapsed:?}");
+    assert_eq!(upstream.abandoned(), 1);
+    assert!(bytes <= ENDLESS_MAX, "{bytes}");
+    assert!(used <= PROCESSOR_TIME_MAX, "{used:?}");
+}
