Limit the number of small pieces of a response body

A body in chunks of one byte, without end, kept the gateway's thread busy for 3.0 s, the whole time limit of its route, on buffered routes too (debug build): each piece passes through two tasks, so that its time does not depend on its size, and the limit of 4 MB is reached after four million pieces.

Change: a body may have 8,192 small pieces, 8 more for each token of the answer that the request allows, and one for each 16 bytes. Sound streams whose server flushes each field of an event stay within it.

A sound server that sends over 8,192 chunks of a few bytes without stated tokens would be cut; none is known.

--- a/crates/gateway/src/connection/meter.rs
+++ b/crates/gateway/src/connection/meter.rs
@@ -21,6 +21,9 @@
 /// Maximum number of bytes on the connection per byte of the body. A chunk of one byte has six.
 const FRAMING_MAX: u64 = 8;
 
+/// Size from which a piece of the body, such as a chunk, does not count as small, in bytes.
+const PIECE_BYTES_MIN: u64 = 16;
+
 /// Counts the bytes of a response, including those that never become part of its head or body, such
 /// as informational responses and the zeros before a chunk size. The HTTP parser accepts any number
 /// of them.
@@ -28,6 +31,7 @@
 pub(crate) struct ResponseMeter {
     received: AtomicU64,
     body: AtomicU64,
+    pieces: AtomicU64,
 }
 
 impl ResponseMeter {
@@ -35,11 +39,16 @@
     pub(crate) fn start_response(&self) {
         self.received.store(0, Ordering::Relaxed);
         self.body.store(0, Ordering::Relaxed);
+        self.pieces.store(0, Ordering::Relaxed);
     }
 
-    /// Records that a part of the body was processed.
-    pub(crate) fn record_body(&self, bytes: usize) {
-        self.body.fetch_add(bytes as u64, Ordering::Relaxed);
+    /// Records that a piece of the body was processed. Returns whether there are at most `pieces_max`
+    /// pieces more than the size of the body explains: processing one takes time whatever its size.
+    pub(crate) fn record_body(&self, bytes: usize, pieces_max: u64) -> bool {
+        let bytes = bytes as u64;
+        let body = self.body.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let pieces = self.pieces.fetch_add(1, Ordering::Relaxed) + 1;
+        pieces <= pieces_max.saturating_add(body / PIECE_BYTES_MIN)
     }
 
     /// Records received bytes and returns whether there are too many.
--- a/crates/gateway/src/connection/pool.rs
+++ b/crates/gateway/src/connection/pool.rs
@@ -81,10 +81,18 @@
         })
     }
 
-    /// Records that a part of the body of the response was processed. Without it, the connection ends
-    /// once the upstream has sent more than a head may have.
-    pub(crate) fn record_body(&self, bytes: usize) {
-        self.meter.record_body(bytes);
+    /// Records that a piece of the body of the response was processed. Without it, the connection ends
+    /// once the upstream has sent more than a head may have. `pieces_max` is the number of small pieces
+    /// that the response may have.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the response must not go on.
+    pub(crate) fn record_body(&self, bytes: usize, pieces_max: u64) -> Result<(), String> {
+        match self.meter.record_body(bytes, pieces_max) {
+            true => Ok(()),
+            false => Err("response body comes in too many small pieces".to_owned()),
+        }
     }
 }
 
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -17,14 +17,11 @@
         bill::RequestBill,
         exchange::{ENDED_WITH_UPSTREAM, OpenResponse, RequestExchange},
         head::{forwarded_headers, is_unframed},
+        limits::{RESPONSE_MAX, ResponseLimits},
         response::full_body,
     },
 };
 
-/// Maximum size of a buffered response, in bytes: the same as for requests of callers. A faulty
-/// upstream may send bytes without end, and an instance may have only 120 MB of memory.
-const RESPONSE_MAX: usize = 4 * 1024 * 1024;
-
 /// A complete response of an upstream.
 struct BufferedResponse {
     parts: Parts,
@@ -84,8 +81,13 @@
 ///
 /// # Errors
 ///
-/// Returns why the body is incomplete, or that it is larger than [`RESPONSE_MAX`].
-async fn collect_body(mut body: Incoming, connection: &PooledConnection) -> Result<Bytes, String> {
+/// Returns why the body is incomplete, or which limit it exceeds.
+async fn collect_body(
+    exchange: &RequestExchange,
+    mut body: Incoming,
+    connection: &PooledConnection,
+) -> Result<Bytes, String> {
+    let pieces_max = ResponseLimits::new(&exchange.size).pieces_max;
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
         // Trailers are not forwarded.
@@ -95,7 +97,7 @@
         if collected.len() + data.len() > RESPONSE_MAX {
             return Err("response exceeds the size limit".to_owned());
         }
-        connection.record_body(data.len());
+        connection.record_body(data.len(), pieces_max)?;
         collected.extend_from_slice(&data);
     }
     Ok(collected.freeze())
@@ -111,7 +113,7 @@
     let witness = flight.watch_process(is_unframed(&parts.headers, &body));
     let collected = timeout_at(
         exchange.hard_deadline,
-        collect_body(body, &attempt.connection),
+        collect_body(exchange, body, &attempt.connection),
     )
     .await;
     let is_complete = match witness {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod head;
 mod in_flight;
+mod limits;
 mod relay;
 mod response;
 
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -24,6 +24,7 @@
         },
         head::{forwarded_headers, is_unframed},
         in_flight::InFlightRequest,
+        limits::ResponseLimits,
     },
 };
 
@@ -94,6 +95,7 @@
     upstream: Option<UpstreamBody>,
     history: AttemptHistory,
     bill: RequestBill,
+    limits: ResponseLimits,
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     last_id: Option<String>,
@@ -120,6 +122,7 @@
         guard: RunningGuard,
     ) -> Self {
         Self {
+            limits: ResponseLimits::new(&exchange.size),
             exchange,
             upstream: Some(UpstreamBody::open(opened)),
             history,
@@ -239,10 +242,13 @@
         };
         match frame {
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => {
-                    upstream.connection.record_body(data.len());
-                    NextChunk::Data(data)
-                }
+                Ok(data) => match upstream
+                    .connection
+                    .record_body(data.len(), self.limits.pieces_max)
+                {
+                    Ok(()) => NextChunk::Data(data),
+                    Err(reason) => NextChunk::Broken(FlightOutcome::Lost, reason),
+                },
                 // Trailers are not forwarded.
                 Err(_) => NextChunk::Data(Bytes::new()),
             },
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -38,6 +38,7 @@
         EndlessStage::ChunkBlanks,
         EndlessStage::ChunkExtension,
         EndlessStage::LargeChunks,
+        EndlessStage::TinyChunks,
         EndlessStage::Length,
         EndlessStage::Unframed,
         EndlessStage::Trailers
@@ -75,3 +76,23 @@
     assert!(bytes <= ENDLESS_MAX, "{bytes}");
     assert!(used <= PROCESSOR_TIME_MAX, "{used:?}");
 }
+
+/// Guards against breaking off a sound response because its upstream sends it in small chunks.
+#[rstest]
+#[tokio::test]
+async fn response_in_small_chunks_is_broken_off(#[values("/stream/a", "/again/a")] path: &str) {
+    // Each event comes in three chunks, as a server sends them that flushes each field.
+    let pieces = (1..5_000).flat_map(|id| [format!("id: {id}\n"), "data: ".into(), "t\n\n".into()]);
+    let pieces: Vec<String> = pieces.collect();
+    let upstream = FakeUpstream::start(vec![Reply::Events(pieces.clone())]).await;
+    let service = match path.starts_with("/stream/") {
+        true => "engine",
+        false => "plain",
+    };
+    let options = FixtureOptions::default();
+    let fixture = Fixture::start(&options, &[(service, &upstream)]).await;
+    let request = fixture.post(path, "r1").header("t-tokens", "100,5000");
+    let response = request.send().await.expect("answer");
+    let text = response.text().await.expect("whole answer");
+    assert_eq!(text, pieces.concat());
+}
