Limit the size of a stream and of an error response to a streaming route

A faulty upstream that sends blank lines without end, each of which ends an event, or an error response without end to a request for a stream, kept the gateway's thread busy until the time limit of the route (3.2 s and 3.0 s of processor time, debug build) and 754 MB of the error response were passed on. Neither is buffered, so that no limit of memory ended it.

Change: an event stream may have 1 MB and 4 kB for each token of the answer that its request allows, or 64 MB if it states none; an event counts as 256 bytes at least. Beyond it the stream is broken off, and not resumed, since its callers have got what is no answer. A response of another status may have 4 MB, as buffered ones.

--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -24,7 +24,7 @@
         },
         head::{forwarded_headers, is_unframed},
         in_flight::InFlightRequest,
-        limits::ResponseLimits,
+        limits::{RESPONSE_MAX, ResponseLimits},
     },
 };
 
@@ -99,6 +99,8 @@
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     last_id: Option<String>,
+    /// Size so far of a response that is no event stream, in bytes.
+    plain_bytes: usize,
     events: u64,
     last_event: Option<Instant>,
     is_finished: bool,
@@ -130,6 +132,7 @@
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
             last_id: None,
+            plain_bytes: 0,
             events: 0,
             last_event: None,
             is_finished: false,
@@ -149,6 +152,10 @@
             match self.next_chunk().await {
                 NextChunk::Data(chunk) => {
                     self.push_chunk(chunk);
+                    if self.limits.is_exceeded() {
+                        let error = self.break_off("stream exceeds its size limit");
+                        return Some((Err(error), self));
+                    }
                     // Without this check, an endless event would be buffered until the deadline.
                     if self.splitter.is_oversized()
                         && let Err(error) = self
@@ -213,7 +220,14 @@
             return None;
         }
         match self.next_chunk().await {
-            NextChunk::Data(chunk) => Some((Ok(Frame::data(chunk)), self)),
+            NextChunk::Data(chunk) => {
+                self.plain_bytes += chunk.len();
+                if self.plain_bytes > RESPONSE_MAX {
+                    let error = self.break_off("response exceeds the size limit");
+                    return Some((Err(error), self));
+                }
+                Some((Ok(Frame::data(chunk)), self))
+            }
             NextChunk::End => {
                 self.finish_upstream(FlightOutcome::Failed, true);
                 None
@@ -266,6 +280,7 @@
         self.splitter.push(chunk);
         while let Some(event) = self.splitter.next_event() {
             self.observe_event();
+            self.limits.record_event(event.len());
             self.events += 1;
             self.bill_event();
             if let Some(id) = find_event_id(&event) {
@@ -309,26 +324,29 @@
         }
     }
 
+    fn upstream_name(&self) -> String {
+        let upstream = self.upstream.as_ref();
+        upstream.map_or_else(String::new, |upstream| upstream.flight.upstream.to_string())
+    }
+
+    /// Ends a response of which too much has been passed on to be resumed.
+    fn break_off(&mut self, reason: &str) -> io::Error {
+        let lost = self.upstream_name();
+        self.finish_upstream(FlightOutcome::Lost, false);
+        self.is_finished = true;
+        record_broken(&self.exchange, &lost, self.events, reason, "no")
+    }
+
     /// Resumes a broken stream at another upstream if the route allows it.
     async fn resume(&mut self, end: FlightOutcome, reason: &str) -> io::Result<()> {
-        let lost = self.upstream.as_ref();
-        let lost = lost.map_or_else(String::new, |upstream| upstream.flight.upstream.to_string());
+        let lost = self.upstream_name();
         self.finish_upstream(end, false);
         self.history.record_interruption(end);
         self.splitter = EventSplitter::default();
         let id = self.exchange.id().to_owned();
         let events = self.events;
         let is_late = Instant::now() >= self.exchange.hard_deadline;
-        let broken = |why: &str| {
-            log_event!(
-                StreamBroken,
-                "id={id} upstream={lost} events={events} reason={reason} resumed={why}"
-            );
-            let kind = Some(self.exchange.rule.kind);
-            let metrics = &self.exchange.state.metrics;
-            metrics.count_request(kind, RequestOutcome::Broken);
-            io::Error::other("stream broken off")
-        };
+        let broken = |why: &str| record_broken(&self.exchange, &lost, events, reason, why);
         if !self.exchange.rule.kind.is_repeatable() || is_late {
             self.is_finished = true;
             return Err(broken("no"));
@@ -362,3 +380,22 @@
         }
     }
 }
+
+/// Records that a stream was broken off, and returns the error that closes the connection to the
+/// caller.
+fn record_broken(
+    exchange: &RequestExchange,
+    lost: &str,
+    events: u64,
+    reason: &str,
+    resumed: &str,
+) -> io::Error {
+    let id = exchange.id();
+    log_event!(
+        StreamBroken,
+        "id={id} upstream={lost} events={events} reason={reason} resumed={resumed}"
+    );
+    let (kind, metrics) = (exchange.rule.kind, &exchange.state.metrics);
+    metrics.count_request(Some(kind), RequestOutcome::Broken);
+    io::Error::other("stream broken off")
+}
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -41,6 +41,8 @@
         EndlessStage::TinyChunks,
         EndlessStage::Length,
         EndlessStage::Unframed,
+        EndlessStage::EmptyEvents,
+        EndlessStage::ErrorBody,
         EndlessStage::Trailers
     )]
     stage: EndlessStage,
@@ -96,3 +98,27 @@
     let text = response.text().await.expect("whole answer");
     assert_eq!(text, pieces.concat());
 }
+
+/// Guards against breaking off a sound stream because it is large: one of a plain service without a
+/// stated size, and one with large events.
+#[rstest]
+#[case::without_size(None, 20_000, 50)]
+#[case::large_events(Some("100,2000"), 1_000, 8_000)]
+#[tokio::test]
+async fn large_stream_is_broken_off(
+    #[case] tokens: Option<&str>,
+    #[case] events: usize,
+    #[case] bytes: usize,
+) {
+    let event = format!("data: {}\n\n", "x".repeat(bytes));
+    let upstream = FakeUpstream::start(vec![Reply::Events(vec![event.clone(); events])]).await;
+    let options = FixtureOptions::default();
+    let fixture = Fixture::start(&options, &[("engine", &upstream)]).await;
+    let mut request = fixture.post("/stream/a", "r1");
+    if let Some(tokens) = tokens {
+        request = request.header("t-tokens", tokens);
+    }
+    let response = request.send().await.expect("answer");
+    let body = response.bytes().await.expect("whole stream");
+    assert_eq!(body.len(), event.len() * events);
+}
