Bound the memory of all buffered responses together

Other operators saw a faulty upstream whose bytes without end took all memory of the machine that had called it; the requests of others ended with the process. It can happen here: each buffered response is limited to 4 MB and each partial event to 1 MB, but 100 requests at the same time to upstreams that send bodies without end took 463 MB on buffered routes and 115 MB on a stream. An instance has 120 to 260 MB.

Change: buffered responses share 16 MB beyond their first 64 kB each. One that finds no memory waits up to 200 ms, since others may finish, and is broken off then. The share is held until the caller has the response. A buffer has the stated length if there is one, and a response whose length is over 4 MB is rejected before it is read.

A sound response over 64 kB may be broken off while endless ones hold the memory.

--- a/crates/core/src/stream/splitter.rs
+++ b/crates/core/src/stream/splitter.rs
@@ -62,6 +62,12 @@
         self.partial.len()
     }
 
+    /// Returns the memory allocated for partial events, in bytes.
+    #[must_use]
+    pub fn partial_capacity(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Returns whether the partial event exceeds [`MAX_EVENT_BYTES`].
     #[must_use]
     pub fn is_oversized(&self) -> bool {
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -30,6 +30,7 @@
         CrashMonitor, GatewayMetrics, GatewaySettings, MetricGauges, PeerCommand, PlatformOutage,
         SharedLedger, VersionMonitor, log_event,
     },
+    request::BufferPool,
 };
 
 /// Time without confirmation after which a configuration counts as possibly outdated, so that an
@@ -61,6 +62,7 @@
     pub(crate) placement: Mutex<PlacementTable>,
     pub(crate) ledger: SharedLedger,
     pub(crate) pool: UpstreamPool,
+    pub(crate) buffers: BufferPool,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) crashes: CrashMonitor,
     pub(crate) instances: AtomicUsize,
@@ -107,6 +109,7 @@
             placement: Mutex::new(placement),
             ledger,
             pool: UpstreamPool::default(),
+            buffers: BufferPool::default(),
             metrics: GatewayMetrics::new(),
             crashes: CrashMonitor::new(),
             instances: AtomicUsize::new(INSTANCES_INITIAL),
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cornelarch_core::placement::FlightOutcome;
 use http::{Response, StatusCode, response::Parts};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::timeout_at;
 
 use crate::{
@@ -22,6 +22,9 @@
     },
 };
 
+/// Reason for which a response is broken off.
+const TOO_LARGE: &str = "response exceeds the size limit";
+
 /// A complete response of an upstream.
 struct BufferedResponse {
     parts: Parts,
@@ -88,19 +91,31 @@
     connection: &PooledConnection,
 ) -> Result<Bytes, String> {
     let pieces_max = ResponseLimits::new(&exchange.size).pieces_max;
-    let mut collected = BytesMut::new();
+    let mut lease = exchange.state.buffers.lease();
+    let stated = body.size_hint().exact().unwrap_or(0);
+    if stated > RESPONSE_MAX as u64 {
+        return Err(TOO_LARGE.to_owned());
+    }
+    lease.resize(stated as usize).await?;
+    let mut collected = Vec::with_capacity(stated as usize);
     while let Some(frame) = body.frame().await {
         // Trailers are not forwarded.
         let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else {
             continue;
         };
         if collected.len() + data.len() > RESPONSE_MAX {
-            return Err("response exceeds the size limit".to_owned());
+            return Err(TOO_LARGE.to_owned());
         }
         connection.record_body(data.len(), pieces_max)?;
+        let needed = collected.len() + data.len();
+        if needed > collected.capacity() {
+            let capacity = needed.max(2 * collected.capacity());
+            lease.resize(capacity).await?;
+            collected.reserve_exact(capacity - collected.len());
+        }
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    Ok(lease.attach(collected.into()))
 }
 
 /// Reads a response body to its end, or returns how it was interrupted.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,9 +7,11 @@
 mod exchange;
 mod head;
 mod in_flight;
+mod lease;
 mod limits;
 mod relay;
 mod response;
 
 pub(crate) use entry::handle_request;
+pub(crate) use lease::BufferPool;
 pub(crate) use response::{RequestRefusal, ResponseBody, empty_response, full_body};
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -24,6 +24,7 @@
         },
         head::{forwarded_headers, is_unframed},
         in_flight::InFlightRequest,
+        lease::BufferLease,
         limits::{RESPONSE_MAX, ResponseLimits},
     },
 };
@@ -97,6 +98,8 @@
     bill: RequestBill,
     limits: ResponseLimits,
     splitter: EventSplitter,
+    /// Memory for the partial event.
+    lease: BufferLease,
     ready: VecDeque<Bytes>,
     last_id: Option<String>,
     /// Size so far of a response that is no event stream, in bytes.
@@ -125,6 +128,7 @@
     ) -> Self {
         Self {
             limits: ResponseLimits::new(&exchange.size),
+            lease: exchange.state.buffers.lease(),
             exchange,
             upstream: Some(UpstreamBody::open(opened)),
             history,
@@ -157,10 +161,8 @@
                         return Some((Err(error), self));
                     }
                     // Without this check, an endless event would be buffered until the deadline.
-                    if self.splitter.is_oversized()
-                        && let Err(error) = self
-                            .resume(FlightOutcome::Lost, "event exceeds the size limit")
-                            .await
+                    if let Err(reason) = self.check_partial().await
+                        && let Err(error) = self.resume(FlightOutcome::Lost, &reason).await
                     {
                         return Some((Err(error), self));
                     }
@@ -208,6 +210,18 @@
         );
     }
 
+    /// Checks that the partial event may be buffered.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if it may not.
+    async fn check_partial(&mut self) -> Result<(), String> {
+        if self.splitter.is_oversized() {
+            return Err("event exceeds the size limit".to_owned());
+        }
+        self.lease.resize(self.splitter.partial_capacity()).await
+    }
+
     /// Returns whether a response that only ends with its connection has no event.
     fn is_empty_unframed(&self) -> bool {
         let upstream = self.upstream.as_ref();
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{EndlessStage, FakeUpstream, Fixture, FixtureOptions, Reply};
+use futures_util::future::join_all;
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
@@ -122,3 +123,36 @@
     let body = response.bytes().await.expect("whole stream");
     assert_eq!(body.len(), event.len() * events);
 }
+
+/// Guards against the loss of sound responses of a usual size while upstreams send bytes without end,
+/// and afterwards.
+#[tokio::test]
+async fn sound_responses_are_lost_beside_endless_ones() {
+    const BODY: &str = "sound";
+    const REQUESTS: usize = 100;
+    let reply = Reply::Endless(EndlessStage::LargeChunks);
+    let bad = FakeUpstream::start(vec![reply; REQUESTS]).await;
+    let good = FakeUpstream::start(vec![]).await;
+    good.set_last_reply(Reply::Answer(200, BODY));
+    let options = FixtureOptions {
+        attempts: 1,
+        ..FixtureOptions::default()
+    };
+    let services = [("engine", &bad), ("plain", &good)];
+    let (fixture, _) = Fixture::start_on_thread(options, &services).await;
+    let send = async |path: &str, id: String| {
+        let request = fixture.post(path, &id).header("t-tokens", "1,1");
+        request.send().await?.error_for_status()?.text().await
+    };
+    let endless = (0..REQUESTS).map(|number| send("/stream/a", format!("e{number}")));
+    let sound = async {
+        let mut bodies = Vec::new();
+        for number in 0..REQUESTS {
+            bodies.push(send("/once/a", format!("s{number}")).await.ok());
+        }
+        bodies
+    };
+    let (endless, sound) = tokio::join!(join_all(endless), sound);
+    assert!(endless.iter().all(Result::is_err));
+    assert_eq!(sound, vec![Some(BODY.to_owned()); REQUESTS]);
+}
