Log the causes of a broken upstream connection

The reasons in E2401 and E2404 were the outer text of the HTTP library, such as "error reading a body from connection". The texts of the causes follow now.

--- a/crates/gateway/src/connection/pool.rs
+++ b/crates/gateway/src/connection/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    error::Error,
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -77,7 +78,7 @@
         let result = self.sender.try_send_request(request).await;
         result.map_err(|mut error| match error.take_message() {
             Some(_) => SendFailure::NotSent,
-            None => SendFailure::Unknown(error.into_error().to_string()),
+            None => SendFailure::Unknown(describe_error(&error.into_error())),
         })
     }
 
@@ -187,6 +188,17 @@
     }
 }
 
+/// Returns the text of an error of a connection with its causes, which the error itself leaves out.
+pub(crate) fn describe_error(error: &hyper::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
+
 fn is_closing(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION);
     let mut texts = values.iter().filter_map(|value| value.to_str().ok());
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    connection::PooledConnection,
+    connection::{PooledConnection, describe_error},
     process::log_event,
     request::{
         RequestRefusal, ResponseBody,
@@ -100,7 +100,7 @@
     let mut collected = Vec::with_capacity(stated as usize);
     while let Some(frame) = body.frame().await {
         // Trailers are not forwarded.
-        let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else {
+        let Ok(data) = frame.map_err(|error| describe_error(&error))?.into_data() else {
             continue;
         };
         if collected.len() + data.len() > RESPONSE_MAX {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    connection::PooledConnection,
+    connection::{PooledConnection, describe_error},
     process::{ProcessWitness, RequestOutcome, RunningGuard, TimedStage, log_event},
     request::{
         RequestRefusal, ResponseBody,
@@ -280,7 +280,7 @@
                 // Trailers are not forwarded.
                 Err(_) => NextChunk::Data(Bytes::new()),
             },
-            Ok(Some(Err(error))) => NextChunk::Broken(FlightOutcome::Lost, error.to_string()),
+            Ok(Some(Err(error))) => NextChunk::Broken(FlightOutcome::Lost, describe_error(&error)),
             Ok(None) if upstream.is_complete().await => NextChunk::End,
             Ok(None) => NextChunk::Broken(FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned()),
             Err(_) => NextChunk::Broken(
