--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -27,6 +27,9 @@
 pub(crate) use upstream::{EndlessStage, FakeUpstream, Reply, UnframedEnd};
 
 pub(crate) const KEY: &str = "key-1";
+/// Maximum number of bytes that an instance may accept of an endless response: half of the 32 MB of
+/// a node, including the socket buffers of both sides.
+pub(crate) const ENDLESS_MAX: usize = 16 * 1024 * 1024;
 /// Attempts to bind a gateway, each with a new set of free addresses.
 const BIND_TRIES: usize = 10;
 pub(crate) const READY_PATH: &str = "/ready";
@@ -143,6 +146,14 @@
     document
 }
 
+/// Returns the service of a path of [`document`].
+pub(crate) fn service_of(path: &str) -> &'static str {
+    match path.starts_with("/stream/") {
+        true => "engine",
+        false => "plain",
+    }
+}
+
 pub(crate) fn record(name: &str, service: &str, address: SocketAddr) -> UpstreamRecord {
     UpstreamRecord {
         name: name.into(),
@@ -224,18 +235,26 @@
     }
 }
 
+/// Returns a platform with the document of the options and these upstreams.
+fn list_upstreams(
+    options: &FixtureOptions,
+    upstreams: &[(&str, &FakeUpstream)],
+) -> Arc<FakePlatform> {
+    let platform = Arc::new(FakePlatform::default());
+    platform.publish(document(1, options));
+    for (index, (service, upstream)) in upstreams.iter().enumerate() {
+        platform.list(record(&format!("u{index}"), service, upstream.address));
+    }
+    platform
+}
+
 impl Fixture {
     /// Starts a gateway in front of the upstreams and waits until it is ready.
     pub(crate) async fn start(
         options: &FixtureOptions,
         upstreams: &[(&str, &FakeUpstream)],
     ) -> Self {
-        let platform = Arc::new(FakePlatform::default());
-        platform.publish(document(1, options));
-        for (index, (service, upstream)) in upstreams.iter().enumerate() {
-            platform.list(record(&format!("u{index}"), service, upstream.address));
-        }
-        Self::start_with(options, platform).await
+        Self::start_with(options, list_upstreams(options, upstreams)).await
     }
 
     pub(crate) async fn start_with(options: &FixtureOptions, platform: Arc<FakePlatform>) -> Self {
@@ -267,11 +286,7 @@
         options: FixtureOptions,
         upstreams: &[(&str, &FakeUpstream)],
     ) -> (Self, String) {
-        let platform = Arc::new(FakePlatform::default());
-        platform.publish(document(1, &options));
-        for (index, (service, upstream)) in upstreams.iter().enumerate() {
-            platform.list(record(&format!("u{index}"), service, upstream.address));
-        }
+        let platform = list_upstreams(&options, upstreams);
         let (sender, receiver) = tokio::sync::oneshot::channel();
         let served = Arc::clone(&platform);
         std::thread::spawn(move || {
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -55,16 +55,11 @@
     WithoutProof,
     /// Sends fewer bytes than its `content-length` and closes the connection.
     Truncated,
-    /// Sends a body without event boundaries until the gateway closes the connection.
-    EndlessBody,
-    /// Sends header lines until the gateway closes the connection.
-    EndlessHead,
     /// Sends bytes in this stage of a response until the gateway closes the connection.
     Endless(EndlessStage),
-    /// Sends these texts without a length or chunks and ends in this way.
-    Unframed(Vec<String>, UnframedEnd),
-    /// As [`Reply::Unframed`], with additional header lines.
-    UnframedWith(&'static str, Vec<String>, UnframedEnd),
+    /// Sends these additional header lines, and these texts without a length or chunks, and ends in
+    /// this way.
+    Unframed(&'static str, Vec<String>, UnframedEnd),
     /// Sends the head of an event stream; then the process ends: all connections are closed and the
     /// port refuses new ones.
     Crash,
@@ -372,12 +367,7 @@
         "HTTP/1.1 200 OK\r\nt-attempt: {id}\r\nt-seal: seal-{id}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     let is_reset = matches!(reply, Reply::PacedReset(..));
-    let reply = match reply {
-        Reply::Unframed(texts, end) => Reply::UnframedWith("", texts, end),
-        other => other,
-    };
     let text = match reply {
-        Reply::Unframed(..) => unreachable!("is replaced above"),
         Reply::Answer(status, body) => response_text(id, status, "", body),
         Reply::AnswerWith(status, headers, body) => response_text(id, status, headers, body),
         Reply::Refuse => response_text(id, 503, "t-not-run: 1\r\n", ""),
@@ -446,7 +436,7 @@
             state.crashed.cancel();
             return false;
         }
-        Reply::UnframedWith(headers, texts, end) => {
+        Reply::Unframed(headers, texts, end) => {
             let head = stream_head.replace("transfer-encoding: chunked\r\n", headers);
             let _ = stream.write_all((head + &texts.concat()).as_bytes()).await;
             let _ = stream.flush().await;
@@ -466,22 +456,10 @@
             }
             return false;
         }
-        Reply::EndlessBody => {
-            return send_endless(
-                stream,
-                state,
-                &stream_head,
-                &encode_chunk(&"x".repeat(16_384)),
-            )
-            .await;
-        }
         Reply::Endless(stage) => {
             let (start, part) = stage.texts(&stream_head);
             return send_endless(stream, state, &start, &part).await;
         }
-        Reply::EndlessHead => {
-            return send_endless(stream, state, "HTTP/1.1 200 OK\r\n", "a: b\r\n").await;
-        }
         Reply::Paced(events, pause) | Reply::PacedReset(events, pause) => {
             if stream.write_all(stream_head.as_bytes()).await.is_err() {
                 return false;
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -4,14 +4,11 @@
 
 use std::time::Duration;
 
-use common::{EndlessStage, FakeUpstream, Fixture, FixtureOptions, Reply};
+use common::{ENDLESS_MAX, EndlessStage, FakeUpstream, Fixture, FixtureOptions, Reply, service_of};
 use futures_util::future::join_all;
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
-/// Maximum number of bytes that a gateway may accept of an endless response, including the socket
-/// buffers of both sides.
-const ENDLESS_MAX: usize = 16 * 1024 * 1024;
 /// Maximum processor time of an endless response: a tenth of the time limit of the route, so that
 /// other requests get the rest of it.
 const PROCESSOR_TIME_MAX: Duration = Duration::from_millis(300);
@@ -49,15 +46,12 @@
     stage: EndlessStage,
 ) {
     let upstream = FakeUpstream::start(vec![Reply::Endless(stage)]).await;
-    let service = match path.starts_with("/stream/") {
-        true => "engine",
-        false => "plain",
-    };
     let options = FixtureOptions {
         attempts: 1,
         ..FixtureOptions::default()
     };
-    let (fixture, thread) = Fixture::start_on_thread(options, &[(service, &upstream)]).await;
+    let (fixture, thread) =
+        Fixture::start_on_thread(options, &[(service_of(path), &upstream)]).await;
     let before = processor_time(&thread);
     let started = Instant::now();
     let request = fixture.post(path, "r1").header("t-tokens", "100,50");
@@ -88,12 +82,8 @@
     let pieces = (1..5_000).flat_map(|id| [format!("id: {id}\n"), "data: ".into(), "t\n\n".into()]);
     let pieces: Vec<String> = pieces.collect();
     let upstream = FakeUpstream::start(vec![Reply::Events(pieces.clone())]).await;
-    let service = match path.starts_with("/stream/") {
-        true => "engine",
-        false => "plain",
-    };
     let options = FixtureOptions::default();
-    let fixture = Fixture::start(&options, &[(service, &upstream)]).await;
+    let fixture = Fixture::start(&options, &[(service_of(path), &upstream)]).await;
     let request = fixture.post(path, "r1").header("t-tokens", "100,5000");
     let response = request.send().await.expect("answer");
     let text = response.text().await.expect("whole answer");
--- a/crates/gateway/tests/endless_memory.rs
+++ b/crates/gateway/tests/endless_memory.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::{EndlessStage, FakeUpstream, Fixture, FixtureOptions, Reply};
+use common::{EndlessStage, FakeUpstream, Fixture, FixtureOptions, Reply, service_of};
 use futures_util::future::join_all;
 
 /// Requests at the same time to faulty upstreams.
@@ -36,16 +36,12 @@
 async fn measure(path: &str) -> u64 {
     let reply = Reply::Endless(EndlessStage::LargeChunks);
     let bad = FakeUpstream::start(vec![reply; REQUESTS]).await;
-    let service = match path.starts_with("/stream/") {
-        true => "engine",
-        false => "plain",
-    };
     let options = FixtureOptions {
         attempts: 1,
         timeout: Duration::from_secs(20),
         ..FixtureOptions::default()
     };
-    let (fixture, _) = Fixture::start_on_thread(options, &[(service, &bad)]).await;
+    let (fixture, _) = Fixture::start_on_thread(options, &[(service_of(path), &bad)]).await;
     std::fs::write("/proc/self/clear_refs", "5").expect("resets the peak");
     let before = memory("VmRSS");
     let requests = (0..REQUESTS).map(|number| {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{FakeUpstream, Fixture, FixtureOptions, Reply};
+use common::{ENDLESS_MAX, EndlessStage, FakeUpstream, Fixture, FixtureOptions, Reply};
 use rstest::rstest;
 
 fn events(range: std::ops::Range<u32>) -> Vec<String> {
@@ -46,17 +46,13 @@
     assert_eq!(second.requests()[0].header("last-event-id"), Some("3"));
 }
 
-/// Maximum number of bytes that an instance may accept of an endless response: half of the 32 MB of
-/// a node, including the socket buffers of both sides.
-const ENDLESS_MAX: usize = 16 * 1024 * 1024;
-
 /// Guards against a faulty upstream that sends bytes without end and fills the memory of an
 /// instance until the request times out.
 #[rstest]
-#[case::event(Reply::EndlessBody, "/stream/a")]
-#[case::stream_head(Reply::EndlessHead, "/stream/a")]
-#[case::body(Reply::EndlessBody, "/again/a")]
-#[case::head(Reply::EndlessHead, "/again/a")]
+#[case::event(Reply::Endless(EndlessStage::LargeChunks), "/stream/a")]
+#[case::stream_head(Reply::Endless(EndlessStage::HeaderLines), "/stream/a")]
+#[case::body(Reply::Endless(EndlessStage::LargeChunks), "/again/a")]
+#[case::head(Reply::Endless(EndlessStage::HeaderLines), "/again/a")]
 #[tokio::test]
 async fn endless_answer_is_given_up(#[case] reply: Reply, #[case] path: &str) {
     let bad = FakeUpstream::start(vec![reply; 20]).await;
--- a/crates/gateway/tests/unframed.rs
+++ b/crates/gateway/tests/unframed.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{FakeUpstream, Fixture, FixtureOptions, Reply, UnframedEnd};
+use common::{FakeUpstream, Fixture, FixtureOptions, Reply, UnframedEnd, service_of};
 use rstest::rstest;
 
 const LEAVING: &str = "t-leaving: 1\r\n";
@@ -16,15 +16,11 @@
 /// Sends a request to a gateway with one attempt and returns the body if it is complete.
 async fn fetch(path: &str, reply: Reply) -> Option<String> {
     let upstream = FakeUpstream::start(vec![reply]).await;
-    let service = match path.starts_with("/stream/") {
-        true => "engine",
-        false => "plain",
-    };
     let options = FixtureOptions {
         attempts: 1,
         ..FixtureOptions::default()
     };
-    let fixture = Fixture::start(&options, &[(service, &upstream)]).await;
+    let fixture = Fixture::start(&options, &[(service_of(path), &upstream)]).await;
     let request = fixture.post(path, "r1").header("t-tokens", "100,50");
     let response = request.send().await.ok()?;
     match response.status().is_success() {
@@ -39,7 +35,7 @@
 async fn complete_response_without_a_length_is_lost(
     #[values("/stream/a", "/again/a", "/once/a")] path: &str,
 ) {
-    let reply = Reply::Unframed(events(1..4), UnframedEnd::Closed);
+    let reply = Reply::Unframed("", events(1..4), UnframedEnd::Closed);
     assert_eq!(fetch(path, reply).await, Some(events(1..4).concat()));
 }
 
@@ -50,7 +46,10 @@
     #[values("/stream/a", "/again/a", "/once/a")] path: &str,
     #[values(UnframedEnd::Reset, UnframedEnd::Crashed)] end: UnframedEnd,
 ) {
-    assert_eq!(fetch(path, Reply::Unframed(events(1..4), end)).await, None);
+    assert_eq!(
+        fetch(path, Reply::Unframed("", events(1..4), end)).await,
+        None
+    );
 }
 
 /// Guards against a part of a response that reaches the caller as the whole one when the process of
@@ -61,7 +60,7 @@
     #[values("/stream/a", "/again/a", "/once/a")] path: &str,
     #[values(UnframedEnd::Reset, UnframedEnd::Crashed)] end: UnframedEnd,
 ) {
-    let reply = Reply::UnframedWith(LEAVING, events(1..4), end);
+    let reply = Reply::Unframed(LEAVING, events(1..4), end);
     assert_eq!(fetch(path, reply).await, None);
 }
 
@@ -73,7 +72,7 @@
     #[values("/stream/a", "/again/a", "/once/a")] path: &str,
     #[values(UnframedEnd::Closed, UnframedEnd::Refusing)] end: UnframedEnd,
 ) {
-    let reply = Reply::UnframedWith(LEAVING, events(1..4), end);
+    let reply = Reply::Unframed(LEAVING, events(1..4), end);
     assert_eq!(fetch(path, reply).await, Some(events(1..4).concat()));
 }
 
@@ -87,7 +86,7 @@
     #[values("/stream/a", "/again/a", "/once/a")] path: &str,
     #[case] headers: &'static str,
 ) {
-    let reply = Reply::UnframedWith(headers, events(1..4), UnframedEnd::Restarted);
+    let reply = Reply::Unframed(headers, events(1..4), UnframedEnd::Restarted);
     assert_eq!(fetch(path, reply).await, None);
 }
 
@@ -97,7 +96,7 @@
 #[case::before_the_first(Vec::new())]
 #[tokio::test]
 async fn cut_stream_without_a_length_looks_complete(#[case] texts: Vec<String>) {
-    let reply = Reply::Unframed(texts, UnframedEnd::Closed);
+    let reply = Reply::Unframed("", texts, UnframedEnd::Closed);
     assert_eq!(fetch("/stream/a", reply).await, None);
 }
 
@@ -122,7 +121,7 @@
     // The next request with the same prompt parts goes to the engine that has cached them.
     send("r0").await;
     let first = usize::from(upstreams[0].requests().is_empty());
-    let reply = Reply::Unframed(events(1..4), UnframedEnd::Crashed);
+    let reply = Reply::Unframed("", events(1..4), UnframedEnd::Crashed);
     upstreams[first].set_replies(vec![reply]);
     upstreams[1 - first].set_replies(vec![Reply::Events(events(4..7))]);
     assert_eq!(send("r1").await, events(1..7).concat());
--- a/crates/router/tests/reports.rs
+++ b/crates/router/tests/reports.rs
@@ -6,8 +6,9 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use common::{FleetOptions, TestFleet, read_stream};
@@ -115,6 +116,17 @@
     assert!(sequences.len() >= TOKENS as usize);
 }
 
+/// Sends an order through a router whose only service is at this address.
+async fn send_order(service: SocketAddr) -> reqwest::Response {
+    let fleet = TestFleet::start(FleetOptions {
+        services: Vec::new(),
+        own_service: Some(service),
+        ..FleetOptions::default()
+    })
+    .await;
+    fleet.order(0, "key-1", "o1").send().await.unwrap()
+}
+
 /// Guards against an empty or short success when an upstream stops in the middle of its answer.
 #[rstest]
 #[case::status(HALF_STATUS)]
@@ -123,13 +135,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn half_an_answer_is_passed_on_as_a_success(#[case] answer: &'static str) {
     let shop = FixedUpstream::start(answer, None).await;
-    let fleet = TestFleet::start(FleetOptions {
-        services: Vec::new(),
-        own_service: Some(shop.address),
-        ..FleetOptions::default()
-    })
-    .await;
-    let order = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    let order = send_order(shop.address).await;
     assert_eq!(shop.calls(), 1);
     assert!(order.status().is_server_error(), "{}", order.status());
     let run = order.headers().get("x-cornelarch-run");
@@ -196,19 +202,13 @@
                         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf of").await;
                         // The process ends after this: its port refuses connections.
                         let _ = sender.try_send(());
-                        return tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                        return tokio::time::sleep(Duration::from_millis(50)).await;
                     }
                 }
             });
         }
     });
-    let fleet = TestFleet::start(FleetOptions {
-        services: Vec::new(),
-        own_service: Some(address),
-        ..FleetOptions::default()
-    })
-    .await;
-    let order = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    let order = send_order(address).await;
     assert_eq!(order.status().is_server_error(), has_crashed, "{order:?}");
 }
 
@@ -227,7 +227,7 @@
 ) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let sent = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let sent = Arc::new(AtomicUsize::new(0));
     let counter = Arc::clone(&sent);
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
@@ -243,13 +243,7 @@
             });
         }
     });
-    let fleet = TestFleet::start(FleetOptions {
-        services: Vec::new(),
-        own_service: Some(address),
-        ..FleetOptions::default()
-    })
-    .await;
-    let order = fleet.order(0, "key-1", "o1").send().await.unwrap();
+    let order = send_order(address).await;
     assert!(order.status().is_server_error(), "{}", order.status());
     let bytes = sent.load(Ordering::SeqCst);
     assert!(bytes <= ENDLESS_MAX, "{bytes}");
