Send departures with the loop of broadcasts; mark departed upstreams once

Reports about departures had a second copy of the loop that sends a broadcast, and collected the addresses of all peers each second although nothing had left. Both use one function now, and nothing is collected without departures. The placement table set the mark of a departed upstream in two places while it added or updated a record; it does so once, after either.

Behaviour is as before: core departure (8 tests), placement, notices and stream, gateway readers (5), leaving, limits and reports pass. Found by reading the whole change.

--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -74,36 +74,35 @@
 
     /// Adds an upstream or updates its record.
     pub fn apply(&mut self, record: UpstreamRecord) {
+        let has_departed = self.departures.contains(&record.name);
+        let key = self.insert_or_update(record);
+        self.entries[key].has_departed = has_departed;
+    }
+
+    fn insert_or_update(&mut self, record: UpstreamRecord) -> PlacementKey {
         if let Some(key) = self.names.get(&record.name).copied() {
             if self.entries[key].record.service != record.service {
                 self.leave_group(key);
                 self.join_group(key, record.service.clone());
             }
-            self.update(key, record);
-            return;
+            self.entries[key].update(record);
+            return key;
         }
         let (name, service) = (record.name.clone(), record.service.clone());
         let key = match self.find_removed(&record) {
             Some(key) => {
-                self.update(key, record);
+                self.entries[key].update(record);
                 key
             }
             None => {
                 let mut entry = UpstreamEntry::new(record);
                 entry.notices = self.former.take(&entry.record);
-                entry.has_departed = self.departures.contains(&name);
                 self.entries.insert(entry)
             }
         };
         self.names.insert(name, key);
         self.join_group(key, service);
-    }
-
-    fn update(&mut self, key: PlacementKey, record: UpstreamRecord) {
-        let has_departed = self.departures.contains(&record.name);
-        let entry = &mut self.entries[key];
-        entry.update(record);
-        entry.has_departed = has_departed;
+        key
     }
 
     /// Returns the entry of a removed upstream that still runs requests.
--- a/crates/gateway/src/connection/meter.rs
+++ b/crates/gateway/src/connection/meter.rs
@@ -20,7 +20,6 @@
 const OVERHEAD_MAX: u64 = 256 * 1024;
 /// Maximum number of bytes on the connection per byte of the body. A chunk of one byte has six.
 const FRAMING_MAX: u64 = 8;
-
 /// Size from which a piece of the body, such as a chunk, does not count as small, in bytes.
 const PIECE_BYTES_MIN: u64 = 16;
 
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -7,8 +7,8 @@
     blocklist::content::ContentReport,
     budget::{BudgetMessage, DomainPeer, LedgerEvent},
     membership::{
-        MemberEffect, MemberEvent, MemberOptions, MemberState, MemberTable, choose_owners,
-        rendezvous_score,
+        MemberEffect, MemberEvent, MemberOptions, MemberRecord, MemberState, MemberTable,
+        choose_owners, rendezvous_score,
     },
     placement::{LimitReport, UpstreamDeparture},
     route::replica::{
@@ -376,14 +376,28 @@
 
     /// Sends messages to all live peers.
     async fn broadcast(&self, bodies: impl IntoIterator<Item = WireBody>) {
-        let peers: Vec<(HolderId, String)> = self
-            .table
-            .live_records()
+        self.send_all(&self.addresses(self.table.live_records()), bodies)
+            .await;
+    }
+
+    /// Returns the addresses of members other than this instance.
+    fn addresses<'a>(
+        &self,
+        records: impl Iterator<Item = &'a MemberRecord>,
+    ) -> Vec<(HolderId, String)> {
+        records
             .filter(|record| record.holder != self.holder)
             .map(|record| (record.holder.clone(), record.address.clone()))
-            .collect();
+            .collect()
+    }
+
+    async fn send_all(
+        &self,
+        peers: &[(HolderId, String)],
+        bodies: impl IntoIterator<Item = WireBody>,
+    ) {
         for body in bodies {
-            for (holder, address) in &peers {
+            for (holder, address) in peers {
                 self.send(address, Some(holder), body.clone()).await;
             }
         }
@@ -423,21 +437,17 @@
     /// Sends the peers of the domain a report about upstreams that have left, unless all of them read
     /// the latest state of the directory.
     async fn send_departures(&self, departures: &[UpstreamDeparture]) {
-        let peers: Vec<(HolderId, String)> = self
-            .table
-            .live_members(&self.state.settings.domain)
-            .filter(|record| record.holder != self.holder)
-            .map(|record| (record.holder.clone(), record.address.clone()))
-            .collect();
-        if peers.len() < LATEST_READERS {
+        if departures.is_empty() {
             return;
         }
-        for part in departures.chunks(REPORT_ENTRIES_MAX) {
-            let body = encode_departure_report(part);
-            for (holder, address) in &peers {
-                self.send(address, Some(holder), body.clone()).await;
-            }
+        let domain = &self.state.settings.domain;
+        let peers = self.addresses(self.table.live_members(domain));
+        if peers.len() < LATEST_READERS {
+            return;
         }
+        let parts = departures.chunks(REPORT_ENTRIES_MAX);
+        self.send_all(&peers, parts.map(encode_departure_report))
+            .await;
     }
 
     /// Tells a peer what is blocked.
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -273,7 +273,7 @@
 /// Keeps the upstreams in sync with the platform until the task is dropped.
 pub(crate) async fn sync_directory<P: PlatformEdge>(state: Arc<GatewayState>, edge: Arc<P>) {
     let mut monitor = DependencyMonitor::new("directory", Arc::clone(&state));
-    let mut revision: Option<u64> = None;
+    let mut revision = None;
     let mut freshness = ListFreshness::default();
     let mut lapsed: HashSet<UpstreamName> = HashSet::new();
     let mut confirmed = state.confirmed.subscribe();
