One description of an error's causes, one check whether a response is complete

Streams and buffered responses each had the check whether a response without a length has ended with its upstream, and streams kept a flag for what the presence of the second connection says: one function, no flag. The reason for a response that is too large, and its size so far, were written twice.

--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -1,4 +1,4 @@
-//! The complete list of error kinds, each with the answer that it maps to.
+//! The complete list of error kinds, each with the answer that it maps to, and texts of errors.
 
 use serde::{Deserialize, Serialize};
 
@@ -118,3 +118,15 @@
     /// The router failed internally.
     Internal => "internal", 500, Unknown, false;
 }
+
+/// Formats an error with the chain of its causes, which most errors leave out of their own text.
+#[must_use]
+pub fn describe_error(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -5,6 +5,6 @@
 mod server;
 mod socket;
 
-pub(crate) use pool::{PooledConnection, SendFailure, UpstreamPool, describe_error};
+pub(crate) use pool::{PooledConnection, SendFailure, UpstreamPool};
 pub(crate) use server::{ConnectionOptions, ServerConnections};
 pub(crate) use socket::{bind_listener, connect, set_stream_options};
--- a/crates/gateway/src/connection/pool.rs
+++ b/crates/gateway/src/connection/pool.rs
@@ -2,14 +2,13 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    error::Error,
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use bytes::Bytes;
-use cornelarch_core::base::UpstreamName;
+use cornelarch_core::{base::UpstreamName, error::describe_error};
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::{
@@ -188,17 +187,6 @@
     }
 }
 
-/// Returns the text of an error of a connection with its causes, which the error itself leaves out.
-pub(crate) fn describe_error(error: &hyper::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(error) = cause {
-        text = format!("{text}: {error}");
-        cause = error.source();
-    }
-    text
-}
-
 fn is_closing(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION);
     let mut texts = values.iter().filter_map(|value| value.to_str().ok());
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -31,4 +31,4 @@
 pub(crate) use state::{DrainTimes, GatewayState, RunningGuard};
 pub(crate) use sync::{PlatformOutage, sync_directory, sync_document};
 pub(crate) use version::VersionMonitor;
-pub(crate) use witness::ProcessWitness;
+pub(crate) use witness::{ProcessWitness, is_complete};
--- a/crates/gateway/src/process/witness.rs
+++ b/crates/gateway/src/process/witness.rs
@@ -87,7 +87,7 @@
     }
 
     /// Returns whether the process runs that has just ended a response.
-    pub(crate) async fn has_survived(mut self) -> bool {
+    async fn has_survived(&mut self) -> bool {
         let ended = Instant::now();
         sleep(GATHER_TIME).await;
         let status = check_upstream(self.address).await;
@@ -107,6 +107,15 @@
     }
 }
 
+/// Returns whether a response is complete after its last byte. One with a witness ends with its
+/// connection, whether it is complete or its upstream has ended.
+pub(crate) async fn is_complete(witness: &mut Option<ProcessWitness>) -> bool {
+    match witness {
+        Some(witness) => witness.has_survived().await,
+        None => true,
+    }
+}
+
 /// Keeps a connection to an upstream open. Another one is opened when the upstream closes it,
 /// because it may have been idle too long.
 async fn keep_open(address: SocketAddr, state: watch::Sender<WitnessState>) {
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -3,28 +3,25 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cornelarch_core::placement::FlightOutcome;
+use cornelarch_core::{error::describe_error, placement::FlightOutcome};
 use http::{Response, StatusCode, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout_at;
 
 use crate::{
-    connection::{PooledConnection, describe_error},
-    process::log_event,
+    connection::PooledConnection,
+    process::{is_complete, log_event},
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
         exchange::{ENDED_WITH_UPSTREAM, OpenResponse, RequestExchange},
         head::{forwarded_headers, is_unframed},
-        limits::{RESPONSE_MAX, ResponseLimits},
+        limits::{RESPONSE_MAX, RESPONSE_TOO_LARGE, ResponseLimits},
         response::full_body,
     },
 };
 
-/// Reason for which a response is broken off.
-const TOO_LARGE: &str = "response exceeds the size limit";
-
 /// A complete response of an upstream.
 struct BufferedResponse {
     parts: Parts,
@@ -94,7 +91,7 @@
     let mut lease = exchange.state.buffers.lease();
     let stated = body.size_hint().exact().unwrap_or(0);
     if stated > RESPONSE_MAX as u64 {
-        return Err(TOO_LARGE.to_owned());
+        return Err(RESPONSE_TOO_LARGE.to_owned());
     }
     lease.resize(stated as usize).await?;
     let mut collected = Vec::with_capacity(stated as usize);
@@ -103,11 +100,11 @@
         let Ok(data) = frame.map_err(|error| describe_error(&error))?.into_data() else {
             continue;
         };
-        if collected.len() + data.len() > RESPONSE_MAX {
-            return Err(TOO_LARGE.to_owned());
+        let needed = collected.len() + data.len();
+        if needed > RESPONSE_MAX {
+            return Err(RESPONSE_TOO_LARGE.to_owned());
         }
         connection.record_body(data.len(), pieces_max)?;
-        let needed = collected.len() + data.len();
         if needed > collected.capacity() {
             let capacity = needed.max(2 * collected.capacity());
             lease.resize(capacity).await?;
@@ -125,18 +122,16 @@
 ) -> Result<BufferedResponse, FlightOutcome> {
     let OpenResponse { attempt, flight } = opened;
     let (parts, body) = attempt.response.into_parts();
-    let witness = flight.watch_process(is_unframed(&parts.headers, &body));
+    let mut witness = flight.watch_process(is_unframed(&parts.headers, &body));
     let collected = timeout_at(
         exchange.hard_deadline,
         collect_body(exchange, body, &attempt.connection),
     )
     .await;
-    let is_complete = match witness {
-        Some(witness) if matches!(collected, Ok(Ok(_))) => witness.has_survived().await,
-        _ => true,
-    };
     let (end, reason) = match collected {
-        Ok(Ok(_)) if !is_complete => (FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned()),
+        Ok(Ok(_)) if !is_complete(&mut witness).await => {
+            (FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned())
+        }
         Ok(Ok(body)) => {
             let pool = &exchange.state.pool;
             pool.release(&flight.upstream, attempt.connection, &parts.headers);
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -110,8 +110,8 @@
         }
     }
 
-    /// Starts to watch the process of the upstream if the response ends with its connection, which is
-    /// closed both at the end of the response and at the end of the process.
+    /// Starts to watch the process of the upstream if the response has neither a length nor chunks. It
+    /// ends with its connection, which the end of the process closes as well.
     pub(crate) fn watch_process(&self, is_unframed: bool) -> Option<ProcessWitness> {
         is_unframed.then(|| ProcessWitness::spawn(self.lost.address))
     }
--- a/crates/gateway/src/request/limits.rs
+++ b/crates/gateway/src/request/limits.rs
@@ -4,6 +4,8 @@
 
 /// Maximum size of a response that is no event stream, in bytes: the same as for requests of callers.
 pub(crate) const RESPONSE_MAX: usize = 4 * 1024 * 1024;
+/// Reason for which a larger one is broken off.
+pub(crate) const RESPONSE_TOO_LARGE: &str = "response exceeds the size limit";
 /// Number of pieces of a body that are always accepted, whatever their size.
 const PIECES_FREE: u64 = 8 * 1024;
 /// Further pieces for each token of the answer: a server may flush several parts of each event.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cornelarch_core::{
+    error::describe_error,
     placement::FlightOutcome,
     stream::{EventSplitter, find_event_id},
 };
@@ -14,8 +15,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    connection::{PooledConnection, describe_error},
-    process::{ProcessWitness, RequestOutcome, RunningGuard, TimedStage, log_event},
+    connection::PooledConnection,
+    process::{ProcessWitness, RequestOutcome, RunningGuard, TimedStage, is_complete, log_event},
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
@@ -25,7 +26,7 @@
         head::{forwarded_headers, is_unframed},
         in_flight::InFlightRequest,
         lease::BufferLease,
-        limits::{RESPONSE_MAX, ResponseLimits},
+        limits::{RESPONSE_MAX, RESPONSE_TOO_LARGE, ResponseLimits},
     },
 };
 
@@ -62,8 +63,7 @@
     connection: PooledConnection,
     headers: http::HeaderMap,
     flight: InFlightRequest,
-    is_unframed: bool,
-    /// Watches the upstream until the end of a response without a length or chunks.
+    /// Watches the upstream of a response without a length or chunks.
     witness: Option<ProcessWitness>,
 }
 
@@ -77,16 +77,11 @@
             connection: opened.attempt.connection,
             headers: parts.headers,
             flight: opened.flight,
-            is_unframed,
         }
     }
 
-    /// Returns whether the response is complete after its last byte.
-    async fn is_complete(&mut self) -> bool {
-        match self.witness.take() {
-            Some(witness) => witness.has_survived().await,
-            None => true,
-        }
+    const fn is_unframed(&self) -> bool {
+        self.witness.is_some()
     }
 }
 
@@ -203,7 +198,7 @@
         };
         let (id, events) = (self.exchange.id(), self.events);
         let ms = self.exchange.started.elapsed().as_millis();
-        let (name, is_unframed) = (&upstream.flight.upstream, upstream.is_unframed);
+        let (name, is_unframed) = (&upstream.flight.upstream, upstream.is_unframed());
         log_event!(
             StreamEnded,
             "id={id} events={events} ms={ms} upstream={name} unframed={is_unframed}"
@@ -225,7 +220,7 @@
     /// Returns whether a response that only ends with its connection has no event.
     fn is_empty_unframed(&self) -> bool {
         let upstream = self.upstream.as_ref();
-        self.events == 0 && upstream.is_some_and(|upstream| upstream.is_unframed)
+        self.events == 0 && upstream.is_some_and(UpstreamBody::is_unframed)
     }
 
     /// Returns the next bytes of a response that is not a stream, such as an error of the upstream.
@@ -237,7 +232,7 @@
             NextChunk::Data(chunk) => {
                 self.plain_bytes += chunk.len();
                 if self.plain_bytes > RESPONSE_MAX {
-                    let error = self.break_off("response exceeds the size limit");
+                    let error = self.break_off(RESPONSE_TOO_LARGE);
                     return Some((Err(error), self));
                 }
                 Some((Ok(Frame::data(chunk)), self))
@@ -281,7 +276,7 @@
                 Err(_) => NextChunk::Data(Bytes::new()),
             },
             Ok(Some(Err(error))) => NextChunk::Broken(FlightOutcome::Lost, describe_error(&error)),
-            Ok(None) if upstream.is_complete().await => NextChunk::End,
+            Ok(None) if is_complete(&mut upstream.witness).await => NextChunk::End,
             Ok(None) => NextChunk::Broken(FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned()),
             Err(_) => NextChunk::Broken(
                 FlightOutcome::TimedOut,
