--- a/crates/core/src/base/mod.rs
+++ b/crates/core/src/base/mod.rs
@@ -8,7 +8,7 @@
 pub use amount::TokenCount;
 pub use holder::{HolderId, ParseHolderError};
 pub use name::{
-    BudgetName, CustomerName, DomainName, EnvironmentName, InstanceName, ModelName, ServiceName,
-    UpstreamName,
+    BudgetName, CustomerName, DomainName, EnvironmentName, InstanceName, ModelName, RegionName,
+    ServiceName, UpstreamName,
 };
 pub use time::MonotonicTime;
--- a/crates/core/src/base/name.rs
+++ b/crates/core/src/base/name.rs
@@ -95,6 +95,10 @@
     /// Name of a model that engines serve.
     ModelName
 }
+define_name! {
+    /// Name of a region, which consists of failure domains.
+    RegionName
+}
 define_name! {
     /// Name of a non-model service behind the router.
     ServiceName
--- a/crates/core/src/notice/share.rs
+++ b/crates/core/src/notice/share.rs
@@ -72,6 +72,11 @@
         is_news
     }
 
+    /// Keeps the next request from being sent earlier than by the previous part.
+    pub(super) fn delay_as(&mut self, previous: &Self) {
+        self.next_at = self.next_at.max(previous.next_at);
+    }
+
     /// Returns the limit for all instances, in requests a second.
     pub(super) const fn rate(&self) -> f64 {
         self.rate
--- a/crates/core/src/placement/entry.rs
+++ b/crates/core/src/placement/entry.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     base::MonotonicTime,
-    notice::{NoticeState, RecentRequests},
+    notice::{ColdContext, ColdState, NoticeState, RecentRequests},
     placement::{
         FlightOutcome, PlacementOptions, PromptPart, RequestSize, UpstreamRecord, shared_parts,
     },
@@ -41,6 +41,12 @@
     pub(super) has_departed: bool,
     /// What the responses of this incarnation have said.
     pub(super) notices: NoticeState,
+    /// Whether the domain of the upstream is evacuated.
+    pub(super) is_evacuated: bool,
+    /// Whether and how long the upstream is cold.
+    pub(super) cold: ColdState,
+    /// Revision of the directory entry whose statement about that was recorded last.
+    cold_revision: Option<u64>,
     /// Requests that were placed in the last seconds.
     pub(super) recent: RecentRequests,
     /// Requests of this instance in flight.
@@ -66,6 +72,9 @@
             is_removed: false,
             has_departed: false,
             notices: NoticeState::default(),
+            is_evacuated: false,
+            cold: ColdState::default(),
+            cold_revision: None,
             recent: RecentRequests::default(),
             in_flight: 0,
             pending_tokens: 0.0,
@@ -102,9 +111,47 @@
             && !self.notices.is_leaving()
     }
 
+    /// Returns whether the upstream may get new requests.
+    pub(super) const fn is_usable(&self) -> bool {
+        self.is_listed() && !self.is_evacuated
+    }
+
     /// Returns whether a request that was placed may be sent to the upstream now.
     pub(super) fn accepts(&self, now: MonotonicTime) -> bool {
-        self.is_listed() && self.notices.pause_left(now).is_none()
+        self.is_usable() && self.notices.pause_left(now).is_none()
+    }
+
+    /// Returns the time until a request may be placed, because of a pause, a limit or a cold start,
+    /// or `None` if one may be placed now.
+    pub(super) fn wait_left(&self, now: MonotonicTime) -> Option<Duration> {
+        self.notices.wait_left(now).max(self.cold.wait_left(now))
+    }
+
+    /// Records the statement of the directory about the cold period, unless it is known. The time
+    /// counts from now, because the age of the entry is unknown.
+    pub(super) fn update_cold(
+        &mut self,
+        has_started: bool,
+        context: &ColdContext,
+        now: MonotonicTime,
+    ) {
+        let left = match self.record.cold {
+            Some(notice) if Some(notice.revision) <= self.cold_revision => return,
+            Some(notice) => {
+                self.cold_revision = Some(notice.revision);
+                notice.left
+            }
+            None if has_started => context.rule.map_or(Duration::ZERO, |rule| rule.start),
+            None => return,
+        };
+        self.cold.record(left, context, now);
+    }
+
+    /// Assumes that the upstream is cold until a newer directory entry says something else.
+    pub(super) fn assume_cold(&mut self, context: &ColdContext, now: MonotonicTime) {
+        if let Some(rule) = context.rule {
+            self.cold.record(rule.start, context, now);
+        }
     }
 
     /// Records that a request is placed.
@@ -112,6 +159,7 @@
         self.in_flight += 1;
         self.recent.record(now);
         self.notices.take_request(now);
+        self.cold.take_request(now);
     }
 
     /// Returns whether the upstream is ejected because of failures. After the ejection time, it gets
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,17 +9,21 @@
 
 mod departure;
 mod entry;
+mod evacuation;
 mod former;
+mod home;
 mod missing;
 mod options;
 mod request;
 mod table;
 
 pub use departure::UpstreamDeparture;
+pub use evacuation::{EvacuationChange, EvacuationEvent, EvacuationState};
+pub use home::{HomeDomains, find_home_domains};
 pub use missing::MissingUpstreams;
 pub use options::PlacementOptions;
 pub use request::{
-    FlightOutcome, LimitReport, NoticeNews, Placement, PlacementRefusal, PlacementRequest,
-    PromptPart, RequestSize, UpstreamIncarnation, UpstreamRecord, shared_parts,
+    ColdNotice, FlightOutcome, LimitReport, NoticeNews, Placement, PlacementRefusal,
+    PlacementRequest, PromptPart, RequestSize, UpstreamIncarnation, UpstreamRecord, shared_parts,
 };
 pub use table::{FlightKey, PlacementKey, PlacementTable};
--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     base::{DomainName, ServiceName, UpstreamName},
-    placement::PlacementKey,
+    placement::{HomeDomains, PlacementKey},
 };
 
 /// An upstream as listed by the platform.
@@ -26,6 +26,17 @@
     pub is_leaving: bool,
     /// Start time in Unix milliseconds, if known.
     pub started_unix_ms: Option<u64>,
+    /// How long the upstream stays cold, if the directory states it.
+    pub cold: Option<ColdNotice>,
+}
+
+/// Statement of a directory entry about the time for which its upstream stays cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdNotice {
+    /// The time left when the entry was written; zero if the upstream is warm.
+    pub left: Duration,
+    /// Revision of the entry.
+    pub revision: u64,
 }
 
 impl UpstreamRecord {
@@ -108,6 +119,8 @@
     pub service: &'a ServiceName,
     /// Upstreams already tried.
     pub excluded: &'a [PlacementKey],
+    /// Failure domains whose upstreams may get the request; `None` if all may.
+    pub homes: Option<&'a HomeDomains>,
     /// Size of the request; empty for plain services.
     pub size: &'a RequestSize,
     /// Memory of one engine in tokens; 0 for plain services.
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -1,17 +1,21 @@
 //! Table of upstreams and selection among them.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use slotmap::{SlotMap, new_key_type};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    base::{MonotonicTime, ServiceName, UpstreamName},
-    notice::{LimitNotice, NoticeContext, UpstreamNotice},
+    base::{DomainName, MonotonicTime, ServiceName, UpstreamName},
+    notice::{ColdContext, ColdRule, LimitNotice, NoticeContext, UpstreamNotice},
     placement::{
-        FlightOutcome, LimitReport, NoticeNews, Placement, PlacementOptions, PlacementRefusal,
-        PlacementRequest, RequestSize, UpstreamDeparture, UpstreamIncarnation, UpstreamRecord,
-        departure::PendingDepartures, entry::UpstreamEntry, former::FormerUpstreams, shared_parts,
+        EvacuationChange, EvacuationState, FlightOutcome, LimitReport, NoticeNews, Placement,
+        PlacementOptions, PlacementRefusal, PlacementRequest, RequestSize, UpstreamDeparture,
+        UpstreamIncarnation, UpstreamRecord, departure::PendingDepartures, entry::UpstreamEntry,
+        evacuation::EvacuationTracker, former::FormerUpstreams, home::HomeDomains, shared_parts,
     },
 };
 
@@ -46,6 +50,9 @@
     flights: SlotMap<FlightKey, InFlightRequest>,
     former: FormerUpstreams,
     departures: PendingDepartures,
+    evacuations: EvacuationTracker,
+    /// How the cold upstreams of each service are used.
+    cold_rules: HashMap<ServiceName, ColdRule>,
     /// Number of instances that share the limits of upstreams.
     instances: usize,
 }
@@ -62,6 +69,8 @@
             flights: SlotMap::with_key(),
             former: FormerUpstreams::default(),
             departures: PendingDepartures::default(),
+            evacuations: EvacuationTracker::default(),
+            cold_rules: HashMap::new(),
             instances: 1,
         }
     }
@@ -69,14 +78,119 @@
     /// Sets the number of instances that share the limits of upstreams, including this one. A limit
     /// that is in force is divided anew with the next response that names it.
     pub fn set_instances(&mut self, instances: usize) {
-        self.instances = instances;
+        if self.instances != instances {
+            self.instances = instances;
+            self.divide_cold();
+        }
+    }
+
+    /// Sets how the cold upstreams of each service are used. Those of other services need no care.
+    pub fn set_cold_rules(&mut self, rules: HashMap<ServiceName, ColdRule>) {
+        if self.cold_rules != rules {
+            self.cold_rules = rules;
+            self.divide_cold();
+        }
+    }
+
+    fn divide_cold(&mut self) {
+        let keys: Vec<PlacementKey> = self.entries.keys().collect();
+        for key in keys {
+            let context = self.cold_context(key);
+            self.entries[key].cold.divide(&context);
+        }
+    }
+
+    fn cold_context(&self, key: PlacementKey) -> ColdContext {
+        let record = &self.entries[key].record;
+        ColdContext {
+            rule: self.cold_rules.get(&record.service).copied(),
+            instances: self.instances,
+            phase: phase(&record.name, self.options.seed),
+        }
+    }
+
+    /// Records what the directory states about the cold period of an upstream whose record was just
+    /// applied. `has_started` tells that it has come up since the directory was first read. Returns
+    /// whether the upstream has become cold.
+    pub fn update_cold(
+        &mut self,
+        name: &UpstreamName,
+        has_started: bool,
+        now: MonotonicTime,
+    ) -> bool {
+        let Some(key) = self.names.get(name).copied() else {
+            return false;
+        };
+        let context = self.cold_context(key);
+        let entry = &mut self.entries[key];
+        let was_cold = entry.cold.is_cold(now);
+        entry.update_cold(has_started, &context, now);
+        !was_cold && entry.cold.is_cold(now)
+    }
+
+    /// Returns the number of listed upstreams that are cold.
+    #[must_use]
+    pub fn cold_count(&self, now: MonotonicTime) -> usize {
+        let cold = |entry: &&UpstreamEntry| entry.is_listed() && entry.cold.is_cold(now);
+        self.entries.values().filter(cold).count()
+    }
+
+    /// Takes over the evacuated domains, unless the known state is as new, and returns what has
+    /// changed. The upstreams of a domain that is evacuated no more may be cold.
+    pub fn merge_evacuations(
+        &mut self,
+        state: &EvacuationState,
+        now: MonotonicTime,
+    ) -> EvacuationChange {
+        let change = self.evacuations.merge(state, now);
+        if change.is_empty() {
+            return change;
+        }
+        let keys: Vec<PlacementKey> = self.entries.keys().collect();
+        for key in keys {
+            let context = self.cold_context(key);
+            let entry = &mut self.entries[key];
+            entry.is_evacuated = self.evacuations.contains(&entry.record.domain);
+            if change.ended.contains(&entry.record.domain) {
+                entry.assume_cold(&context, now);
+            }
+        }
+        change
+    }
+
+    /// Returns the evacuated domains.
+    #[must_use]
+    pub const fn evacuations(&self) -> &EvacuationState {
+        self.evacuations.state()
+    }
+
+    /// Returns the names of the upstreams of these domains.
+    #[must_use]
+    pub fn upstreams_in(&self, domains: &[DomainName]) -> Vec<UpstreamName> {
+        let records = self.records();
+        let records = records.filter(|record| domains.contains(&record.domain));
+        records.map(|record| record.name.clone()).collect()
+    }
+
+    /// Returns the services of which only evacuated upstreams are listed.
+    #[must_use]
+    pub fn evacuated_services(&self) -> BTreeSet<ServiceName> {
+        let listed = self.entries.values().filter(|entry| entry.is_listed());
+        let (evacuated, usable): (Vec<_>, Vec<_>) = listed.partition(|entry| entry.is_evacuated);
+        let usable: BTreeSet<&ServiceName> =
+            usable.iter().map(|entry| &entry.record.service).collect();
+        let services = evacuated.iter().map(|entry| &entry.record.service);
+        let services = services.filter(|service| !usable.contains(service));
+        services.cloned().collect()
     }
 
     /// Adds an upstream or updates its record.
     pub fn apply(&mut self, record: UpstreamRecord) {
         let has_departed = self.departures.contains(&record.name);
         let key = self.insert_or_update(record);
-        self.entries[key].has_departed = has_departed;
+        let entry = &mut self.entries[key];
+        entry.has_departed = has_departed;
+        entry.is_evacuated = self.evacuations.contains(&entry.record.domain);
     }
 
     fn insert_or_update(&mut self, record: UpstreamRecord) -> PlacementKey {
@@ -185,7 +299,7 @@
     /// and limits, or `None` if one may be placed now or none is listed.
     #[must_use]
     pub fn wait_left(&self, service: &ServiceName, now: MonotonicTime) -> Option<Duration> {
-        self.shortest_wait(&self.listed(service, &[]), now)
+        self.shortest_wait(&self.listed(service, &[], None, now), now)
     }
 
     /// Returns the number of upstreams that are listed and not shutting down.
@@ -207,14 +321,15 @@
         if request.memory_tokens > 0 && request.size.total() > request.memory_tokens {
             return Err(PlacementRefusal::TooLarge);
         }
-        let mut listed = self.listed(request.service, request.excluded);
+        let (excluded, homes) = (request.excluded, request.homes);
+        let mut listed = self.listed(request.service, excluded, homes, now);
         if listed.is_empty() {
             return Err(PlacementRefusal::NoUpstream);
         }
         if let Some(retry_after) = self.shortest_wait(&listed, now) {
             return Err(PlacementRefusal::Withheld { retry_after });
         }
-        listed.retain(|key| self.entries[*key].notices.wait_left(now).is_none());
+        listed.retain(|key| self.entries[*key].wait_left(now).is_none());
         let is_healthy = |key: &&PlacementKey| !self.entries[**key].is_ejected(now);
         let healthy: Vec<PlacementKey> = listed.iter().filter(is_healthy).copied().collect();
         // If every upstream is ejected, trying one is better than refusing all requests.
@@ -252,20 +367,36 @@
         })
     }
 
-    /// Returns the upstreams of a service that are listed and not shutting down.
-    fn listed(&self, service: &ServiceName, excluded: &[PlacementKey]) -> Vec<PlacementKey> {
+    /// Returns the upstreams of a service that are listed, not shutting down and not evacuated. Those
+    /// that come back from an evacuation are held back for a time, unless there are no others.
+    fn listed(
+        &self,
+        service: &ServiceName,
+        excluded: &[PlacementKey],
+        homes: Option<&HomeDomains>,
+        now: MonotonicTime,
+    ) -> Vec<PlacementKey> {
         let group = self.groups.get(service).into_iter().flatten().copied();
-        group
-            .filter(|key| self.entries[*key].is_listed() && !excluded.contains(key))
-            .collect()
+        let usable = group.filter(|key| {
+            let entry = &self.entries[*key];
+            let is_home = homes.is_none_or(|homes| homes.contains(&entry.record.domain));
+            entry.is_usable() && is_home && !excluded.contains(key)
+        });
+        let (returning, mut listed): (Vec<_>, Vec<_>) = usable.partition(|key| {
+            let record = &self.entries[*key].record;
+            let phase = phase(&record.name, self.options.seed);
+            self.evacuations.is_returning(&record.domain, phase, now)
+        });
+        if listed.is_empty() {
+            listed = returning;
+        }
+        listed
     }
 
     /// Returns the time until a request may be placed at one of these upstreams, or `None` if one may
     /// be placed now.
     fn shortest_wait(&self, keys: &[PlacementKey], now: MonotonicTime) -> Option<Duration> {
-        let waits = keys
-            .iter()
-            .map(|key| self.entries[*key].notices.wait_left(now));
+        let waits = keys.iter().map(|key| self.entries[*key].wait_left(now));
         let waits: Option<Vec<Duration>> = waits.collect();
         waits?.into_iter().min()
     }
--- a/crates/core/src/route/document.rs
+++ b/crates/core/src/route/document.rs
@@ -1,11 +1,15 @@
 //! Routes, customers and limits of one configuration version.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    base::{CustomerName, ServiceName, TokenCount},
+    base::{CustomerName, RegionName, ServiceName, TokenCount},
+    notice::{ColdBound, ColdRule},
     route::{RouteRule, ServiceRecord},
 };
 
@@ -18,6 +22,9 @@
     pub priority: Option<u8>,
     /// Total tokens that the customer may use; `None` means unlimited.
     pub prepaid: Option<TokenCount>,
+    /// Regions that the customer's requests are bound to; empty if they are not bound.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub homes: BTreeSet<RegionName>,
 }
 
 /// Size and time limits for callers.
@@ -153,6 +160,21 @@
         self.services.values()
     }
 
+    /// Returns how the cold upstreams of each service are used within a bound.
+    #[must_use]
+    pub fn cold_rules(&self, bound: &ColdBound) -> HashMap<ServiceName, ColdRule> {
+        let services = self.services.values().filter_map(|service| {
+            let cold = service.cold?;
+            let rate = cold.interval.as_secs_f64().recip();
+            let rule = ColdRule {
+                start: cold.duration,
+                rate: bound.shared_rate(rate),
+            };
+            rate.is_finite().then(|| (service.name.clone(), rule))
+        });
+        services.collect()
+    }
+
     /// Returns the number of routes of all hosts.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -7,4 +7,4 @@
 
 pub use active::ActiveDocument;
 pub use document::{CustomerRecord, RequestLimits, RouteDocument, RouteLookup};
-pub use rule::{RouteKind, RouteRule, ServiceRecord, SplitTarget};
+pub use rule::{ColdStart, RouteKind, RouteRule, ServiceRecord, SplitTarget};
--- a/crates/core/src/route/rule.rs
+++ b/crates/core/src/route/rule.rs
@@ -1,10 +1,10 @@
 //! Routes and services of a document.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::base::ServiceName;
+use crate::base::{RegionName, ServiceName};
 
 /// Execution semantics of the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -71,6 +71,9 @@
     pub targets: Vec<SplitTarget>,
     /// Whether requests are accepted without a customer key.
     pub is_public: bool,
+    /// Regions that the requests are bound to; empty if they are not bound.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub homes: BTreeSet<RegionName>,
 }
 
 impl RouteRule {
@@ -105,4 +108,16 @@
     pub memory_tokens: u64,
     /// Maximum number of tokens in one event of a stream.
     pub event_tokens: u64,
+    /// What its upstreams bear after their start; `None` if they need no care.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdStart>,
+}
+
+/// What an upstream bears after its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which the upstream is cold.
+    pub duration: Duration,
+    /// Mean time between the requests that it bears while it is cold.
+    pub interval: Duration,
 }
--- a/crates/core/tests/departure.rs
+++ b/crates/core/tests/departure.rs
@@ -23,6 +23,7 @@
         slots: 6,
         is_leaving: false,
         started_unix_ms,
+        cold: None,
     }
 }
 
@@ -50,6 +51,7 @@
     let request = PlacementRequest {
         service: &ServiceName::new("s"),
         excluded: &[],
+        homes: None,
         size: &RequestSize::default(),
         memory_tokens: 0,
         latency_limit: Duration::from_secs(2),
--- a/crates/core/tests/notices.rs
+++ b/crates/core/tests/notices.rs
@@ -40,6 +40,7 @@
         slots: 6,
         is_leaving: false,
         started_unix_ms: Some(started_unix_ms),
+        cold: None,
     }
 }
 
@@ -58,6 +59,7 @@
     let request = PlacementRequest {
         service: &ServiceName::new("s"),
         excluded: &[],
+        homes: None,
         size: &RequestSize::default(),
         memory_tokens: 0,
         latency_limit: Duration::from_secs(1),
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -27,6 +27,7 @@
         slots: 6,
         is_leaving: false,
         started_unix_ms: None,
+        cold: None,
     }
 }
 
@@ -59,6 +60,7 @@
     let request = PlacementRequest {
         service: &ServiceName::new("s"),
         excluded: &[],
+        homes: None,
         size,
         memory_tokens,
         latency_limit: Duration::from_secs(2),
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -164,6 +164,7 @@
         let request = PlacementRequest {
             service: &ServiceName::new("s"),
             excluded: &[],
+            homes: None,
             size: &size,
             memory_tokens: MEMORY,
             latency_limit: Duration::from_secs(2),
@@ -234,6 +235,7 @@
             slots: 64,
             is_leaving: false,
             started_unix_ms: Some(1),
+            cold: None,
         });
     }
     table
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -1,6 +1,10 @@
 //! Exchange of configurations between instances, with lost, late and forged messages.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use cornelarch_core::{
     base::{CustomerName, HolderId, InstanceName, MonotonicTime, ServiceName, TokenCount},
@@ -40,6 +44,7 @@
             weight: 90,
         }],
         is_public: false,
+        homes: BTreeSet::new(),
     }
 }
 
@@ -48,6 +53,7 @@
         name: CustomerName::new(name),
         priority: Some(1),
         prepaid: Some(TokenCount::new(500)),
+        homes: BTreeSet::new(),
     }
 }
 
@@ -62,6 +68,7 @@
         is_engine: false,
         memory_tokens: 0,
         event_tokens: 1,
+        cold: None,
     });
     document.limits = Some(RequestLimits::default());
     document
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -1,6 +1,6 @@
 //! Tests of the lookup of routes and customers.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use cornelarch_core::{
     base::{CustomerName, ServiceName},
@@ -27,6 +27,7 @@
         priority: 0,
         targets: vec![target("old", 90), target("new", 10)],
         is_public: false,
+        homes: BTreeSet::new(),
     }
 }
 
@@ -81,6 +82,7 @@
             name: CustomerName::new(name),
             priority: None,
             prepaid: None,
+            homes: BTreeSet::new(),
         };
         document.add_customer(record, [key.to_owned()]);
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -3,7 +3,11 @@
 use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
-use cornelarch_core::{base::UpstreamName, placement::UpstreamRecord, route::RouteDocument};
+use cornelarch_core::{
+    base::UpstreamName,
+    placement::{EvacuationEvent, EvacuationState, UpstreamRecord},
+    route::RouteDocument,
+};
 use http::HeaderName;
 use snafu::Snafu;
 
@@ -73,6 +77,9 @@
 /// Changes to the list of upstreams up to a revision of the store.
 pub type DirectoryChange = Versioned<Vec<DirectoryEvent>>;
 
+/// Changes to the evacuations up to a revision of the store, in their order.
+pub type EvacuationEvents = Versioned<Vec<EvacuationEvent>>;
+
 /// One change to the list of upstreams.
 #[derive(Clone, Debug)]
 pub enum DirectoryEvent {
@@ -170,6 +177,28 @@
         age: ReadAge,
     ) -> impl Future<Output = Result<DirectoryChange, EdgeError>> + Send;
 
+    /// Reads which failure domains are evacuated.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call failed.
+    fn read_evacuations(
+        &self,
+        age: ReadAge,
+    ) -> impl Future<Output = Result<EvacuationState, EdgeError>> + Send;
+
+    /// Waits at most `wait` for changes to the evacuations after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call failed.
+    fn watch_evacuations(
+        &self,
+        revision: u64,
+        wait: Duration,
+        age: ReadAge,
+    ) -> impl Future<Output = Result<EvacuationEvents, EdgeError>> + Send;
+
     /// Reads an object that the gateway stored.
     ///
     /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 mod request;
 
 pub use edge::{
-    DirectoryChange, DirectoryEvent, DirectoryList, DocumentChange, EdgeError, HeaderNames,
-    PlatformEdge, ReadAge, StoredObject, Versioned,
+    DirectoryChange, DirectoryEvent, DirectoryList, DocumentChange, EdgeError, EvacuationEvents,
+    HeaderNames, PlatformEdge, ReadAge, StoredObject, Versioned,
 };
 pub use process::{Gateway, GatewayError, GatewaySettings, LogEvent, ledger_options, open_log};
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -45,6 +45,12 @@
     NoticeReceived => 2305, Info, "notice of an upstream";
     /// A header about the state of an upstream cannot be used.
     NoticeRejected => 2306, Warn, "notice of an upstream rejected";
+    /// The evacuation of a failure domain has begun or ended.
+    EvacuationChanged => 2310, Warn, "evacuation changed";
+    /// Only evacuated upstreams of a service are listed.
+    ServiceEvacuated => 2311, Warn, "service has only evacuated upstreams";
+    /// An upstream is cold and gets few requests.
+    UpstreamCold => 2312, Info, "upstream is cold";
     /// A request was rejected before it was sent to an upstream.
     RequestRefused => 2400, Info, "request refused";
     /// An attempt at an upstream ended without a response.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -21,7 +21,7 @@
     process::{
         DrainTimes, GatewaySettings, GatewayState, PeerCommand, SharedLedger, log_event,
         run_blocking, run_ledger, run_peers, serve_documents, sync_blocklist, sync_directory,
-        sync_document,
+        sync_document, sync_evacuations,
     },
     request::{ResponseBody, empty_response, full_body, handle_request},
 };
@@ -108,6 +108,8 @@
         gateway.spawn_task("directory", directory);
         let blocklist = sync_blocklist(Arc::clone(&state), Arc::clone(&edge));
         gateway.spawn_task("blocklist", blocklist);
+        let evacuations = sync_evacuations(Arc::clone(&state), Arc::clone(&edge));
+        gateway.spawn_task("evacuations", evacuations);
         gateway.spawn_task("ledger", run_ledger(Arc::clone(&state), edge, events));
         let documents = serve_documents(Arc::clone(&state), holder.clone(), peer_listener);
         gateway.spawn_task("documents", documents);
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -106,6 +106,8 @@
     Document,
     /// List or watch of the upstreams.
     Directory,
+    /// List or watch of the evacuations.
+    Evacuations,
     /// Read of a ledger object.
     LedgerRead,
     /// Write of a ledger object.
@@ -169,6 +171,8 @@
     pub(crate) newest_version: u64,
     pub(crate) upstreams: usize,
     pub(crate) blocked: usize,
+    pub(crate) evacuated: usize,
+    pub(crate) cold: usize,
 }
 
 fn to_gauge(value: impl TryInto<i64>) -> i64 {
@@ -191,6 +195,8 @@
     newest_version: Gauge,
     upstreams: Gauge,
     dropped_lines: Gauge,
+    evacuated: Gauge,
+    cold: Gauge,
 }
 
 impl GatewayMetrics {
@@ -212,6 +218,8 @@
             newest_version: Gauge::default(),
             upstreams: Gauge::default(),
             dropped_lines: Gauge::default(),
+            evacuated: Gauge::default(),
+            cold: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
@@ -231,6 +239,9 @@
         registry.register("upstreams", "Usable upstreams", metrics.upstreams.clone());
         let dropped = metrics.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
+        let (evacuated, cold) = (metrics.evacuated.clone(), metrics.cold.clone());
+        registry.register("evacuated_domains", "Evacuated domains", evacuated);
+        registry.register("cold_upstreams", "Cold upstreams", cold);
         metrics
     }
 
@@ -292,6 +303,8 @@
         self.newest_version.set(to_gauge(gauges.newest_version));
         self.upstreams.set(to_gauge(gauges.upstreams));
         self.blocked.set(to_gauge(gauges.blocked));
+        self.evacuated.set(to_gauge(gauges.evacuated));
+        self.cold.set(to_gauge(gauges.cold));
         self.dropped_lines.set(to_gauge(dropped_lines()));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod blocklist;
 mod crash;
 mod documents;
+mod evacuation;
 mod event;
 mod gateway;
 mod ledger;
@@ -18,6 +19,7 @@
 pub(crate) use blocklist::sync_blocklist;
 pub(crate) use crash::{CrashMonitor, LostRequest, run_blocking};
 pub(crate) use documents::serve_documents;
+pub(crate) use evacuation::sync_evacuations;
 pub use event::LogEvent;
 pub(crate) use event::log_event;
 pub use gateway::{Gateway, GatewayError};
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -10,7 +10,7 @@
         MemberEffect, MemberEvent, MemberOptions, MemberRecord, MemberState, MemberTable,
         choose_owners, rendezvous_score,
     },
-    placement::{LimitReport, UpstreamDeparture},
+    placement::{EvacuationState, LimitReport, UpstreamDeparture},
     route::replica::{
         DocumentPart, DocumentReplica, DocumentRequest, ReplicaEffect, ReplicaEvent,
         ReplicaOptions, RequestChannel,
@@ -18,9 +18,10 @@
 };
 use cornelarch_wire::{
     decode_budget_message, decode_content_report, decode_departure_report, decode_document_part,
-    decode_document_request, decode_envelope, decode_limit_report, decode_member_event,
-    encode_budget_message, encode_content_report, encode_departure_report, encode_document_part,
-    encode_document_request, encode_envelope, encode_limit_report,
+    decode_document_request, decode_envelope, decode_evacuations, decode_limit_report,
+    decode_member_event, encode_budget_message, encode_content_report, encode_departure_report,
+    encode_document_part, encode_document_request, encode_envelope, encode_evacuations,
+    encode_limit_report,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
@@ -57,6 +58,9 @@
 /// Time for which the peers of a domain are told that an upstream has left: by then, instances that
 /// had not joined yet have read a state of the directory that shows it.
 const DEPARTURE_REPEAT_TIME: Duration = Duration::from_secs(5);
+/// Time after a change of the evacuated domains for which random peers are told of it. By then, the
+/// instances that an outage or a partition kept from the news have had it from the platform.
+const EVACUATION_REPEAT_TIME: Duration = Duration::from_secs(30);
 /// Size of the receive buffer, in bytes. The largest datagrams, parts of a configuration, have up to
 /// 14 kB.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
@@ -80,6 +84,8 @@
     /// Tells the peers of the domain, whose state of the directory may be older, which upstreams have
     /// left.
     ReportDepartures(Vec<UpstreamDeparture>),
+    /// Tells all peers which domains are evacuated.
+    ReportEvacuations,
     /// Merges a part of a configuration that arrived over a connection.
     MergeDocument { from: HolderId, part: DocumentPart },
     /// Announces to the peers that this instance leaves the fleet.
@@ -97,6 +103,10 @@
     repeated_limits: HashMap<UpstreamName, LimitReport>,
     /// Upstreams that have left, with the time at which they were first reported.
     departures: Vec<(UpstreamDeparture, MonotonicTime)>,
+    /// Whether the evacuated domains are sent once more with the next tick.
+    repeats_evacuations: bool,
+    /// The evacuated domains, and when they last changed.
+    evacuations: Option<(EvacuationState, MonotonicTime)>,
     /// Requests over connections. They end with the peer task.
     fetches: JoinSet<()>,
     fetch_permits: Arc<Semaphore>,
@@ -128,6 +138,8 @@
         replica: DocumentReplica::new(ReplicaOptions::default()),
         repeated_limits: HashMap::new(),
         departures: Vec::new(),
+        repeats_evacuations: false,
+        evacuations: None,
         fetches: JoinSet::new(),
         fetch_permits: Arc::new(Semaphore::new(FETCHES_MAX)),
         generator: StdRng::from_os_rng(),
@@ -152,6 +164,10 @@
                 Some(PeerCommand::ReportDepartures(departures)) => {
                     task.report_departures(departures).await;
                 }
+                Some(PeerCommand::ReportEvacuations) => {
+                    task.report_evacuations().await;
+                    task.repeats_evacuations = true;
+                }
                 Some(PeerCommand::MergeDocument { from, part }) => {
                     task.merge_document(from, part).await;
                 }
@@ -167,6 +183,7 @@
             _ = repeat.tick() => {
                 task.repeat_blocked().await;
                 task.repeat_departures().await;
+                task.repeat_evacuations().await;
             }
             _ = interval.tick() => {
                 let version = task.state.version();
@@ -174,6 +191,9 @@
                 task.apply(MemberEvent::Tick).await;
                 task.state.report_lag();
                 task.repeat_limits().await;
+                if std::mem::take(&mut task.repeats_evacuations) {
+                    task.report_evacuations().await;
+                }
                 task.update_replica(ReplicaEvent::Tick).await;
             }
         }
@@ -235,6 +255,12 @@
         if let Some(departures) = decode_departure_report(&envelope.body) {
             return self.state.merge_departures(&departures);
         }
+        if let Some(evacuations) = decode_evacuations(&envelope.body) {
+            if evacuations.revision > 0 {
+                self.state.merge_evacuations(&evacuations, "peer");
+            }
+            return;
+        }
         if let Some(request) = decode_document_request(&envelope.body) {
             return self.send_document(&from, &request).await;
         }
@@ -450,6 +476,41 @@
             .await;
     }
 
+    /// Tells all peers which domains are evacuated.
+    async fn report_evacuations(&self) {
+        let evacuations = self.state.placement.lock().evacuations().clone();
+        self.broadcast([encode_evacuations(&evacuations)]).await;
+    }
+
+    /// Tells some random peers which domains are evacuated, while any is and for some time after the
+    /// last change.
+    async fn repeat_evacuations(&mut self) {
+        let current = self.state.placement.lock().evacuations().clone();
+        let now = self.state.now();
+        let known = self.evacuations.get_or_insert_default();
+        if known.0.domains != current.domains {
+            known.1 = now;
+        }
+        known.0 = current;
+        let has_changed = known.1 != MonotonicTime::START;
+        let is_recent = has_changed && now.since(known.1) < EVACUATION_REPEAT_TIME;
+        if known.0.domains.is_empty() && !is_recent {
+            return;
+        }
+        let body = encode_evacuations(&known.0);
+        for peer in self.choose_peers() {
+            self.send_to_member(&peer, body.clone()).await;
+        }
+    }
+
+    /// Chooses random live peers that are told what they may have missed.
+    fn choose_peers(&mut self) -> Vec<HolderId> {
+        let peers = self.table.live_records();
+        let peers = peers.filter(|record| record.holder != self.holder);
+        let peers = peers.map(|record| record.holder.clone());
+        peers.choose_multiple(&mut self.generator, REPEAT_PEERS)
+    }
+
     /// Tells a peer what is blocked.
     async fn send_blocked(&self, to: &HolderId) {
         let report = self.state.crashes.blocked_report(self.state.now());
@@ -467,10 +528,7 @@
     /// end.
     async fn repeat_blocked(&mut self) {
         self.state.expire_content();
-        let peers = self.table.live_records();
-        let peers = peers.filter(|record| record.holder != self.holder);
-        let peers = peers.map(|record| record.holder.clone());
-        for peer in peers.choose_multiple(&mut self.generator, REPEAT_PEERS) {
+        for peer in self.choose_peers() {
             self.send_blocked(&peer).await;
         }
     }
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of a gateway.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use cornelarch_core::{
-    base::{DomainName, EnvironmentName, InstanceName},
+    base::{DomainName, EnvironmentName, InstanceName, RegionName},
+    notice::ColdBound,
     retry::WindowOptions,
 };
 
@@ -39,4 +40,10 @@
     pub ledger_shards: u32,
     /// Number of failure domains.
     pub domains: u32,
+    /// Whether operators may evacuate failure domains on this platform.
+    pub has_evacuations: bool,
+    /// Bound of the requests to a cold upstream; `None` if cold upstreams need no care.
+    pub cold_bound: Option<ColdBound>,
+    /// Regions of the failure domains, for requests that are bound to regions.
+    pub regions: BTreeMap<DomainName, RegionName>,
 }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the requests and background tasks of a gateway.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
@@ -79,6 +79,9 @@
     retry_budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
     has_directory: AtomicBool,
     has_blocklist: AtomicBool,
+    has_evacuations: AtomicBool,
+    /// Services that were reported to have only evacuated upstreams.
+    pub(crate) evacuated_services: Mutex<BTreeSet<ServiceName>>,
     confirmed_us: AtomicU64,
     /// Set once a shutdown has begun: readiness fails, but requests are still served.
     drain: OnceLock<DrainTimes>,
@@ -124,6 +127,8 @@
             retry_budgets: Mutex::default(),
             has_directory: AtomicBool::new(false),
             has_blocklist: AtomicBool::new(false),
+            has_evacuations: AtomicBool::new(false),
+            evacuated_services: Mutex::default(),
             confirmed_us: AtomicU64::new(0),
             drain: OnceLock::new(),
             running: AtomicUsize::new(0),
@@ -161,6 +166,10 @@
     pub(crate) fn activate_document(&self, document: RouteDocument, source: &str) -> bool {
         self.document.activate(document, |document| {
             self.register_budgets(document);
+            if let Some(bound) = &self.settings.cold_bound {
+                let rules = document.cold_rules(bound);
+                self.placement.lock().set_cold_rules(rules);
+            }
             let lag = self.versions.record_active(document.version);
             log_event!(
                 DocumentApplied,
@@ -278,6 +287,17 @@
     pub(crate) fn confirm_directory(&self, revision: u64) {
         self.placement.lock().confirm_directory(revision);
         self.has_directory.store(true, Ordering::Release);
+        self.report_evacuated_services();
+    }
+
+    /// Returns whether the directory was read.
+    pub(crate) fn has_directory(&self) -> bool {
+        self.has_directory.load(Ordering::Acquire)
+    }
+
+    /// Records that the evacuated domains are known.
+    pub(crate) fn confirm_evacuations(&self) {
+        self.has_evacuations.store(true, Ordering::Release);
     }
 
     /// Records that the stored copy of the blocked content was read, or cannot be read now.
@@ -290,6 +310,7 @@
         !self.is_draining()
             && self.has_directory.load(Ordering::Acquire)
             && self.has_blocklist.load(Ordering::Acquire)
+            && self.has_evacuations.load(Ordering::Acquire)
             && self.document.load().is_some()
     }
 
@@ -380,7 +401,12 @@
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn render_metrics(&self) -> String {
         let version = self.version();
-        let upstreams = self.placement.lock().listed_count();
+        let (upstreams, evacuated, cold) = {
+            let placement = self.placement.lock();
+            let evacuated = placement.evacuations().domains.len();
+            let cold = placement.cold_count(self.now());
+            (placement.listed_count(), evacuated, cold)
+        };
         let blocked = self.crashes.blocked_count();
         let gauges = MetricGauges {
             running: self.running(),
@@ -388,6 +414,8 @@
             newest_version: self.versions.newest(),
             upstreams,
             blocked,
+            evacuated,
+            cold,
         };
         self.metrics.render(gauges)
     }
--- a/crates/gateway/src/process/sync.rs
+++ b/crates/gateway/src/process/sync.rs
@@ -20,7 +20,7 @@
 
 /// Longest wait of one watch. A dead connection is detected after this time, which must stay well
 /// below the time limit for activating a change.
-const WATCH_WAIT_MAX: Duration = Duration::from_millis(4_000);
+pub(super) const WATCH_WAIT_MAX: Duration = Duration::from_millis(4_000);
 /// Interval between reads of the configuration while versions are published in quick succession: a
 /// tenth of the shortest time limit for activating a version.
 const BURST_READ_PERIOD: Duration = Duration::from_millis(200);
@@ -37,7 +37,7 @@
 const RECOVERY_GRACE: Duration = Duration::from_millis(2_000);
 /// Longest time after a failure for which the directory task waits for the configuration to be read
 /// again. The configuration task probes the platform for both, because calls are rate limited.
-const PROBE_WAIT_MAX: Duration = Duration::from_secs(1);
+pub(super) const PROBE_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Shortest time without a response that counts as an outage in which entries may have expired. An
 /// interrupted watch is retried sooner.
 const OUTAGE_MIN: Duration = Duration::from_millis(300);
@@ -57,6 +57,11 @@
 }
 
 impl PlatformOutage {
+    /// Returns the end of the last outage.
+    pub(super) const fn recovered_at(&self) -> Option<Instant> {
+        self.recovered_at
+    }
+
     /// Returns the time at which expired entries count as removed, if the platform is unavailable
     /// or has recently recovered.
     fn grace_end(&self) -> Option<Instant> {
@@ -69,7 +74,7 @@
 }
 
 /// Backs off from a failing dependency, and logs its loss and recovery.
-struct DependencyMonitor {
+pub(super) struct DependencyMonitor {
     name: &'static str,
     failures: u32,
     wait: Duration,
@@ -79,7 +84,7 @@
 }
 
 impl DependencyMonitor {
-    const fn new(name: &'static str, state: Arc<GatewayState>) -> Self {
+    pub(super) const fn new(name: &'static str, state: Arc<GatewayState>) -> Self {
         Self {
             name,
             failures: 0,
@@ -90,7 +95,7 @@
         }
     }
 
-    fn record_success(&mut self) {
+    pub(super) fn record_success(&mut self) {
         self.failures = 0;
         self.wait = RETRY_MIN;
         if let Some(at) = self.failed_at.take() {
@@ -106,7 +111,7 @@
         }
     }
 
-    async fn record_failure(&mut self, error: &EdgeError) {
+    pub(super) async fn record_failure(&mut self, error: &EdgeError) {
         self.failures += 1;
         self.failed_at.get_or_insert_with(Instant::now);
         self.state.outage.lock().failing.insert(self.name);
@@ -470,7 +475,16 @@
     if record.is_leaving {
         state.pool.close_idle(&record.name);
     }
-    state.placement.lock().apply(record);
+    let name = record.name.clone();
+    let mut placement = state.placement.lock();
+    let incarnation = placement.find(&name).map(UpstreamRecord::incarnation);
+    let has_started = state.has_directory() && incarnation != Some(record.incarnation());
+    placement.apply(record);
+    let is_cold = placement.update_cold(&name, has_started, state.now());
+    drop(placement);
+    if is_cold {
+        log_event!(UpstreamCold, "upstream={name}");
+    }
 }
 
 fn remove_upstream(state: &GatewayState, name: &UpstreamName) {
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -7,7 +7,7 @@
     base::{CustomerName, ServiceName},
     blocklist::content::ContentKey,
     error::{ErrorKind, RunState},
-    placement::RequestSize,
+    placement::{RequestSize, find_home_domains},
     route::{CustomerRecord, RouteDocument, RouteKind, RouteLookup, RouteRule, ServiceRecord},
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
@@ -150,7 +150,10 @@
         &body,
         &size,
     );
+    let homes = customer.iter().map(|customer| &customer.homes);
+    let homes = homes.chain([&rule.homes]);
     Ok(RequestExchange {
+        homes: find_home_domains(homes, &state.settings.regions),
         service: find_service(&document, service),
         content,
         head: RequestHead {
@@ -201,6 +204,7 @@
         is_engine: false,
         memory_tokens: 0,
         event_tokens: 1,
+        cold: None,
     })
 }
 
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -7,8 +7,8 @@
     blocklist::content::ContentKey,
     error::ErrorKind,
     placement::{
-        FlightOutcome, Placement, PlacementKey, PlacementRefusal, PlacementRequest, RequestSize,
-        shared_parts,
+        FlightOutcome, HomeDomains, Placement, PlacementKey, PlacementRefusal, PlacementRequest,
+        RequestSize, shared_parts,
     },
     retry::AttemptOutcome,
     route::{RouteDocument, RouteRule, ServiceRecord},
@@ -56,6 +56,8 @@
     pub(crate) document: Arc<RouteDocument>,
     pub(crate) rule: RouteRule,
     pub(crate) service: ServiceRecord,
+    /// Domains that the request is bound to, by its route and its customer.
+    pub(crate) homes: Option<HomeDomains>,
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
     pub(crate) customer: Option<HeaderValue>,
@@ -240,6 +242,7 @@
         let request = PlacementRequest {
             service: &self.service.name,
             excluded: &history.tried,
+            homes: self.homes.as_ref(),
             size: &self.size,
             memory_tokens: self.service.memory_tokens,
             latency_limit: self.latency_limit(remaining),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,18 +5,24 @@
 mod platform;
 mod upstream;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use cornelarch_core::{
     base::{
         CustomerName, DomainName, EnvironmentName, HolderId, InstanceName, ServiceName, TokenCount,
     },
     membership::{MemberMessage, MemberRecord, MemberState, PingBody},
+    notice::ColdBound,
     placement::UpstreamRecord,
     retry::WindowOptions,
     route::{
-        CustomerRecord, RequestLimits, RouteDocument, RouteKind, RouteRule, ServiceRecord,
-        SplitTarget,
+        ColdStart, CustomerRecord, RequestLimits, RouteDocument, RouteKind, RouteRule,
+        ServiceRecord, SplitTarget,
     },
 };
 use cornelarch_gateway::{Gateway, GatewayError, GatewaySettings, HeaderNames};
@@ -57,6 +63,10 @@
     pub(crate) instance: &'static str,
     /// Peer addresses of other instances.
     pub(crate) seeds: Vec<SocketAddr>,
+    /// Whether the platform knows evacuations.
+    pub(crate) has_evacuations: bool,
+    /// What the upstreams of the plain service bear after their start.
+    pub(crate) cold: Option<ColdStart>,
 }
 
 impl Default for FixtureOptions {
@@ -70,6 +80,8 @@
             grace: Duration::from_secs(8),
             instance: "g1",
             seeds: Vec::new(),
+            has_evacuations: false,
+            cold: None,
         }
     }
 }
@@ -127,6 +139,7 @@
                 weight: 1,
             }],
             is_public: prefix == "/public/",
+            homes: BTreeSet::new(),
         });
     }
     for (name, is_engine) in [("plain", false), ("engine", true)] {
@@ -135,12 +148,14 @@
             is_engine,
             memory_tokens: if is_engine { 100_000 } else { 0 },
             event_tokens: 5,
+            cold: options.cold.filter(|_| !is_engine),
         });
     }
     let record = CustomerRecord {
         name: CustomerName::new("acme"),
         priority: None,
         prepaid: options.prepaid.map(TokenCount::new),
+        homes: BTreeSet::new(),
     };
     document.add_customer(record, [KEY.to_owned()]);
     document
@@ -163,6 +178,7 @@
         slots: 8,
         is_leaving: false,
         started_unix_ms: None,
+        cold: None,
     }
 }
 
@@ -232,6 +248,12 @@
         outage_reserve: Duration::from_secs(9),
         ledger_shards: 1,
         domains: 1,
+        has_evacuations: options.has_evacuations,
+        cold_bound: options.cold.map(|_| ColdBound {
+            excess: 1.5,
+            slack: 5.0,
+        }),
+        regions: BTreeMap::new(),
     }
 }
 
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -1,16 +1,20 @@
 //! In-memory platform with injected faults.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
     time::Duration,
 };
 
 use bytes::Bytes;
-use cornelarch_core::{placement::UpstreamRecord, route::RouteDocument};
+use cornelarch_core::{
+    base::DomainName,
+    placement::{EvacuationEvent, EvacuationState, UpstreamRecord},
+    route::RouteDocument,
+};
 use cornelarch_gateway::{
-    DirectoryChange, DirectoryEvent, DirectoryList, DocumentChange, EdgeError, PlatformEdge,
-    ReadAge, StoredObject, Versioned,
+    DirectoryChange, DirectoryEvent, DirectoryList, DocumentChange, EdgeError, EvacuationEvents,
+    PlatformEdge, ReadAge, StoredObject, Versioned,
 };
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -24,6 +28,8 @@
     upstreams: HashMap<String, UpstreamRecord>,
     changes: Vec<(u64, DirectoryEvent)>,
     objects: HashMap<String, StoredObject>,
+    evacuated: BTreeSet<DomainName>,
+    evacuations: Vec<(u64, EvacuationEvent)>,
 }
 
 /// In-memory platform. While it is down, every call fails and open watches are interrupted.
@@ -45,6 +51,8 @@
     pub(crate) reads: AtomicU64,
     pub(crate) lists: AtomicU64,
     pub(crate) writes: AtomicU64,
+    pub(crate) evacuation_lists: AtomicU64,
+    pub(crate) evacuation_watches: AtomicU64,
 }
 
 impl Default for FakePlatform {
@@ -61,6 +69,8 @@
             reads: AtomicU64::new(0),
             lists: AtomicU64::new(0),
             writes: AtomicU64::new(0),
+            evacuation_lists: AtomicU64::new(0),
+            evacuation_watches: AtomicU64::new(0),
         }
     }
 }
@@ -101,6 +111,25 @@
         self.notify();
     }
 
+    /// Requests the evacuation of a domain, or takes the request back.
+    pub(crate) fn evacuate(&self, domain: &str, is_evacuated: bool) {
+        let domain = DomainName::new(domain);
+        let mut content = self.content.lock();
+        content.revision += 1;
+        let revision = content.revision;
+        match is_evacuated {
+            true => content.evacuated.insert(domain.clone()),
+            false => content.evacuated.remove(&domain),
+        };
+        let event = EvacuationEvent {
+            domain,
+            is_evacuated,
+        };
+        content.evacuations.push((revision, event));
+        drop(content);
+        self.notify();
+    }
+
     /// Makes lists that allow stale responses return the present state from now on.
     pub(crate) fn freeze(&self) {
         *self.frozen.lock() = Some(self.current_list());
@@ -273,6 +302,34 @@
         Ok(Versioned { revision, value })
     }
 
+    async fn read_evacuations(&self, _age: ReadAge) -> Result<EvacuationState, EdgeError> {
+        self.check()?;
+        self.evacuation_lists.fetch_add(1, Ordering::SeqCst);
+        let content = self.content.lock();
+        Ok(EvacuationState {
+            revision: content.revision,
+            domains: content.evacuated.clone(),
+        })
+    }
+
+    async fn watch_evacuations(
+        &self,
+        revision: u64,
+        wait: Duration,
+        _age: ReadAge,
+    ) -> Result<EvacuationEvents, EdgeError> {
+        self.evacuation_watches.fetch_add(1, Ordering::SeqCst);
+        let found = self
+            .wait(revision, wait, |content| {
+                let changes = content.evacuations.iter().filter(|(at, _)| *at > revision);
+                let events: Vec<EvacuationEvent> = changes.map(|(_, e)| e.clone()).collect();
+                (!events.is_empty()).then_some((content.revision, events))
+            })
+            .await?;
+        let (revision, value) = found.unwrap_or((revision, Vec::new()));
+        Ok(Versioned { revision, value })
+    }
+
     async fn read_object(&self, name: &str, _age: ReadAge) -> Result<StoredObject, EdgeError> {
         self.check()?;
         self.reads.fetch_add(1, Ordering::SeqCst);
--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::{
+    collections::BTreeSet,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -82,6 +83,7 @@
             weight: 1,
         }],
         is_public: false,
+        homes: BTreeSet::new(),
     }
 }
 
@@ -131,6 +133,7 @@
         name: "other".into(),
         priority: None,
         prepaid: None,
+        homes: BTreeSet::new(),
     };
     revoked.add_customer(other, ["key-2".to_owned()]);
     pair.served.platform.publish(revoked);
--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -146,6 +146,9 @@
         outage_reserve: Duration::from_secs(9),
         ledger_shards: options.shards,
         domains: options.domains as u32,
+        has_evacuations: false,
+        cold_bound: None,
+        regions: std::collections::BTreeMap::new(),
     })
 }
 
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -172,6 +172,12 @@
   1: required list<WireDeparture> departures
 }
 
+// The evacuated failure domains at a revision of the store.
+struct WireEvacuations {
+  1: required i64 revision
+  2: required list<string> domains
+}
+
 union WireBody {
   1: WirePing ping
   2: WireAck ack
@@ -193,6 +199,7 @@
   18: WireVersionNotice version_notice
   19: WireLimitReport limit_report
   20: WireDepartureReport departure_report
+  21: WireEvacuations evacuations
 }
 
 // One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
