--- a/crates/core/src/notice/cold.rs
+++ b/crates/core/src/notice/cold.rs
@@ -7,6 +7,8 @@
 /// Time after the start of this instance in which it does not use cold upstreams, because it does
 /// not know yet with how many others it shares them.
 const LEARN_TIME: Duration = Duration::from_secs(5);
+/// Standard deviations of the number of requests in a second that the bound covers.
+const DEVIATIONS: f64 = 3.5;
 
 /// Bound of the requests of all instances to a cold upstream in any second: `rate * excess + slack`.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,10 +21,13 @@
 
 impl ColdBound {
     /// Returns the requests a second that all instances share. Parts that wait for up to a second may
-    /// come together with those of the next second, so that it is at most half of the bound.
+    /// come together with those of the next second, and the instances take theirs independently of
+    /// each other: the parts of two seconds and some standard deviations more are within the bound.
     #[must_use]
     pub fn shared_rate(&self, rate: f64) -> f64 {
-        rate.min((rate * self.excess + self.slack) / 2.0)
+        let bound = rate * self.excess + self.slack;
+        let root = ((DEVIATIONS * DEVIATIONS + 4.0 * bound).sqrt() - DEVIATIONS) / 2.0;
+        rate.min(root * root / 2.0)
     }
 }
 
--- a/crates/wire/src/connection/bounded.rs
+++ b/crates/wire/src/connection/bounded.rs
@@ -15,7 +15,7 @@
 /// Field of `WireEnvelope` that contains the `WireBody`.
 const BODY_FIELD: i16 = 3;
 /// Fields of `WireBody`.
-const BODY_KINDS: RangeInclusive<i16> = 1..=20;
+const BODY_KINDS: RangeInclusive<i16> = 1..=21;
 
 /// Rejects collections that declare more elements than their frame can hold, and messages of a
 /// kind that this build does not know.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -4,12 +4,13 @@
 
 use bytes::{BufMut, BytesMut};
 use cornelarch_core::{
-    base::UpstreamName,
-    placement::{LimitReport, UpstreamDeparture, UpstreamIncarnation},
+    base::{DomainName, UpstreamName},
+    placement::{EvacuationState, LimitReport, UpstreamDeparture, UpstreamIncarnation},
 };
 use cornelarch_wire::{
-    FrameCodec, FrameError, decode_departure_report, decode_envelope, decode_limit_report,
-    encode_departure_report, encode_envelope, encode_limit_report,
+    FrameCodec, FrameError, decode_departure_report, decode_envelope, decode_evacuations,
+    decode_limit_report, encode_departure_report, encode_envelope, encode_evacuations,
+    encode_limit_report,
     peer::{
         WireBody, WireDeparture, WireDepartureReport, WireEnvelope, WireHolder, WireTransfer,
         WireVersionNotice,
@@ -152,3 +153,28 @@
     let body = WireBody::DepartureReport(WireDepartureReport::new(vec![invalid]));
     assert_eq!(decode_departure_report(&body), None);
 }
+
+/// Guards against evacuations that change on their way to a peer, are dropped as a message of an
+/// unknown kind, or have no revision.
+#[rstest]
+#[case::none(7, &[], true)]
+#[case::some(i64::MAX as u64, &["a", "zone b"], true)]
+#[case::invalid(u64::MAX, &["a"], false)]
+fn evacuations_change_on_their_way(
+    #[case] revision: u64,
+    #[case] domains: &[&str],
+    #[case] is_valid: bool,
+) {
+    let state = EvacuationState {
+        revision,
+        domains: domains
+            .iter()
+            .map(|domain| DomainName::new(domain))
+            .collect(),
+    };
+    let sender = WireHolder::new("r1".to_owned(), 1);
+    let envelope = WireEnvelope::new(sender, None, encode_evacuations(&state));
+    let bytes = encode_envelope(&envelope).unwrap();
+    let decoded = decode_evacuations(&decode_envelope(&bytes).unwrap().body);
+    assert_eq!(decoded, is_valid.then_some(state));
+}
