--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -7,6 +7,11 @@
 
 use crate::base::{DomainName, MonotonicTime};
 
+/// Number of times that all peers are told of a change; datagrams may be lost.
+const ANNOUNCEMENTS: u32 = 2;
+/// Time after a change for which random peers are told of it. By then, the instances that an outage
+/// or a partition kept from the news have had it from the platform.
+const REPEAT_TIME: Duration = Duration::from_secs(30);
 /// Time in which the upstreams of a domain come back into use after an evacuation.
 const RETURN_TIME: Duration = Duration::from_secs(3);
 
@@ -112,3 +117,38 @@
         ended.is_some_and(|at| now.since(*at) < RETURN_TIME.mul_f64(phase))
     }
 }
+
+/// Decides when an instance tells its peers which domains are evacuated.
+#[derive(Clone, Debug, Default)]
+pub struct EvacuationNews {
+    announcements: u32,
+    domains: BTreeSet<DomainName>,
+    changed_at: Option<MonotonicTime>,
+}
+
+impl EvacuationNews {
+    /// Records that this instance has read a change at the platform, which all peers are told.
+    pub const fn record_read(&mut self) {
+        self.announcements = ANNOUNCEMENTS;
+    }
+
+    /// Returns whether all peers are to be told now.
+    pub const fn take_announcement(&mut self) -> bool {
+        let is_due = self.announcements > 0;
+        self.announcements = self.announcements.saturating_sub(1);
+        is_due
+    }
+
+    /// Returns whether random peers are to be told: while a domain is evacuated, and for some time
+    /// after a change.
+    pub fn is_repeated(&mut self, state: &EvacuationState, now: MonotonicTime) -> bool {
+        if self.domains != state.domains {
+            self.domains = state.domains.clone();
+            self.changed_at = Some(now);
+        }
+        let is_recent = self
+            .changed_at
+            .is_some_and(|at| now.since(at) < REPEAT_TIME);
+        !self.domains.is_empty() || is_recent
+    }
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -18,7 +18,7 @@
 mod table;
 
 pub use departure::UpstreamDeparture;
-pub use evacuation::{EvacuationChange, EvacuationEvent, EvacuationState};
+pub use evacuation::{EvacuationChange, EvacuationEvent, EvacuationNews, EvacuationState};
 pub use home::{HomeDomains, find_home_domains};
 pub use missing::MissingUpstreams;
 pub use options::PlacementOptions;
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -10,7 +10,7 @@
         MemberEffect, MemberEvent, MemberOptions, MemberRecord, MemberState, MemberTable,
         choose_owners, rendezvous_score,
     },
-    placement::{EvacuationState, LimitReport, UpstreamDeparture},
+    placement::{EvacuationNews, LimitReport, UpstreamDeparture},
     route::replica::{
         DocumentPart, DocumentReplica, DocumentRequest, ReplicaEffect, ReplicaEvent,
         ReplicaOptions, RequestChannel,
@@ -58,9 +58,6 @@
 /// Time for which the peers of a domain are told that an upstream has left: by then, instances that
 /// had not joined yet have read a state of the directory that shows it.
 const DEPARTURE_REPEAT_TIME: Duration = Duration::from_secs(5);
-/// Time after a change of the evacuated domains for which random peers are told of it. By then, the
-/// instances that an outage or a partition kept from the news have had it from the platform.
-const EVACUATION_REPEAT_TIME: Duration = Duration::from_secs(30);
 /// Size of the receive buffer, in bytes. The largest datagrams, parts of a configuration, have up to
 /// 14 kB.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
@@ -103,10 +100,7 @@
     repeated_limits: HashMap<UpstreamName, LimitReport>,
     /// Upstreams that have left, with the time at which they were first reported.
     departures: Vec<(UpstreamDeparture, MonotonicTime)>,
-    /// Whether the evacuated domains are sent once more with the next tick.
-    repeats_evacuations: bool,
-    /// The evacuated domains, and when they last changed.
-    evacuations: Option<(EvacuationState, MonotonicTime)>,
+    evacuation_news: EvacuationNews,
     /// Requests over connections. They end with the peer task.
     fetches: JoinSet<()>,
     fetch_permits: Arc<Semaphore>,
@@ -138,8 +132,7 @@
         replica: DocumentReplica::new(ReplicaOptions::default()),
         repeated_limits: HashMap::new(),
         departures: Vec::new(),
-        repeats_evacuations: false,
-        evacuations: None,
+        evacuation_news: EvacuationNews::default(),
         fetches: JoinSet::new(),
         fetch_permits: Arc::new(Semaphore::new(FETCHES_MAX)),
         generator: StdRng::from_os_rng(),
@@ -165,8 +158,8 @@
                     task.report_departures(departures).await;
                 }
                 Some(PeerCommand::ReportEvacuations) => {
-                    task.report_evacuations().await;
-                    task.repeats_evacuations = true;
+                    task.evacuation_news.record_read();
+                    task.announce_evacuations().await;
                 }
                 Some(PeerCommand::MergeDocument { from, part }) => {
                     task.merge_document(from, part).await;
@@ -191,9 +184,7 @@
                 task.apply(MemberEvent::Tick).await;
                 task.state.report_lag();
                 task.repeat_limits().await;
-                if std::mem::take(&mut task.repeats_evacuations) {
-                    task.report_evacuations().await;
-                }
+                task.announce_evacuations().await;
                 task.update_replica(ReplicaEvent::Tick).await;
             }
         }
@@ -476,28 +467,23 @@
             .await;
     }
 
-    /// Tells all peers which domains are evacuated.
-    async fn report_evacuations(&self) {
+    /// Tells all peers which domains are evacuated, if this is due.
+    async fn announce_evacuations(&mut self) {
+        if !self.evacuation_news.take_announcement() {
+            return;
+        }
         let evacuations = self.state.placement.lock().evacuations().clone();
         self.broadcast([encode_evacuations(&evacuations)]).await;
     }
 
-    /// Tells some random peers which domains are evacuated, while any is and for some time after the
-    /// last change.
+    /// Tells some random peers which domains are evacuated, if this is due.
     async fn repeat_evacuations(&mut self) {
-        let current = self.state.placement.lock().evacuations().clone();
+        let evacuations = self.state.placement.lock().evacuations().clone();
         let now = self.state.now();
-        let known = self.evacuations.get_or_insert_default();
-        if known.0.domains != current.domains {
-            known.1 = now;
-        }
-        known.0 = current;
-        let has_changed = known.1 != MonotonicTime::START;
-        let is_recent = has_changed && now.since(known.1) < EVACUATION_REPEAT_TIME;
-        if known.0.domains.is_empty() && !is_recent {
+        if !self.evacuation_news.is_repeated(&evacuations, now) {
             return;
         }
-        let body = encode_evacuations(&known.0);
+        let body = encode_evacuations(&evacuations);
         for peer in self.choose_peers() {
             self.send_to_member(&peer, body.clone()).await;
         }
