--- a/crates/core/tests/evacuation_spread.rs
+++ b/crates/core/tests/evacuation_spread.rs
@@ -301,7 +301,7 @@
             return 0;
         };
         let acked = self.acks.iter().filter(|(at, _)| *at <= limit);
-        let Some((at, revision)) = acked.last() else {
+        let Some((at, revision)) = acked.max_by_key(|(at, _)| *at) else {
             return 0;
         };
         let mut checked = 0;
