Test of a cold upstream: send requests at a time

Sent one by one, none had a reason to use the second of two equal upstreams: two of three runs failed with no request at the cold one.

--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -6,6 +6,7 @@
 
 use common::{FakePlatform, FakeUpstream, Fixture, FixtureOptions, document, record};
 use cornelarch_core::{placement::ColdNotice, route::ColdStart};
+use futures_util::future::join_all;
 
 /// Time after its start in which an instance does not use cold upstreams.
 const LEARN_TIME: Duration = Duration::from_secs(5);
@@ -13,17 +14,23 @@
 const SYNC_TIME: Duration = Duration::from_millis(1_200);
 /// Requests a second that a cold upstream bears.
 const COLD_RATE: u64 = 10;
+/// Requests that are sent at the same time.
+const AT_ONCE: usize = 8;
 
-/// Sends requests one after the other for a time and returns how many were answered.
+/// Sends some requests at a time, so that each usable upstream gets some, and returns how many were
+/// answered.
 async fn send_for(fixture: &Fixture, time: Duration) -> usize {
     let end = tokio::time::Instant::now() + time;
     let mut answered = 0;
     while tokio::time::Instant::now() < end {
-        let id = format!("r{answered}");
-        let response = fixture.post("/again/x", &id).send().await.expect("answer");
-        assert_eq!(response.status(), 200);
-        response.bytes().await.expect("whole answer");
-        answered += 1;
+        let requests = (0..AT_ONCE).map(|number| async move {
+            let id = format!("r{}", answered + number);
+            let response = fixture.post("/again/x", &id).send().await.expect("answer");
+            assert_eq!(response.status(), 200);
+            response.bytes().await.expect("whole answer");
+        });
+        join_all(requests).await;
+        answered += AT_ONCE;
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     answered
