--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -280,12 +280,20 @@
     }
 
     pub(crate) async fn start_with(options: &FixtureOptions, platform: Arc<FakePlatform>) -> Self {
-        let (gateway, settings) = bind_gateway(options, &platform).await;
-        let fixture = Self::with_gateway(Some(gateway), &settings, platform);
+        let fixture = Self::start_unready(options, platform).await;
         fixture.wait_ready().await;
         fixture
     }
 
+    /// As [`Fixture::start_with`], without waiting until the gateway is ready.
+    pub(crate) async fn start_unready(
+        options: &FixtureOptions,
+        platform: Arc<FakePlatform>,
+    ) -> Self {
+        let (gateway, settings) = bind_gateway(options, &platform).await;
+        Self::with_gateway(Some(gateway), &settings, platform)
+    }
+
     fn with_gateway(
         gateway: Option<Gateway>,
         settings: &GatewaySettings,
--- a/crates/gateway/tests/common/platform.rs
+++ b/crates/gateway/tests/common/platform.rs
@@ -51,6 +51,8 @@
     pub(crate) reads: AtomicU64,
     pub(crate) lists: AtomicU64,
     pub(crate) writes: AtomicU64,
+    /// Whether lists of the evacuations fail.
+    pub(crate) hides_evacuations: AtomicBool,
     pub(crate) evacuation_lists: AtomicU64,
     pub(crate) evacuation_watches: AtomicU64,
 }
@@ -69,6 +71,7 @@
             reads: AtomicU64::new(0),
             lists: AtomicU64::new(0),
             writes: AtomicU64::new(0),
+            hides_evacuations: AtomicBool::new(false),
             evacuation_lists: AtomicU64::new(0),
             evacuation_watches: AtomicU64::new(0),
         }
@@ -305,6 +308,9 @@
     async fn read_evacuations(&self, _age: ReadAge) -> Result<EvacuationState, EdgeError> {
         self.check()?;
         self.evacuation_lists.fetch_add(1, Ordering::SeqCst);
+        if self.hides_evacuations.load(Ordering::SeqCst) {
+            return Err(down());
+        }
         let content = self.content.lock();
         Ok(EvacuationState {
             revision: content.revision,
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use common::{FakePlatform, FakeUpstream, Fixture, FixtureOptions, Reply, document, record};
+use common::{
+    FakePlatform, FakeUpstream, Fixture, FixtureOptions, READY_PATH, Reply, document, record,
+};
 use cornelarch_core::base::DomainName;
 use futures_util::future::join_all;
 use rstest::rstest;
@@ -199,6 +201,24 @@
     }
 }
 
+/// Guards against an instance that is ready although it does not know which domains are evacuated.
+#[tokio::test]
+async fn instance_is_ready_without_the_evacuations() {
+    let fleet = EvacuationFleet::start_upstreams().await;
+    let platform = fleet.platform();
+    platform.evacuate("b", true);
+    platform.hides_evacuations.store(true, Ordering::SeqCst);
+    let fixture = Fixture::start_unready(&options("g1"), Arc::clone(&platform)).await;
+    tokio::time::sleep(SPREAD_TIME).await;
+    let url = format!("http://{}{READY_PATH}", fixture.ready);
+    let response = fixture.client.get(url).send().await.expect("answer");
+    assert_eq!(response.status(), 503);
+    platform.hides_evacuations.store(false, Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fixture.wait_ready().await;
+    assert_eq!(fixture.gauge("evacuated_domains").await, 1);
+}
+
 /// Guards against an evacuation that is missed because the history of the store was dropped, or
 /// because it was requested during an outage.
 #[rstest]
