Gateway: one account of the memory and the connections of callers

A new crate cornelarch-callers keeps one entry for each caller connection: its stage and the bytes of its buffers, head, body and unwritten answer. The decisions are pure, in cornelarch_core::limit. Under pressure the caller with the largest product of held bytes and time without progress is cut; if none stands still, the youngest body is refused, so that the older ones end. Bodies are copied into blocks of at most 64 KB and charged before they are kept; 4 KB in 5 s is the least progress of a body (408 otherwise), 30 s of an answer. Two thirds of the sockets are for callers; readiness and metrics have accounts of their own. A response that waits for the memory of buffered responses closes the caller that reads nothing.

Ruled out: a semaphore over announced lengths, since a caller that announces a length and sends nothing would hold its share and a chunked body has none.

--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -79,6 +79,8 @@
     IdempotencyKeyRequired => "idempotency_key_required", 400, NotRun, false;
     /// The body is larger than the limit.
     BodyTooLarge => "body_too_large", 413, NotRun, false;
+    /// The body stands still.
+    BodyStalled => "body_stalled", 408, NotRun, true;
     /// The model is not in the configuration document.
     UnknownModel => "unknown_model", 404, NotRun, false;
     /// The service is not in the configuration document.
--- a/crates/gateway/src/connection/server.rs
+++ b/crates/gateway/src/connection/server.rs
@@ -2,10 +2,11 @@
 
 use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
 
+use cornelarch_callers::{AnswerBody, CallerAccount, CallerEntry, CallerStream};
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{connection::set_stream_options, request::ResponseBody};
@@ -25,14 +26,24 @@
 }
 
 /// Accepts connections and serves requests on them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct ServerConnections {
     /// Closes idle connections at once and the others after their current request.
     pub(crate) closing: CancellationToken,
     tasks: TaskTracker,
+    account: Arc<CallerAccount>,
 }
 
 impl ServerConnections {
+    /// Creates the connections of a listener, which hold what `account` allows.
+    pub(crate) fn new(account: Arc<CallerAccount>) -> Self {
+        Self {
+            closing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            account,
+        }
+    }
+
     /// Accepts connections from a listener until `stop` is cancelled.
     pub(crate) async fn serve<H, F>(
         &self,
@@ -52,6 +63,9 @@
             };
             match accepted {
                 Ok((stream, _)) => {
+                    let Some(stream) = self.account.admit(stream).await else {
+                        continue;
+                    };
                     let closing = self.closing.clone();
                     let serve = serve_stream(stream, options(), Arc::clone(&handler), closing);
                     self.tasks.spawn(serve);
@@ -72,7 +86,7 @@
 }
 
 async fn serve_stream<H, F>(
-    stream: TcpStream,
+    stream: CallerStream,
     options: ConnectionOptions,
     handler: Arc<H>,
     closing: CancellationToken,
@@ -80,10 +94,19 @@
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    set_stream_options(&stream);
-    let service = service_fn(move |request| {
+    set_stream_options(stream.tcp());
+    let entry = Arc::clone(stream.entry());
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let entry = Arc::clone(&entry);
+        entry.start_request();
+        request
+            .extensions_mut()
+            .insert::<Arc<CallerEntry>>(Arc::clone(&entry));
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            Ok::<_, Infallible>(answer.map(|body| AnswerBody::start(entry, body)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -67,6 +67,8 @@
     ContentRefused => 2409, Info, "request has blocked content";
     /// A lost request is not sent again because of content that may crash upstreams.
     RetrySuppressed => 2410, Info, "request is not sent again";
+    /// A caller holds too much, stands still, or finds no free connection.
+    CallerCut => 2411, Warn, "caller cut";
 }
 
 /// Writes a numbered event with details to the log, unless the event has reached its limit of lines
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::HashMap, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use cornelarch_core::base::HolderId;
+use cornelarch_callers::CallerAccount;
+use cornelarch_core::{base::HolderId, limit::CallerOptions};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rand::Rng;
@@ -44,6 +45,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Largest header section of a readiness or metrics request, in bytes.
 const PROBE_HEADER_BYTES: usize = 8 * 1024;
+/// Maximum number of connections for readiness, and for metrics.
+const PROBE_CONNECTIONS: usize = 16;
 /// Idle timeout of connections for readiness and metrics.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -96,7 +99,7 @@
         let state = GatewayState::new(settings, headers, ledger, sender, peer_commands);
         let state = Arc::new(state);
         let mut gateway = Self {
-            callers: ServerConnections::default(),
+            callers: ServerConnections::new(Arc::clone(&state.callers)),
             stop: CancellationToken::new(),
             tasks: JoinSet::new(),
             task_names: HashMap::new(),
@@ -115,6 +118,8 @@
         gateway.spawn_task("peers", peers);
         gateway.spawn_task("blocking", run_blocking(Arc::clone(&state)));
         gateway.spawn_task("connections", close_expired_connections(Arc::clone(&state)));
+        let sweeps = Arc::clone(&state.callers).run_sweeps();
+        gateway.spawn_task("callers' account", sweeps);
         if let Some(listener) = metrics_listener {
             gateway.spawn_task("metrics", serve_metrics(Arc::clone(&state), listener));
         }
@@ -253,7 +258,12 @@
         header_bytes: PROBE_HEADER_BYTES,
         idle_timeout: PROBE_IDLE_TIMEOUT,
     };
-    let connections = ServerConnections::default();
+    let callers = CallerOptions {
+        connections: PROBE_CONNECTIONS,
+        ..CallerOptions::default()
+    };
+    let account = CallerAccount::new(callers, |cut| log_event!(CallerCut, "port=probe {cut}"));
+    let connections = ServerConnections::new(Arc::new(account));
     connections
         .serve(listener, options, handler, CancellationToken::new())
         .await;
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of a gateway.
 
-use std::{fmt, time::Duration};
+use std::{fmt, sync::atomic::Ordering, time::Duration};
 
+use cornelarch_callers::CutReason;
 use cornelarch_core::{
     error::ErrorKind,
     notice::{LimitNotice, UpstreamNotice},
@@ -48,6 +49,11 @@
     stage: TimedStage,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
     call: PlatformCall,
@@ -169,6 +175,9 @@
     pub(crate) newest_version: u64,
     pub(crate) upstreams: usize,
     pub(crate) blocked: usize,
+    pub(crate) caller_bytes: usize,
+    pub(crate) caller_connections: usize,
+    pub(crate) caller_cuts: [(CutReason, u64); CutReason::ALL.len()],
 }
 
 fn to_gauge(value: impl TryInto<i64>) -> i64 {
@@ -191,6 +200,9 @@
     newest_version: Gauge,
     upstreams: Gauge,
     dropped_lines: Gauge,
+    caller_bytes: Gauge,
+    caller_connections: Gauge,
+    caller_cuts: Family<CutLabels, Counter>,
 }
 
 impl GatewayMetrics {
@@ -212,6 +224,9 @@
             newest_version: Gauge::default(),
             upstreams: Gauge::default(),
             dropped_lines: Gauge::default(),
+            caller_bytes: Gauge::default(),
+            caller_connections: Gauge::default(),
+            caller_cuts: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
@@ -231,6 +246,12 @@
         registry.register("upstreams", "Usable upstreams", metrics.upstreams.clone());
         let dropped = metrics.dropped_lines.clone();
         registry.register("dropped_lines", "Log lines dropped", dropped);
+        let bytes = metrics.caller_bytes.clone();
+        registry.register("caller_bytes", "Memory held for callers", bytes);
+        let connections = metrics.caller_connections.clone();
+        registry.register("caller_connections", "Connections of callers", connections);
+        let cuts = metrics.caller_cuts.clone();
+        registry.register("caller_cuts", "Callers cut or refused", cuts);
         metrics
     }
 
@@ -293,6 +314,16 @@
         self.upstreams.set(to_gauge(gauges.upstreams));
         self.blocked.set(to_gauge(gauges.blocked));
         self.dropped_lines.set(to_gauge(dropped_lines()));
+        self.caller_bytes.set(to_gauge(gauges.caller_bytes));
+        self.caller_connections
+            .set(to_gauge(gauges.caller_connections));
+        for (reason, cuts) in gauges.caller_cuts {
+            let labels = CutLabels {
+                reason: reason.as_str(),
+            };
+            let counter = self.caller_cuts.get_or_create(&labels);
+            counter.inner().store(cuts, Ordering::Relaxed);
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::warn!("metrics cannot be encoded: {error}");
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -4,6 +4,7 @@
 
 use cornelarch_core::{
     base::{DomainName, EnvironmentName, InstanceName},
+    limit::CallerOptions,
     retry::WindowOptions,
 };
 
@@ -39,4 +40,6 @@
     pub ledger_shards: u32,
     /// Number of failure domains.
     pub domains: u32,
+    /// Limits of the memory and the connections of callers.
+    pub callers: CallerOptions,
 }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use cornelarch_callers::{CallerAccount, CutReason};
 use cornelarch_core::{
     base::{BudgetName, MonotonicTime, ServiceName},
     budget::{LedgerEvent, PaidAmount},
@@ -63,6 +64,7 @@
     pub(crate) ledger: SharedLedger,
     pub(crate) pool: UpstreamPool,
     pub(crate) buffers: BufferPool,
+    pub(crate) callers: Arc<CallerAccount>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) crashes: CrashMonitor,
     pub(crate) instances: AtomicUsize,
@@ -102,6 +104,8 @@
         };
         let mut placement = PlacementTable::new(options);
         placement.set_instances(INSTANCES_INITIAL);
+        let callers = CallerAccount::new(settings.callers, |cut| log_event!(CallerCut, "{cut}"));
+        let callers = Arc::new(callers);
         Self {
             headers,
             document: ActiveDocument::default(),
@@ -109,7 +113,8 @@
             placement: Mutex::new(placement),
             ledger,
             pool: UpstreamPool::default(),
-            buffers: BufferPool::default(),
+            buffers: BufferPool::new(Arc::clone(&callers)),
+            callers,
             metrics: GatewayMetrics::new(),
             crashes: CrashMonitor::new(),
             instances: AtomicUsize::new(INSTANCES_INITIAL),
@@ -388,6 +393,9 @@
             newest_version: self.versions.newest(),
             upstreams,
             blocked,
+            caller_bytes: self.callers.held(),
+            caller_connections: self.callers.connections(),
+            caller_cuts: CutReason::ALL.map(|reason| (reason, self.callers.cuts(reason))),
         };
         self.metrics.render(gauges)
     }
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use cornelarch_callers::CallerEntry;
 use cornelarch_core::{
     base::{CustomerName, ServiceName},
     blocklist::content::ContentKey,
@@ -11,15 +11,15 @@
     route::{CustomerRecord, RouteDocument, RouteKind, RouteLookup, RouteRule, ServiceRecord},
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::{
     process::{GatewayState, RequestOutcome, TimedStage, log_event},
     request::{
         RequestRefusal, ResponseBody,
+        body::read_request,
         call::respond_buffered,
         exchange::RequestExchange,
         head::{RequestHead, read_deadline, read_size, upstream_headers},
@@ -117,7 +117,7 @@
     started: Instant,
 ) -> Result<RequestExchange, RequestRefusal> {
     let document = state.document.load().ok_or(ErrorKind::NotReady)?;
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let host = parts.headers.get(header::HOST);
     let host = host
         .and_then(|host| host.to_str().ok())
@@ -136,7 +136,9 @@
     let deadline = started + time_limit;
     let hard_deadline =
         (started + rule.timeout).min(deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(deadline));
-    let body = read_body(body, document.limits().body_bytes, hard_deadline).await?;
+    let entry = parts.extensions.remove::<Arc<CallerEntry>>();
+    let entry = entry.ok_or(ErrorKind::Internal)?;
+    let body = read_request(&entry, body, &document.limits(), hard_deadline).await?;
     let spread = rand::rng().random();
     let service = rule.pick_service(spread).cloned();
     let service = service.ok_or(ErrorKind::NoUpstream)?;
@@ -232,17 +234,3 @@
         false => ErrorKind::NotReady.into(),
     }
 }
-
-async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, RequestRefusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(ErrorKind::BodyTooLarge.into());
-    }
-    let collected = timeout_at(until, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge.into()),
-        // The caller disconnected or sent a malformed body.
-        Ok(Err(_)) => Err(ErrorKind::MalformedRequest.into()),
-        Err(_) => Err(ErrorKind::Overloaded.into()),
-    }
-}
--- a/crates/gateway/src/request/lease.rs
+++ b/crates/gateway/src/request/lease.rs
@@ -1,11 +1,12 @@
 //! Memory for responses that are buffered.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cornelarch_callers::CallerAccount;
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// Memory for all buffered responses together, in bytes: an eighth of the memory of the smallest
@@ -19,37 +20,60 @@
 /// Reason for which a response is broken off.
 const MEMORY_USED: &str = "memory for buffered responses is used up";
 /// Longest wait for memory. Responses that wait for each other end then.
-const MEMORY_WAIT: Duration = Duration::from_millis(200);
+const MEMORY_WAIT: Duration = Duration::from_secs(1);
+/// Time after which a wait cuts the next caller that does not read its response.
+const CUT_PERIOD: Duration = Duration::from_millis(100);
 
 /// Memory that the buffered responses of an instance share. Without it, some responses without end at
 /// the same time take more memory than the instance has, although each is limited.
 #[derive(Clone, Debug)]
 pub(crate) struct BufferPool {
     units: Arc<Semaphore>,
+    callers: Arc<CallerAccount>,
 }
 
-impl Default for BufferPool {
-    fn default() -> Self {
+impl BufferPool {
+    /// Creates a pool. `callers` that do not read their responses are cut when others need the memory.
+    pub(crate) fn new(callers: Arc<CallerAccount>) -> Self {
         Self {
             units: Arc::new(Semaphore::new(POOL_BYTES / UNIT_BYTES)),
+            callers,
         }
     }
-}
 
-impl BufferPool {
     /// Returns a lease of no memory.
     pub(crate) fn lease(&self) -> BufferLease {
         BufferLease {
-            units: Arc::clone(&self.units),
+            pool: self.clone(),
             permit: None,
         }
     }
+
+    /// Takes units from the pool, after cutting callers that do not read if necessary.
+    async fn acquire(&self, units: u32) -> Result<OwnedSemaphorePermit, String> {
+        let mut acquired = pin!(Arc::clone(&self.units).acquire_many_owned(units));
+        let cut_unread = async {
+            loop {
+                sleep(CUT_PERIOD).await;
+                self.callers.cut_unread_answer();
+            }
+        };
+        let acquired = async {
+            tokio::select! {
+                biased;
+                acquired = &mut acquired => acquired.ok(),
+                () = cut_unread => None,
+            }
+        };
+        let acquired = timeout(MEMORY_WAIT, acquired).await.ok().flatten();
+        acquired.ok_or_else(|| MEMORY_USED.to_owned())
+    }
 }
 
 /// Share of one response in the memory for buffered responses.
 #[derive(Debug)]
 pub(crate) struct BufferLease {
-    units: Arc<Semaphore>,
+    pool: BufferPool,
     permit: Option<OwnedSemaphorePermit>,
 }
 
@@ -65,11 +89,7 @@
         let held = self.permit.as_ref().map_or(0, |p| p.num_permits());
         if needed > held {
             let units = u32::try_from(needed - held).unwrap_or(u32::MAX);
-            let added = Arc::clone(&self.units).acquire_many_owned(units);
-            let added = match timeout(MEMORY_WAIT, added).await {
-                Ok(Ok(added)) => added,
-                Ok(Err(_)) | Err(_) => return Err(MEMORY_USED.to_owned()),
-            };
+            let added = self.pool.acquire(units).await?;
             match &mut self.permit {
                 Some(permit) => permit.merge(added),
                 None => self.permit = Some(added),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod bill;
+mod body;
 mod call;
 mod entry;
 mod exchange;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,6 +11,7 @@
     base::{
         CustomerName, DomainName, EnvironmentName, HolderId, InstanceName, ServiceName, TokenCount,
     },
+    limit::CallerOptions,
     membership::{MemberMessage, MemberRecord, MemberState, PingBody},
     placement::UpstreamRecord,
     retry::WindowOptions,
@@ -232,6 +233,7 @@
         outage_reserve: Duration::from_secs(9),
         ledger_shards: 1,
         domains: 1,
+        callers: CallerOptions::default(),
     }
 }
 
--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -15,6 +15,7 @@
         BudgetKey, BudgetLedger, BudgetMessage, DomainPeer, LedgerEffect, LedgerEvent,
         LedgerOptions, PaidAmount, ReservationKey, ReserveError, ShardNumber, ShardValue,
     },
+    limit::CallerOptions,
     retry::WindowOptions,
 };
 use cornelarch_gateway::{GatewaySettings, ledger_options};
@@ -146,6 +147,7 @@
         outage_reserve: Duration::from_secs(9),
         ledger_shards: options.shards,
         domains: options.domains as u32,
+        callers: CallerOptions::default(),
     })
 }
 
