Failing tests: crowds of callers at a router daemon; one crowd for both front ends

The crowd and the probe of a process move to the stand-ins, so that both front ends are tested with the same ones.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! returns a handle for injecting faults and reading counters; `close` stops it.
 
 pub mod connection;
+pub mod crowd;
 pub mod engine;
 pub mod platform;
 pub mod service;
