Router: the account of callers for bodies, connections and unread answers

The router takes its callers' connections into the same account as the gateway, through a listener of axum, and reads bodies with the same function. Settings memory_mb, descriptors, body_stall_ms and answer_stall_ms in [limits]; without memory_mb 1,024 MB are assumed, so that the largest body that a document allows (64 MB) fits.

Also: a request that began to run between the choice and the cut is not cut.

--- a/crates/callers/src/account.rs
+++ b/crates/callers/src/account.rs
@@ -326,7 +326,9 @@
         let Some(entry) = entry else {
             return;
         };
-        entry.cut(reason);
+        if !entry.cut(reason) {
+            return;
+        }
         self.report(&CallerCut {
             reason,
             stage: view.stage,
--- a/crates/callers/src/entry.rs
+++ b/crates/callers/src/entry.rs
@@ -226,16 +226,20 @@
         *self.cut.lock()
     }
 
-    /// Cuts the connection: refuses a body, and closes the connection in any other stage.
-    pub(crate) fn cut(&self, reason: CutReason) {
-        *self.cut.lock() = Some(reason);
+    /// Refuses a body, or closes the connection. Returns whether it is cut: a request that runs by now
+    /// is not.
+    pub(crate) fn cut(&self, reason: CutReason) -> bool {
+        let mut cut = self.cut.lock();
         match self.stage() {
+            CallerStage::Running => return false,
             CallerStage::Body => self.refused.notify_one(),
-            CallerStage::Head | CallerStage::Running | CallerStage::Answer => {
+            CallerStage::Head | CallerStage::Answer => {
                 self.is_closed.store(true, Ordering::Relaxed);
                 self.waker.wake();
             }
         }
+        *cut = Some(reason);
+        true
     }
 
     /// Waits until the body is refused.
--- a/crates/router/src/process/event.rs
+++ b/crates/router/src/process/event.rs
@@ -64,6 +64,8 @@
     StreamBroken => 1405, Warn, "stream ended before its answer was complete";
     /// An upstream refused a request and wants no more for some time.
     UpstreamPaused => 1406, Info, "upstream asked for a pause";
+    /// A caller holds too much, stands still, or finds no free connection.
+    CallerCut => 1407, Warn, "caller cut";
     /// The outcome of an order could not be recorded.
     OrderRecordFailed => 1500, Warn, "order outcome could not be recorded";
     /// An operator request had a missing or wrong key.
--- a/crates/router/src/process/metrics.rs
+++ b/crates/router/src/process/metrics.rs
@@ -93,12 +93,22 @@
     PlatformFailures => "platform.failures", Counter;
     /// Frames received from peers.
     PeerFrames => "peers.frames", Counter;
+    /// Callers cut or refused for lack of memory.
+    MemoryCuts => "callers.cut.memory", Counter;
+    /// Callers cut or refused for lack of connections.
+    ConnectionCuts => "callers.cut.connections", Counter;
+    /// Callers cut because they stood still.
+    StalledCuts => "callers.cut.stalled", Counter;
     /// Violated invariants, such as a second settlement of a request; 0 in correct operation.
     InvariantViolations => "promises.broken", Counter;
     /// Requests in progress.
     Running => "running", Gauge;
     /// Active configuration version.
     ConfigVersion => "config.version", Gauge;
+    /// Memory that callers make the router hold, in bytes.
+    CallerBytes => "callers.bytes", Gauge;
+    /// Open connections of callers.
+    CallerConnections => "callers.connections", Gauge;
     /// Time from arrival to the first byte of the answer.
     FirstByte => "first_byte", Timer;
     /// Time from the write of a configuration version to its activation on this instance.
--- a/crates/router/src/process/router.rs
+++ b/crates/router/src/process/router.rs
@@ -1,8 +1,15 @@
 //! Handle of a running router: start-up, graceful shutdown and dispatch of peer messages.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    future::{Future, IntoFuture},
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use axum::serve::ListenerExt;
+use cornelarch_callers::CutReason;
 use cornelarch_core::{
     base::{HolderId, UpstreamName},
     blocklist::{CrashReport, Fingerprint},
@@ -18,7 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    connection::serve_peers,
+    connection::{CallerListener, CallerReference, serve_peers},
     process::{
         ConfigActor, LedgerActor, MemberActor, MetricName, MetricsError, RouterMetrics,
         RouterPhase, RouterSettings, RouterState, config, dump, ledger, log_event, members,
@@ -190,8 +197,17 @@
         router.start_tasks(peers);
         let callers_app = build_callers(Arc::clone(&router.state));
         let operator_app = operator::build_operator_app(Arc::clone(&router.state));
-        router.serve(callers, callers_app);
-        router.serve(operators, operator_app);
+        let closing = || router.close_connections.clone().cancelled_owned();
+        let callers = CallerListener::new(callers, Arc::clone(&router.state.callers));
+        let callers_app = callers_app.into_make_service_with_connect_info::<CallerReference>();
+        let callers = axum::serve(callers, callers_app).with_graceful_shutdown(closing());
+        let operators = operators.tap_io(|stream| {
+            // The interface works without the option.
+            let _ = stream.set_nodelay(true);
+        });
+        let operators = axum::serve(operators, operator_app).with_graceful_shutdown(closing());
+        router.spawn_server(callers.into_future());
+        router.spawn_server(operators.into_future());
         log_event!(
             RouterStarted,
             "{} in domain {}, callers {}, operator {}, peers {}",
@@ -370,17 +386,14 @@
         state.tasks.spawn(poll::poll_instances(Arc::clone(state)));
         state.tasks.spawn(poll::poll_queues(Arc::clone(state)));
         state.tasks.spawn(sweep::sweep_orders(Arc::clone(state)));
+        let (callers, stop) = (Arc::clone(&state.callers), state.stop.clone());
+        state.tasks.spawn(async move {
+            stop.run_until_cancelled(callers.run_sweeps()).await;
+        });
         state.tasks.spawn(flush_metrics(Arc::clone(state)));
     }
 
-    fn serve(&mut self, listener: TcpListener, app: axum::Router) {
-        // Stream events are small and latency-sensitive; Nagle's algorithm would delay them.
-        let listener = listener.tap_io(|stream| {
-            let _ = stream.set_nodelay(true);
-        });
-        let close_connections = self.close_connections.clone();
-        let server =
-            axum::serve(listener, app).with_graceful_shutdown(close_connections.cancelled_owned());
+    fn spawn_server(&mut self, server: impl Future<Output = io::Result<()>> + Send + 'static) {
         self.servers.push(tokio::spawn(async move {
             if let Err(error) = server.await {
                 log_event!(TaskFailed, "HTTP server: {error}");
@@ -414,7 +427,27 @@
     listener.local_addr().context(BindSnafu { port, address })
 }
 
+/// Metrics of the callers that were cut, by reason.
+const CUT_METRICS: [(CutReason, MetricName); CutReason::ALL.len()] = [
+    (CutReason::Memory, MetricName::MemoryCuts),
+    (CutReason::Connections, MetricName::ConnectionCuts),
+    (CutReason::Stalled, MetricName::StalledCuts),
+];
+
+/// Sends what callers hold, and how many were cut since `counted`.
+fn flush_callers(state: &RouterState, counted: &mut [u64; CutReason::ALL.len()]) {
+    let (account, metrics) = (&state.callers, &state.metrics);
+    metrics.set(MetricName::CallerBytes, account.held() as u64);
+    metrics.set(MetricName::CallerConnections, account.connections() as u64);
+    for ((reason, name), counted) in CUT_METRICS.iter().zip(counted) {
+        let cuts = account.cuts(*reason);
+        metrics.add(*name, cuts - *counted);
+        *counted = cuts;
+    }
+}
+
 async fn flush_metrics(state: Arc<RouterState>) {
+    let mut cuts = [0; CutReason::ALL.len()];
     let mut interval = tokio::time::interval(METRICS_FLUSH_PERIOD);
     loop {
         tokio::select! {
@@ -424,6 +457,7 @@
         state
             .metrics
             .set(MetricName::Running, state.running() as u64);
+        flush_callers(&state, &mut cuts);
         state.metrics.flush();
     }
 }
--- a/crates/router/src/process/settings.rs
+++ b/crates/router/src/process/settings.rs
@@ -2,10 +2,18 @@
 
 use std::{fmt, fs, net::SocketAddr, path::Path, str::FromStr, time::Duration};
 
-use cornelarch_core::base::{DomainName, EnvironmentName, InstanceName};
+use cornelarch_core::{
+    base::{DomainName, EnvironmentName, InstanceName},
+    limit::CallerOptions,
+};
 use ini::{Ini, ParseOption};
 use snafu::{ResultExt, Snafu};
 
+/// Memory of the machine unless the settings state it, in MB. The largest body that a document allows
+/// fits.
+const MEMORY_MB: u64 = 1_024;
+const BYTES_PER_MB: u64 = 1024 * 1024;
+
 /// Holds a secret that must not appear in logs or dumps.
 #[derive(Clone, Default, PartialEq, Eq)]
 pub struct SecretText(String);
@@ -67,6 +75,8 @@
     pub load_poll: Duration,
     /// Time between two reads of order records while searching for expired ones.
     pub order_sweep: Duration,
+    /// Limits of the memory and the connections of callers.
+    pub caller_limits: CallerOptions,
     /// The number of ledger shards, the same for every router and tool of the environment.
     pub ledger_shards: u32,
     /// The UDP address that receives metrics; if absent, none are sent.
@@ -75,6 +85,10 @@
     pub metrics_prefix: String,
 }
 
+fn default_callers() -> CallerOptions {
+    CallerOptions::for_machine(Some(MEMORY_MB * BYTES_PER_MB), None)
+}
+
 impl Default for RouterSettings {
     fn default() -> Self {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -96,6 +110,7 @@
             stream_buffer: 32,
             load_poll: Duration::from_secs(2),
             order_sweep: Duration::from_secs(2),
+            caller_limits: default_callers(),
             ledger_shards: 8,
             metrics: None,
             metrics_prefix: "cornelarch".to_owned(),
@@ -245,6 +260,7 @@
             stream_buffer: self.optional("limits", "stream_buffer", defaults.stream_buffer),
             load_poll: self.millis("limits", "load_poll_ms", defaults.load_poll),
             order_sweep: self.millis("limits", "order_sweep_ms", defaults.order_sweep),
+            caller_limits: self.read_callers(),
             ledger_shards: self.optional("budgets", "ledger_shards", defaults.ledger_shards),
             metrics: self.take("metrics", "address"),
             metrics_prefix: self.optional("metrics", "prefix", defaults.metrics_prefix),
@@ -281,6 +297,18 @@
         seeds
     }
 
+    fn read_callers(&mut self) -> CallerOptions {
+        let memory = self.optional("limits", "memory_mb", MEMORY_MB);
+        let descriptors = self.take("limits", "descriptors");
+        let memory = memory.saturating_mul(BYTES_PER_MB);
+        let options = CallerOptions::for_machine(Some(memory), descriptors);
+        CallerOptions {
+            body_stall: self.millis("limits", "body_stall_ms", options.body_stall),
+            answer_stall: self.millis("limits", "answer_stall_ms", options.answer_stall),
+            ..options
+        }
+    }
+
     fn check_drain(&mut self, settings: &RouterSettings) {
         if settings.drain < settings.request_timeout {
             let message = format!(
--- a/crates/router/src/process/state.rs
+++ b/crates/router/src/process/state.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use cornelarch_callers::CallerAccount;
 use cornelarch_core::{
     base::{DomainName, HolderId, MonotonicTime},
     blocklist::content::ContentReport,
@@ -74,6 +75,7 @@
     pub(crate) ledger: SharedLedger,
     pub(crate) dispatcher: UpstreamDispatcher,
     pub(crate) orders: OrderRegistry,
+    pub(crate) callers: Arc<CallerAccount>,
     pub(crate) fleet: ArcSwap<FleetView>,
     /// Client for calls that may be repeated.
     pub(crate) client: reqwest::Client,
@@ -102,7 +104,10 @@
     ) -> Self {
         let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
         let ledger = BudgetLedger::new(holder.clone(), LedgerOptions::default());
+        let callers =
+            CallerAccount::new(settings.caller_limits, |cut| log_event!(CallerCut, "{cut}"));
         Self {
+            callers: Arc::new(callers),
             orders: OrderRegistry::new(),
             clock: RouterClock::start(),
             metrics,
--- a/crates/router/src/request/chat.rs
+++ b/crates/router/src/request/chat.rs
@@ -79,7 +79,7 @@
 ) -> Result<Response, RequestRefusal> {
     let (parts, body) = request.into_parts();
     let context = RequestContext::open(state, &parts.headers)?;
-    let body = ChatBody::parse(context.read_body(body).await?)?;
+    let body = ChatBody::parse(context.read_body(&parts.extensions, body).await?)?;
     let chat = ChatRequest::admit(context, body)?;
     check_blocked(&chat.context, &chat.identity)?;
     let partial = PartialCost::Tokens {
--- a/crates/router/src/request/context.rs
+++ b/crates/router/src/request/context.rs
@@ -2,18 +2,19 @@
 
 use std::{sync::Arc, time::Duration};
 
-use axum::body::Body;
-use bytes::{Bytes, BytesMut};
+use axum::{body::Body, extract::ConnectInfo};
+use bytes::Bytes;
+use cornelarch_callers::{BodyFailure, read_body};
 use cornelarch_core::{
     base::{MonotonicTime, TokenCount},
     config::{CustomerSection, KeyOwner},
     error::ErrorKind,
     limit::Priority,
 };
-use futures_util::StreamExt;
-use http::{HeaderMap, header::AUTHORIZATION};
+use http::{Extensions, HeaderMap, header::AUTHORIZATION};
 
 use crate::{
+    connection::CallerReference,
     process::{RouterPhase, RouterState, RunningGuard},
     request::{
         RequestRefusal,
@@ -94,11 +95,20 @@
     /// # Errors
     ///
     /// Returns a refusal if the body is too large, incomplete, or not received by the deadline.
-    pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, RequestRefusal> {
+    pub(crate) async fn read_body(
+        &self,
+        extensions: &Extensions,
+        body: Body,
+    ) -> Result<Bytes, RequestRefusal> {
+        let caller = extensions.get::<ConnectInfo<CallerReference>>();
+        let Some(ConnectInfo(CallerReference(entry))) = caller else {
+            let message = "the connection has no entry";
+            return Err(RequestRefusal::new(ErrorKind::Internal, message));
+        };
         let limit = usize::try_from(self.version.document.limits.body_bytes).unwrap_or(usize::MAX);
         let deadline = self.state.clock.instant(self.deadline);
-        match tokio::time::timeout_at(deadline, collect_body(body, limit)).await {
-            Ok(result) => result,
+        match tokio::time::timeout_at(deadline, read_body(entry, body, limit)).await {
+            Ok(result) => result.map_err(|failure| refuse_body(failure, limit)),
             Err(_) => Err(RequestRefusal::new(
                 ErrorKind::DeadlineExceeded,
                 "the body did not arrive in time",
@@ -172,29 +182,15 @@
     }
 }
 
-/// Collects a body of at most `limit` bytes. A body of a single chunk is not copied.
-async fn collect_body(body: Body, limit: usize) -> Result<Bytes, RequestRefusal> {
-    let mut chunks = body.into_data_stream();
-    let mut first = Bytes::new();
-    let mut joined = BytesMut::new();
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(|_| {
-            RequestRefusal::new(ErrorKind::MalformedRequest, "the body is incomplete")
-        })?;
-        if first.len() + joined.len() + chunk.len() > limit {
+fn refuse_body(failure: BodyFailure, limit: usize) -> RequestRefusal {
+    let (kind, message) = match failure {
+        BodyFailure::TooLarge => {
             let message = format!("the body exceeds {limit} bytes");
-            return Err(RequestRefusal::new(ErrorKind::BodyTooLarge, message));
-        }
-        if first.is_empty() && joined.is_empty() {
-            first = chunk;
-            continue;
+            return RequestRefusal::new(ErrorKind::BodyTooLarge, message);
         }
-        joined.extend_from_slice(&std::mem::take(&mut first));
-        joined.extend_from_slice(&chunk);
-    }
-    Ok(if joined.is_empty() {
-        first
-    } else {
-        joined.freeze()
-    })
+        BodyFailure::Broken => (ErrorKind::MalformedRequest, "the body is incomplete"),
+        BodyFailure::Stalled => (ErrorKind::BodyStalled, "the body does not arrive"),
+        BodyFailure::Overloaded => (ErrorKind::Overloaded, "callers hold too much memory"),
+    };
+    RequestRefusal::new(kind, message)
 }
--- a/crates/router/src/request/mod.rs
+++ b/crates/router/src/request/mod.rs
@@ -17,6 +17,7 @@
     Json, Router,
     body::Body,
     extract::{Request, State},
+    middleware,
     response::{IntoResponse, Response},
     routing::{any, get, post},
 };
@@ -27,6 +28,7 @@
 pub(crate) use refusal::RequestRefusal;
 
 use crate::{
+    connection::track_caller,
     process::{MetricName, RouterPhase, RouterState},
     request::context::RequestContext,
 };
@@ -42,6 +44,7 @@
         .route("/readyz", get(show_readiness))
         .fallback(refuse_path)
         .method_not_allowed_fallback(refuse_path)
+        .layer(middleware::from_fn(track_caller))
         .with_state(state)
 }
 
--- a/crates/router/src/request/service.rs
+++ b/crates/router/src/request/service.rs
@@ -106,7 +106,7 @@
     let context = RequestContext::open(state, &parts.headers)?;
     let (service, path) = split_path(&parts.uri)?;
     let section = find_service(&context, &service)?;
-    let body = context.read_body(body).await?;
+    let body = context.read_body(&parts.extensions, body).await?;
     let call = ServiceCall {
         context: Arc::new(context),
         service,
