--- a/crates/callers/src/entry.rs
+++ b/crates/callers/src/entry.rs
@@ -105,7 +105,6 @@
 
     /// Records that the head of a request is complete.
     pub fn start_request(&self) {
-        self.account.release(self.head.swap(0, Ordering::Relaxed));
         self.set_stage(CallerStage::Running);
     }
 
@@ -129,7 +128,9 @@
     }
 
     pub(crate) fn finish_answer(&self) {
-        // A part may still be buffered. It stays charged until it is written.
+        // The head is kept for further attempts until here. A part of the answer may still be buffered;
+        // it stays charged until it is written.
+        self.account.release(self.head.swap(0, Ordering::Relaxed));
         self.set_stage(CallerStage::Head);
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -58,6 +58,7 @@
     pub(crate) instance: &'static str,
     /// Peer addresses of other instances.
     pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) callers: CallerOptions,
 }
 
 impl Default for FixtureOptions {
@@ -71,6 +72,7 @@
             grace: Duration::from_secs(8),
             instance: "g1",
             seeds: Vec::new(),
+            callers: CallerOptions::default(),
         }
     }
 }
@@ -233,7 +235,7 @@
         outage_reserve: Duration::from_secs(9),
         ledger_shards: 1,
         domains: 1,
-        callers: CallerOptions::default(),
+        callers: options.callers,
     }
 }
 
