--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of a gateway.
 
-use std::{fmt, time::Duration};
+use std::{fmt, sync::atomic::Ordering, time::Duration};
 
+use cornelarch_callers::CutReason;
 use cornelarch_core::{
     error::ErrorKind,
     notice::{LimitNotice, UpstreamNotice},
@@ -48,6 +49,11 @@
     stage: TimedStage,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
     call: PlatformCall,
@@ -173,6 +179,9 @@
     pub(crate) blocked: usize,
     pub(crate) evacuated: usize,
     pub(crate) cold: usize,
+    pub(crate) caller_bytes: usize,
+    pub(crate) caller_connections: usize,
+    pub(crate) caller_cuts: [(CutReason, u64); CutReason::ALL.len()],
 }
 
 fn to_gauge(value: impl TryInto<i64>) -> i64 {
@@ -197,6 +206,9 @@
     dropped_lines: Gauge,
     evacuated: Gauge,
     cold: Gauge,
+    caller_bytes: Gauge,
+    caller_connections: Gauge,
+    caller_cuts: Family<CutLabels, Counter>,
 }
 
 impl GatewayMetrics {
@@ -220,6 +232,9 @@
             dropped_lines: Gauge::default(),
             evacuated: Gauge::default(),
             cold: Gauge::default(),
+            caller_bytes: Gauge::default(),
+            caller_connections: Gauge::default(),
+            caller_cuts: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
@@ -242,6 +257,12 @@
         let (evacuated, cold) = (metrics.evacuated.clone(), metrics.cold.clone());
         registry.register("evacuated_domains", "Evacuated domains", evacuated);
         registry.register("cold_upstreams", "Cold upstreams", cold);
+        let bytes = metrics.caller_bytes.clone();
+        registry.register("caller_bytes", "Memory held for callers", bytes);
+        let connections = metrics.caller_connections.clone();
+        registry.register("caller_connections", "Connections of callers", connections);
+        let cuts = metrics.caller_cuts.clone();
+        registry.register("caller_cuts", "Callers cut or refused", cuts);
         metrics
     }
 
@@ -306,6 +327,16 @@
         self.evacuated.set(to_gauge(gauges.evacuated));
         self.cold.set(to_gauge(gauges.cold));
         self.dropped_lines.set(to_gauge(dropped_lines()));
+        self.caller_bytes.set(to_gauge(gauges.caller_bytes));
+        self.caller_connections
+            .set(to_gauge(gauges.caller_connections));
+        for (reason, cuts) in gauges.caller_cuts {
+            let labels = CutLabels {
+                reason: reason.as_str(),
+            };
+            let counter = self.caller_cuts.get_or_create(&labels);
+            counter.inner().store(cuts, Ordering::Relaxed);
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::warn!("metrics cannot be encoded: {error}");
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -4,6 +4,7 @@
 
 use cornelarch_core::{
     base::{DomainName, EnvironmentName, InstanceName, RegionName},
+    limit::CallerOptions,
     notice::ColdBound,
     retry::WindowOptions,
 };
@@ -46,4 +47,6 @@
     pub cold_bound: Option<ColdBound>,
     /// Regions of the failure domains, for requests that are bound to regions.
     pub regions: BTreeMap<DomainName, RegionName>,
+    /// Limits of the memory and the connections of callers.
+    pub callers: CallerOptions,
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -16,6 +16,7 @@
     base::{
         CustomerName, DomainName, EnvironmentName, HolderId, InstanceName, ServiceName, TokenCount,
     },
+    limit::CallerOptions,
     membership::{MemberMessage, MemberRecord, MemberState, PingBody},
     notice::ColdBound,
     placement::UpstreamRecord,
@@ -67,6 +68,7 @@
     pub(crate) has_evacuations: bool,
     /// What the upstreams of the plain service bear after their start.
     pub(crate) cold: Option<ColdStart>,
+    pub(crate) callers: CallerOptions,
 }
 
 impl Default for FixtureOptions {
@@ -82,6 +84,7 @@
             seeds: Vec::new(),
             has_evacuations: false,
             cold: None,
+            callers: CallerOptions::default(),
         }
     }
 }
@@ -254,6 +257,7 @@
             slack: 5.0,
         }),
         regions: BTreeMap::new(),
+        callers: options.callers,
     }
 }
 
--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -15,6 +15,7 @@
         BudgetKey, BudgetLedger, BudgetMessage, DomainPeer, LedgerEffect, LedgerEvent,
         LedgerOptions, PaidAmount, ReservationKey, ReserveError, ShardNumber, ShardValue,
     },
+    limit::CallerOptions,
     retry::WindowOptions,
 };
 use cornelarch_gateway::{GatewaySettings, ledger_options};
@@ -149,6 +150,7 @@
         has_evacuations: false,
         cold_bound: None,
         regions: std::collections::BTreeMap::new(),
+        callers: CallerOptions::default(),
     })
 }
 
