E2202 names what the ledger knew of the owner, the platform and other holders

A refusal for tokens could not be split by its cause: whether the owner was heard, how old the last read was, what others held, how long the request waited and how many questions were asked.

--- a/crates/core/src/budget/ledger/mod.rs
+++ b/crates/core/src/budget/ledger/mod.rs
@@ -15,7 +15,7 @@
     base::{BudgetName, HolderId, MonotonicTime, TokenCount},
     budget::{
         AccountSnapshot, LedgerEffect, LedgerEvent, LedgerOptions, LedgerSnapshot, PaidAmount,
-        PeerTable, ShardNumber, TransferTable,
+        PeerTable, ShardNumber, ShortageSnapshot, TransferTable,
     },
     error::ErrorKind,
 };
@@ -407,6 +407,29 @@
         Some(account.snapshot(available))
     }
 
+    /// Describes what this instance knew when a reservation failed, for logs.
+    #[must_use]
+    pub fn shortage(&self, key: BudgetKey, now: MonotonicTime) -> Option<ShortageSnapshot> {
+        let account = self.accounts.get(key)?;
+        let sync = self.shards.get(&account.shard)?;
+        let heard = sync
+            .owner
+            .as_ref()
+            .and_then(|owner| self.last_heard.get(owner));
+        let exchange = account.exchange.as_deref();
+        Some(ShortageSnapshot {
+            uptime: now.since(MonotonicTime::START),
+            is_owner: self.is_owner(account),
+            owner_heard: heard.map(|at| now.since(*at)),
+            is_platform_away: self.platform.is_down(),
+            read_age: sync.cached.as_ref().map(|cached| now.since(cached.read_at)),
+            held: self.totals(account).map(|totals| totals.held),
+            owner_requests: exchange.map_or(0, |exchange| exchange.ask_count),
+            searches: exchange.map_or(0, |exchange| exchange.failed_searches),
+            is_scarce: exchange.is_some_and(|exchange| now < exchange.scarce_until),
+        })
+    }
+
     /// Returns a snapshot of the ledger, for state dumps.
     #[must_use]
     pub fn snapshot(&self) -> LedgerSnapshot {
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -25,5 +25,5 @@
     BudgetEntry, BudgetTotals, OperationKind, OperationRecord, PaidAmount, ShardError, ShardNumber,
     ShardValue,
 };
-pub use snapshot::{AccountSnapshot, LedgerSnapshot, TransferSnapshot};
+pub use snapshot::{AccountSnapshot, LedgerSnapshot, ShortageSnapshot, TransferSnapshot};
 pub use transfer::TransferTable;
--- a/crates/core/src/budget/snapshot.rs
+++ b/crates/core/src/budget/snapshot.rs
@@ -1,5 +1,7 @@
 //! Serializable snapshot of a budget ledger for diagnostics.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -60,6 +62,29 @@
     pub generation: u32,
 }
 
+/// Describes why an instance has too few tokens of a budget.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShortageSnapshot {
+    /// The time since the start of the instance.
+    pub uptime: Duration,
+    /// Whether this instance is the shard owner of its domain.
+    pub is_owner: bool,
+    /// The time since the shard owner of the domain was last heard, if it ever was.
+    pub owner_heard: Option<Duration>,
+    /// Whether the last platform call failed.
+    pub is_platform_away: bool,
+    /// The time since the shard was last read, if it ever was.
+    pub read_age: Option<Duration>,
+    /// The tokens held by all instances at the last read.
+    pub held: Option<TokenCount>,
+    /// The requests to the shard owner since the last transfer.
+    pub owner_requests: u8,
+    /// The searches among other instances since the last transfer.
+    pub searches: u8,
+    /// Whether there was a recent sign that the budget is scarce.
+    pub is_scarce: bool,
+}
+
 /// A snapshot of a transfer that is not acknowledged yet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TransferSnapshot {
--- a/crates/gateway/src/request/bill.rs
+++ b/crates/gateway/src/request/bill.rs
@@ -1,6 +1,6 @@
 //! Budget reservation and settlement for one request.
 
-use std::{pin::pin, sync::Arc};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use cornelarch_core::{
     base::{BudgetName, TokenCount},
@@ -49,9 +49,10 @@
     ) -> Result<Self, RequestRefusal> {
         let amount = TokenCount::new(size.total());
         let key = state.ledger.lock().register(BudgetName::new(customer));
-        let until = until.min(Instant::now() + TOKEN_WAIT);
-        let reservation = wait_for_tokens(state, key, amount, until).await;
-        let reservation = reservation.inspect_err(|_| log_shortage(state, id, key, amount))?;
+        let began = Instant::now();
+        let reservation = wait_for_tokens(state, key, amount, until.min(began + TOKEN_WAIT)).await;
+        let reservation =
+            reservation.inspect_err(|_| log_shortage(state, id, key, amount, began.elapsed()))?;
         Ok(Self {
             state: Arc::clone(state),
             reservation: Some(reservation),
@@ -109,19 +110,45 @@
     }
 }
 
-/// Logs the balance that led to a refusal.
-fn log_shortage(state: &GatewayState, id: &str, key: BudgetKey, amount: TokenCount) {
-    if let Some(account) = state.ledger.lock().account(key) {
-        log_event!(
-            BalanceInsufficient,
-            "id={id} budget={} needed={amount} balance={} reserved={} available={:?} drawing={}",
-            account.budget,
-            account.balance,
-            account.reserved,
-            account.available.map(TokenCount::get),
-            account.drawing
-        );
-    }
+/// Logs what the ledger knew when a request was refused for its budget. Times are in milliseconds;
+/// `-` stands for an unknown value.
+fn log_shortage(
+    state: &GatewayState,
+    id: &str,
+    key: BudgetKey,
+    amount: TokenCount,
+    waited: Duration,
+) {
+    let ledger = state.ledger.lock();
+    let shortage = ledger.shortage(key, state.now());
+    let (Some(account), Some(shortage)) = (ledger.account(key), shortage) else {
+        return;
+    };
+    let millis = |time: Option<Duration>| {
+        time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
+    };
+    log_event!(
+        BalanceInsufficient,
+        "id={id} budget={} needed={amount} balance={} reserved={} available={:?} drawing={} \
+         wanted={} held={:?} waited_ms={} uptime_ms={} owner={} heard_ms={} away={} read_ms={} \
+         asked={} searches={} scarce={}",
+        account.budget,
+        account.balance,
+        account.reserved,
+        account.available.map(TokenCount::get),
+        account.drawing,
+        account.wanted,
+        shortage.held.map(TokenCount::get),
+        waited.as_millis(),
+        shortage.uptime.as_millis(),
+        shortage.is_owner,
+        millis(shortage.owner_heard),
+        shortage.is_platform_away,
+        millis(shortage.read_age),
+        shortage.owner_requests,
+        shortage.searches,
+        shortage.is_scarce
+    );
 }
 
 fn refuse(error: ReserveError) -> RequestRefusal {
