--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -24,12 +24,13 @@
 const MESSAGE_DELAY: Duration = Duration::from_millis(1);
 /// Round-trip time of a call to the store.
 const STORE_CALL_TIME: Duration = Duration::from_millis(4);
-/// Time until a call to an unavailable store fails.
-const FAILURE_TIME: Duration = Duration::from_millis(300);
 /// Interval between ticks, as in the ledger task.
 const TICK: Duration = Duration::from_millis(200);
 /// Time for which a request waits for tokens, as in the gateway.
 const TOKEN_WAIT: Duration = Duration::from_millis(80);
+/// Time that a restarted instance drains, and until it and its peers know each other.
+const DRAIN_TIME: Duration = Duration::from_millis(3_500);
+const JOIN_TIME: Duration = Duration::from_millis(700);
 /// Duration of a request.
 const REQUEST_TIME: Duration = Duration::from_millis(800);
 
@@ -49,8 +50,21 @@
     /// Paid amount of a customer, expressed as seconds of its average consumption.
     pub(crate) paid_s: u64,
     pub(crate) seconds: u64,
-    /// Start and end of the store outage, in milliseconds.
-    pub(crate) outage_ms: (u64, u64),
+    /// Start and end of each store outage, in milliseconds.
+    pub(crate) outages_ms: &'static [(u64, u64)],
+    /// Every this many requests one is small: a tenth of the usual tokens. Zero means that all have
+    /// the same size.
+    pub(crate) small_requests: u64,
+    /// The largest customers, this many, each call a single instance.
+    pub(crate) pinned_customers: usize,
+    /// Time until a call to the unavailable store fails, in milliseconds.
+    pub(crate) failure_ms: u64,
+    /// One in this many messages is lost; zero means none.
+    pub(crate) loss: u64,
+    /// When instances begin to restart in turn, and the time between two restarts, in milliseconds.
+    pub(crate) restarts_ms: Option<(u64, u64)>,
+    /// When all instances lose power, in milliseconds.
+    pub(crate) power_loss_ms: Option<u64>,
 }
 
 /// Statistics of a simulation run.
@@ -58,6 +72,8 @@
 pub(crate) struct FleetStats {
     pub(crate) served: u64,
     pub(crate) refused: u64,
+    /// Requests rejected although the customer had unspent tokens for them, by second.
+    pub(crate) refused_falsely: BTreeMap<u64, u64>,
     /// Requests rejected during the outage.
     pub(crate) refused_in_outage: u64,
     pub(crate) requests_in_outage: u64,
@@ -75,25 +91,44 @@
     Arrival,
     Message {
         from: HolderId,
-        to: usize,
+        to: HolderId,
         message: BudgetMessage,
     },
-    StoreResponse(usize, LedgerEvent),
-    Read(usize, ShardNumber),
-    Write(usize, ShardNumber, u64, ShardValue),
-    Settle(usize, ReservationKey),
+    StoreResponse(HolderId, LedgerEvent),
+    Read(HolderId, ShardNumber),
+    Write(HolderId, ShardNumber, u64, ShardValue),
+    Settle(HolderId, ReservationKey, u64),
     WaitDeadline(usize, u64),
+    /// The next instance in turn begins its drain.
+    Drain(usize),
+    /// The process ends and a new one starts.
+    Restart(usize),
+    /// The other instances know the new process, and it knows them.
+    Join(HolderId),
+    PowerLoss,
 }
 
 struct WaitingRequest {
     number: u64,
     customer: usize,
+    size: RequestSize,
+}
+
+/// Tokens reserved and spent by a request.
+#[derive(Clone, Copy)]
+struct RequestSize {
+    reservation: u64,
+    cost: u64,
 }
 
 struct Instance {
     ledger: BudgetLedger,
     keys: Vec<BudgetKey>,
     waiting: Vec<WaitingRequest>,
+    domain: usize,
+    is_draining: bool,
+    /// Whether the other instances know this one.
+    is_member: bool,
 }
 
 pub(crate) struct Fleet {
@@ -104,7 +139,7 @@
     events: HashMap<u64, Event>,
     next_number: u64,
     instances: Vec<Instance>,
-    indices: HashMap<HolderId, usize>,
+    indices: HashMap<InstanceName, usize>,
     store: Vec<(u64, ShardValue)>,
     billed: Vec<u64>,
     stats: FleetStats,
@@ -170,41 +205,90 @@
 
     fn paid_tokens(&self, customer: usize) -> u64 {
         let rate = self.options.requests_per_s * request_share(customer, self.options.customers);
-        (rate * self.options.cost as f64 * self.options.paid_s as f64) as u64
+        let mean_cost = match self.options.small_requests {
+            0 => self.options.cost as f64,
+            every => self.options.cost as f64 * (1.0 - 0.9 / every as f64),
+        };
+        (rate * mean_cost * self.options.paid_s as f64) as u64
     }
 
     fn start(&mut self) {
         let options = self.options;
-        let mut peers = Vec::new();
         for index in 0..options.domains * options.instances_per_domain {
             let domain = index % options.domains;
-            let holder = HolderId::new(InstanceName::new(&format!("edge-{index}")), 1);
-            let mut ledger = BudgetLedger::new(holder.clone(), instance_options(&options, domain));
-            let keys = (0..options.customers)
-                .map(|customer| {
-                    let key = ledger.register(budget_name(customer));
-                    let amount = TokenCount::new(self.paid_tokens(customer));
-                    ledger.set_paid(key, PaidAmount { amount, version: 1 });
-                    key
-                })
-                .collect();
-            peers.push(DomainPeer {
-                holder: holder.clone(),
-                domain: domain_name(domain),
-            });
-            self.indices.insert(holder, index);
-            self.instances.push(Instance {
-                ledger,
-                keys,
-                waiting: Vec::new(),
-            });
+            let name = InstanceName::new(&format!("edge-{index}"));
+            self.indices.insert(name.clone(), index);
+            let instance = self.new_instance(HolderId::new(name, 1), domain);
+            self.instances.push(instance);
         }
         for index in 0..self.instances.len() {
-            self.handle_ledger_event(index, LedgerEvent::PeersChanged(peers.clone()));
+            self.instances[index].is_member = true;
             let phase = Duration::from_micros(self.rng.random_range(0..200_000));
             self.push(self.now + phase, Event::Tick(index));
         }
+        self.announce_peers();
         self.push(self.now + Duration::from_secs(4), Event::Arrival);
+        if let Some((from, _)) = options.restarts_ms {
+            self.push(MonotonicTime::from_millis(from), Event::Drain(0));
+        }
+        if let Some(at) = options.power_loss_ms {
+            self.push(MonotonicTime::from_millis(at), Event::PowerLoss);
+        }
+    }
+
+    fn new_instance(&self, holder: HolderId, domain: usize) -> Instance {
+        let mut ledger = BudgetLedger::new(holder, instance_options(&self.options, domain));
+        let keys = (0..self.options.customers)
+            .map(|customer| {
+                let key = ledger.register(budget_name(customer));
+                let amount = TokenCount::new(self.paid_tokens(customer));
+                ledger.set_paid(key, PaidAmount { amount, version: 1 });
+                key
+            })
+            .collect();
+        Instance {
+            ledger,
+            keys,
+            waiting: Vec::new(),
+            domain,
+            is_draining: false,
+            is_member: false,
+        }
+    }
+
+    fn announce_peers(&mut self) {
+        let members = self.instances.iter().filter(|instance| instance.is_member);
+        let peers: Vec<DomainPeer> = members
+            .map(|instance| DomainPeer {
+                holder: instance.ledger.holder().clone(),
+                domain: domain_name(instance.domain),
+            })
+            .collect();
+        for index in 0..self.instances.len() {
+            if self.instances[index].is_member {
+                self.handle_ledger_event(index, LedgerEvent::PeersChanged(peers.clone()));
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let old = self.instances[index].ledger.holder().clone();
+        let holder = HolderId::new(old.instance.clone(), old.epoch + 1);
+        let waiting = std::mem::take(&mut self.instances[index].waiting);
+        self.stats.refused += waiting.len() as u64;
+        self.instances[index] = self.new_instance(holder.clone(), self.instances[index].domain);
+        self.push(self.now + JOIN_TIME, Event::Join(holder));
+    }
+
+    /// Returns the index of an instance if the given process of it still runs.
+    fn find(&self, holder: &HolderId) -> Option<usize> {
+        let index = *self.indices.get(&holder.instance)?;
+        let is_current = self.instances[index].ledger.holder() == holder;
+        is_current.then_some(index)
+    }
+
+    fn holder(&self, index: usize) -> HolderId {
+        self.instances[index].ledger.holder().clone()
     }
 
     fn push(&mut self, at: MonotonicTime, event: Event) {
@@ -214,8 +298,9 @@
     }
 
     fn is_store_down(&self) -> bool {
-        let (from, to) = self.options.outage_ms;
-        (from..to).contains(&(self.now.as_micros() / 1_000))
+        let now = self.now.as_micros() / 1_000;
+        let mut outages = self.options.outages_ms.iter();
+        outages.any(|(from, to)| (*from..*to).contains(&now))
     }
 
     /// Runs the simulation to its end, or until more than `message_limit` messages were sent during
@@ -245,16 +330,16 @@
             }
             Event::Arrival => self.handle_arrival(),
             Event::Message { from, to, message } => {
-                let to_holder = self.instances[to].ledger.holder().clone();
-                let event = LedgerEvent::Received {
-                    from,
-                    to: to_holder,
-                    message,
-                };
-                self.handle_ledger_event(to, event);
+                if let Some(index) = self.find(&to) {
+                    self.handle_ledger_event(index, LedgerEvent::Received { from, to, message });
+                }
+            }
+            Event::StoreResponse(holder, event) => {
+                if let Some(index) = self.find(&holder) {
+                    self.handle_ledger_event(index, event);
+                }
             }
-            Event::StoreResponse(index, event) => self.handle_ledger_event(index, event),
-            Event::Read(index, shard) => {
+            Event::Read(holder, shard) => {
                 self.stats.reads += 1;
                 let (version, value) = self.store[shard.0 as usize].clone();
                 let event = LedgerEvent::ShardRead {
@@ -264,10 +349,10 @@
                 };
                 self.push(
                     self.now + STORE_CALL_TIME / 2,
-                    Event::StoreResponse(index, event),
+                    Event::StoreResponse(holder, event),
                 );
             }
-            Event::Write(index, shard, expected, value) => {
+            Event::Write(holder, shard, expected, value) => {
                 self.stats.writes += 1;
                 let slot = &mut self.store[shard.0 as usize];
                 let event = if slot.0 == expected {
@@ -280,16 +365,41 @@
                 };
                 self.push(
                     self.now + STORE_CALL_TIME / 2,
-                    Event::StoreResponse(index, event),
+                    Event::StoreResponse(holder, event),
                 );
             }
-            Event::Settle(index, reservation) => {
-                let cost = TokenCount::new(self.options.cost);
+            Event::Settle(holder, reservation, cost) => {
+                let Some(index) = self.find(&holder) else {
+                    return;
+                };
                 let ledger = &mut self.instances[index].ledger;
-                let settled = ledger.settle(reservation, cost, self.now);
+                let settled = ledger.settle(reservation, TokenCount::new(cost), self.now);
                 settled.expect("a request ends once");
             }
             Event::WaitDeadline(index, number) => self.handle_deadline(index, number),
+            Event::Drain(index) => {
+                let (_, gap) = self.options.restarts_ms.unwrap_or_default();
+                let next = (index + 1) % self.instances.len();
+                let gap = Duration::from_millis(gap);
+                self.push(self.now + gap, Event::Drain(next));
+                self.push(self.now + DRAIN_TIME, Event::Restart(index));
+                self.instances[index].is_draining = true;
+                self.instances[index].is_member = false;
+                self.announce_peers();
+                self.handle_ledger_event(index, LedgerEvent::DrainStarted);
+            }
+            Event::Restart(index) => self.restart(index),
+            Event::Join(holder) => {
+                if let Some(index) = self.find(&holder) {
+                    self.instances[index].is_member = true;
+                    self.announce_peers();
+                }
+            }
+            Event::PowerLoss => {
+                for index in 0..self.instances.len() {
+                    self.restart(index);
+                }
+            }
         }
     }
 
@@ -304,56 +414,90 @@
             draw -= request_share(customer, self.options.customers);
             customer += 1;
         }
-        let index = self.rng.random_range(0..self.instances.len());
+        let mut index = match customer < self.options.pinned_customers {
+            true => customer,
+            false => self.rng.random_range(0..self.instances.len()),
+        };
+        while self.instances[index].is_draining {
+            index = self.rng.random_range(0..self.instances.len());
+        }
+        let size = self.draw_size();
         self.stats.requests_in_outage += u64::from(self.is_store_down());
-        match self.reserve(index, customer) {
+        match self.reserve(index, customer, size) {
             Ok(()) => {}
             Err(ReserveError::Insufficient { retry: true, .. }) => {
                 let number = self.next_number;
-                let waiting = WaitingRequest { number, customer };
+                let waiting = WaitingRequest {
+                    number,
+                    customer,
+                    size,
+                };
                 self.instances[index].waiting.push(waiting);
                 self.push(self.now + TOKEN_WAIT, Event::WaitDeadline(index, number));
                 self.handle_ledger_event(index, LedgerEvent::Tick);
             }
             Err(_) => {
-                self.refuse(index, customer);
+                self.refuse(index, customer, size);
                 self.handle_ledger_event(index, LedgerEvent::Tick);
             }
         }
     }
 
-    fn reserve(&mut self, index: usize, customer: usize) -> Result<(), ReserveError> {
+    fn draw_size(&mut self) -> RequestSize {
+        let options = &self.options;
+        let is_small = options.small_requests > 0
+            && self.rng.random_range(0..options.small_requests) == 0;
+        let divisor = if is_small { 10 } else { 1 };
+        RequestSize {
+            reservation: options.reservation / divisor,
+            cost: options.cost / divisor,
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        index: usize,
+        customer: usize,
+        size: RequestSize,
+    ) -> Result<(), ReserveError> {
+        let holder = self.holder(index);
         let instance = &mut self.instances[index];
-        let amount = TokenCount::new(self.options.reservation);
+        let amount = TokenCount::new(size.reservation);
         let reservation = instance
             .ledger
             .reserve(instance.keys[customer], amount, self.now)?;
         self.stats.served += 1;
-        self.billed[customer] += self.options.cost;
-        self.push(self.now + REQUEST_TIME, Event::Settle(index, reservation));
+        self.billed[customer] += size.cost;
+        let event = Event::Settle(holder, reservation, size.cost);
+        self.push(self.now + REQUEST_TIME, event);
         Ok(())
     }
 
-    fn refuse(&mut self, index: usize, customer: usize) {
+    fn refuse(&mut self, index: usize, customer: usize, size: RequestSize) {
         let instance = &mut self.instances[index];
-        let amount = TokenCount::new(self.options.reservation);
+        let amount = TokenCount::new(size.reservation);
         instance
             .ledger
             .cancel_demand(instance.keys[customer], amount);
         self.stats.refused += 1;
+        if self.billed[customer] + size.reservation <= self.paid_tokens(customer) {
+            let second = self.now.as_micros() / 1_000_000;
+            *self.stats.refused_falsely.entry(second).or_default() += 1;
+        }
         self.stats.refused_in_outage += u64::from(self.is_store_down());
     }
 
     fn handle_deadline(&mut self, index: usize, number: u64) {
         let waiting = &mut self.instances[index].waiting;
         if let Some(slot) = waiting.iter().position(|waiting| waiting.number == number) {
-            let customer = waiting.remove(slot).customer;
-            self.refuse(index, customer);
+            let WaitingRequest { customer, size, .. } = waiting.remove(slot);
+            self.refuse(index, customer, size);
         }
     }
 
     fn handle_ledger_event(&mut self, index: usize, event: LedgerEvent) {
         let effects = self.instances[index].ledger.handle(event, self.now);
+        let holder = self.holder(index);
         let is_store_down = self.is_store_down();
         for effect in effects {
             match effect {
@@ -361,17 +505,20 @@
                     if is_store_down =>
                 {
                     let event = LedgerEvent::PlatformDown { shard };
-                    self.push(self.now + FAILURE_TIME, Event::StoreResponse(index, event));
+                    let event = Event::StoreResponse(holder.clone(), event);
+                    let delay = Duration::from_millis(self.options.failure_ms);
+                    self.push(self.now + delay, event);
                 }
                 LedgerEffect::ReadShard { shard, .. } => {
-                    self.push(self.now + STORE_CALL_TIME / 2, Event::Read(index, shard));
+                    let event = Event::Read(holder.clone(), shard);
+                    self.push(self.now + STORE_CALL_TIME / 2, event);
                 }
                 LedgerEffect::WriteShard {
                     shard,
                     expected_version,
                     value,
                 } => {
-                    let event = Event::Write(index, shard, expected_version, value);
+                    let event = Event::Write(holder.clone(), shard, expected_version, value);
                     self.push(self.now + STORE_CALL_TIME / 2, event);
                 }
                 LedgerEffect::Send { to, message } => self.send(index, &to, message),
@@ -389,12 +536,14 @@
         };
         *self.stats.messages.entry(kind).or_default() += 1;
         self.stats.messages_in_outage += u64::from(self.is_store_down());
+        let loss = self.options.loss;
+        if loss > 0 && self.rng.random_range(0..loss) == 0 {
+            return;
+        }
         let from = self.instances[from].ledger.holder().clone();
-        let to = self.indices[to];
-        self.push(
-            self.now + MESSAGE_DELAY,
-            Event::Message { from, to, message },
-        );
+        let to = to.clone();
+        let event = Event::Message { from, to, message };
+        self.push(self.now + MESSAGE_DELAY, event);
     }
 
     fn wake(&mut self, index: usize, budget: BudgetKey) {
@@ -403,7 +552,7 @@
         for request in waiting {
             if self.instances[index].keys[request.customer] != budget {
                 self.instances[index].waiting.push(request);
-            } else if self.reserve(index, request.customer).is_err() {
+            } else if self.reserve(index, request.customer, request.size).is_err() {
                 self.instances[index].waiting.push(request);
                 is_short = true;
             }
--- a/crates/gateway/tests/ledger_fleet/main.rs
+++ b/crates/gateway/tests/ledger_fleet/main.rs
@@ -19,7 +19,33 @@
     cost: 9_200,
     paid_s: 12,
     seconds: 20,
-    outage_ms: (10_000, 19_000),
+    outages_ms: &[(10_000, 19_000)],
+    small_requests: 0,
+    pinned_customers: 0,
+    failure_ms: 300,
+    loss: 0,
+    restarts_ms: None,
+    power_loss_ms: None,
+};
+
+/// A deployment under hard load: all instances restart in turn and lose the store twice.
+const HARD: FleetOptions = FleetOptions {
+    domains: 3,
+    instances_per_domain: 20,
+    shards: 2,
+    customers: 24,
+    requests_per_s: 560.0,
+    reservation: 11_000,
+    cost: 9_500,
+    paid_s: 53,
+    seconds: 40,
+    outages_ms: &[(9_000, 17_000), (28_000, 36_000)],
+    small_requests: 2,
+    pinned_customers: 5,
+    failure_ms: 3_000,
+    loss: 100,
+    restarts_ms: Some((7_000, 2_000)),
+    power_loss_ms: None,
 };
 
 /// Guards against a storm of loan requests during a store outage. Without a limit, every instance
@@ -28,10 +54,22 @@
 #[test]
 fn outage_of_the_store_causes_no_storm_of_messages() {
     let instances = (LARGE.domains * LARGE.instances_per_domain) as u64;
-    let outage_s = (LARGE.outage_ms.1 - LARGE.outage_ms.0) / 1_000;
+    let outage_s = (LARGE.outages_ms[0].1 - LARGE.outages_ms[0].0) / 1_000;
     let message_limit = instances * outage_s * MESSAGES_PER_S;
     let stats = Fleet::new(LARGE, 1).run(message_limit);
     println!("{stats:?}");
     assert!(stats.messages_in_outage <= message_limit, "{stats:?}");
     assert_eq!(stats.overspend, 0);
 }
+
+/// Guards against refusals while a customer has tokens unspent: all instances lose the store for
+/// 8 s twice while they restart in turn.
+#[test]
+fn cuts_and_restarts_refuse_hardly_a_request() {
+    let stats = Fleet::new(HARD, 1).run(u64::MAX);
+    println!("{stats:?}");
+    let refused: u64 = stats.refused_falsely.values().sum();
+    let requests = stats.served + stats.refused;
+    assert_eq!(stats.overspend, 0);
+    assert!(refused * 100 < requests, "{refused} of {requests} refused");
+}
