--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -86,7 +86,7 @@
         let given = self.lendable(key).min(amount);
         self.lend(key, from, given, now);
         let rest = amount.saturating_sub(given);
-        if given.is_zero() && !self.platform.is_down() {
+        if given.is_zero() && !self.is_platform_away(now) {
             // Tells the borrower that this instance is trying to get tokens. While the platform is
             // down for this instance, it does not answer, so that a borrower that can reach the
             // platform draws for itself.
@@ -101,7 +101,7 @@
         }
         // If nothing can be drawn, tokens come only from other instances. Owners that keep each
         // other's requests would then pass the same few tokens around until the requests expire.
-        if !self.is_neighbour(from) && !self.can_draw(&self.accounts[key]) {
+        if !self.is_neighbour(from) && !self.can_draw(&self.accounts[key], now) {
             return;
         }
         let exchange = self.accounts[key].exchange_mut();
@@ -261,10 +261,10 @@
     }
 
     /// Returns whether the platform is up and the budget is not known to be exhausted there.
-    fn can_draw(&self, account: &Account) -> bool {
+    fn can_draw(&self, account: &Account, now: MonotonicTime) -> bool {
         let totals = self.totals(account);
         let is_empty = totals.is_some_and(|totals| totals.available.is_zero());
-        !self.platform.is_down() && !is_empty
+        !self.is_platform_away(now) && !is_empty
     }
 
     fn is_neighbour(&self, holder: &HolderId) -> bool {
@@ -397,7 +397,7 @@
         let totals = self.totals(account);
         let available = totals.map(|totals| totals.available);
         let is_covered = available.is_none_or(|available| available >= shortfall);
-        if shortfall.is_zero() || (is_covered && !self.platform.is_down()) {
+        if shortfall.is_zero() || (is_covered && !self.is_platform_away(now)) {
             return;
         }
         if let Some(exchange) = &account.exchange
--- a/crates/core/src/budget/ledger/sync.rs
+++ b/crates/core/src/budget/ledger/sync.rs
@@ -37,6 +37,16 @@
     },
 }
 
+impl ShardCall {
+    /// Returns when the call was started.
+    const fn since(self) -> Option<MonotonicTime> {
+        match self {
+            Self::Idle => None,
+            Self::Reading { since } | Self::Writing { since, .. } => Some(since),
+        }
+    }
+}
+
 /// A write of this instance's rows whose result is not known yet.
 #[derive(Clone, Copy, Debug, Hash)]
 struct WriteAttempt {
@@ -132,6 +142,14 @@
 }
 
 impl BudgetLedger {
+    /// Returns whether the platform is down, or a call has taken longer than requests wait for
+    /// tokens. A call to an unreachable platform may take seconds to fail.
+    pub(super) fn is_platform_away(&self, now: MonotonicTime) -> bool {
+        let patience = self.options.end_wait;
+        let mut calls = self.shards.values().filter_map(|sync| sync.call.since());
+        self.platform.is_down() || calls.any(|since| now.since(since) > patience)
+    }
+
     /// Recomputes the shard owners after the set of live instances has changed.
     pub(super) fn refresh_owners(&mut self) {
         for (shard, sync) in &mut self.shards {
