--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -418,7 +418,8 @@
             true => customer,
             false => self.rng.random_range(0..self.instances.len()),
         };
-        while self.instances[index].is_draining {
+        // A restarted instance takes requests once it has joined.
+        while !self.instances[index].is_member {
             index = self.rng.random_range(0..self.instances.len());
         }
         let size = self.draw_size();
@@ -445,8 +446,8 @@
 
     fn draw_size(&mut self) -> RequestSize {
         let options = &self.options;
-        let is_small = options.small_requests > 0
-            && self.rng.random_range(0..options.small_requests) == 0;
+        let is_small =
+            options.small_requests > 0 && self.rng.random_range(0..options.small_requests) == 0;
         let divisor = if is_small { 10 } else { 1 };
         RequestSize {
             reservation: options.reservation / divisor,
