Loans: count only returned loans as inflow; no bypass of the owner without the platform

Cause: tokens from other domains were subtracted from the owner's burn forecast, and the negative remainder carried over. An owner that received 1.1 M tokens in a cut forecast 17 k tokens a second after it while it lent 200 k, and entered the next cut without a reserve.

--- a/crates/core/src/budget/ledger/account.rs
+++ b/crates/core/src/budget/ledger/account.rs
@@ -64,6 +64,8 @@
     pub(super) drawn: TokenCount,
     pub(super) lent: TokenCount,
     pub(super) borrowed: TokenCount,
+    /// The tokens lent to neighbours that they have neither returned nor reported as spent.
+    pub(super) open_loans: TokenCount,
     pub(super) wanted_at: MonotonicTime,
     /// When the shard owner was last asked for tokens; cleared by any transfer.
     pub(super) asked_at: Option<MonotonicTime>,
@@ -161,6 +163,23 @@
         }
     }
 
+    /// Counts a loan to a neighbour as outflow.
+    pub(super) fn open_loan(&mut self, amount: TokenCount) {
+        self.forecast.add(amount);
+        let exchange = self.exchange_mut();
+        exchange.open_loans = exchange.open_loans.saturating_add(amount);
+    }
+
+    /// Counts the part of a neighbour's transfer that is a returned loan as inflow. Tokens that the
+    /// neighbour drew itself, or that come from other domains, say nothing about the demand.
+    pub(super) fn close_loans(&mut self, spent: TokenCount, returned: TokenCount) {
+        let exchange = self.exchange_mut();
+        let open = exchange.open_loans.saturating_sub(spent);
+        let returned = returned.min(open);
+        exchange.open_loans = open.saturating_sub(returned);
+        self.forecast.remove(returned);
+    }
+
     pub(super) fn add_unreported(&mut self, spent: TokenCount, now: MonotonicTime) {
         if spent.is_zero() {
             return;
--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -133,15 +133,16 @@
         let key = self.register(budget);
         self.activate(key);
         let is_owner = self.is_owner(&self.accounts[key]);
+        let is_neighbour = self.is_neighbour(from);
         let scarce_until = now + self.options.end_wait * SCARCE_PERIOD_WAITS;
         let account = &mut self.accounts[key];
         account.add_unreported(spent, now);
+        if is_neighbour {
+            account.close_loans(spent, amount);
+        }
         if !amount.is_zero() {
             let wanted = account.wanted;
             account.add_balance(amount);
-            if is_owner {
-                account.forecast.remove(amount);
-            }
             let balance = account.balance;
             let exchange = account.exchange_mut();
             let is_partial = amount < exchange.asked_amount;
@@ -223,10 +224,12 @@
         }
     }
 
-    /// Transfers tokens to an instance that asked for them. They count towards the lender's burn
-    /// forecast, because it draws for its borrowers as well.
+    /// Transfers tokens to an instance that asked for them. Loans to neighbours count towards the
+    /// lender's burn forecast, because it draws for them as well; other domains draw for themselves.
     fn lend(&mut self, key: BudgetKey, to: &HolderId, amount: TokenCount, now: MonotonicTime) {
-        self.accounts[key].forecast.add(amount);
+        if self.is_neighbour(to) {
+            self.accounts[key].open_loan(amount);
+        }
         self.transfer(key, to, amount, TokenCount::ZERO, now);
     }
 
@@ -286,9 +289,12 @@
     pub(super) fn draws_directly(&self, account: &Account, now: MonotonicTime) -> bool {
         let bypasses_owner =
             |exchange: &super::account::ExchangeState| now < exchange.bypass_owner_until;
+        // Without the platform the shard owner, which also asks other domains, is still the best
+        // source.
+        let is_bypassing = account.exchange.as_deref().is_some_and(bypasses_owner);
         !self.options.policy.is_lending()
             || self.is_owner(account)
-            || account.exchange.as_deref().is_some_and(bypasses_owner)
+            || (is_bypassing && !self.is_platform_away(now))
     }
 
     /// Updates a budget: serves waiting requests and borrowers, asks other instances for tokens if
@@ -364,6 +370,7 @@
         };
         let (timeout, silence) = (self.options.borrow_timeout, self.options.direct_draw_period);
         let is_waiting = account.wanted > account.balance;
+        let is_platform_away = self.is_platform_away(now);
         let exchange = self.accounts[key].exchange_mut();
         // New demand does not wait for the backoff of earlier unsuccessful requests.
         let wait = match exchange.has_new_demand {
@@ -372,7 +379,7 @@
         };
         match exchange.asked_at {
             Some(at) if now.since(at) < wait => {}
-            Some(_) if is_waiting && exchange.ask_count >= max_asks => {
+            Some(_) if is_waiting && exchange.ask_count >= max_asks && !is_platform_away => {
                 (exchange.asked_at, exchange.ask_count) = (None, 0);
                 exchange.bypass_owner_until = now + silence;
                 self.search_peers(key, now);
@@ -385,6 +392,9 @@
                 let budget = self.accounts[key].budget.clone();
                 let message = BudgetMessage::BorrowRequest { budget, amount };
                 self.effects.push(LedgerEffect::Send { to: owner, message });
+                if is_waiting && is_platform_away && !has_answered {
+                    self.search_peers(key, now);
+                }
             }
         }
     }
