--- a/crates/core/src/budget/forecast.rs
+++ b/crates/core/src/budget/forecast.rs
@@ -20,6 +20,9 @@
 /// Longest time over which the trend is extrapolated. Extrapolating further amplifies its noise.
 const MAX_TREND_PERIOD: Duration = Duration::from_secs(20);
 
+/// Time constant of the rate of the last seconds.
+const RECENT_SECONDS: f64 = 2.0;
+
 /// Maximum number of smoothing steps of one update after a pause; the level has decayed by then.
 const MAX_STEPS: u32 = 60;
 
@@ -28,6 +31,7 @@
 pub struct BurnForecast {
     level: f64,
     trend: f64,
+    recent: f64,
     mean: f64,
     outflow: i64,
     updated: MonotonicTime,
@@ -56,6 +60,8 @@
         // A negative outflow carries over, so that surplus refunds lower the next rates.
         self.outflow = self.outflow.min(0);
         self.updated = now;
+        let recent_weight = 1.0 - (-seconds / RECENT_SECONDS).exp();
+        self.recent += (rate - self.recent) * recent_weight;
         if !self.is_started {
             self.is_started = rate > 0.0;
             self.level = rate;
@@ -82,6 +88,14 @@
         TokenCount::new(tokens.ceil() as u64)
     }
 
+    /// Returns the predicted outflow during `period` at the smoothed rate or that of the last
+    /// seconds, whichever is higher, so that a reserve follows a rise at once and a fall slowly.
+    #[must_use]
+    pub fn predict_peak(&self, period: Duration) -> TokenCount {
+        let recent = TokenCount::new((self.recent * period.as_secs_f64()).ceil() as u64);
+        self.predict(period).max(recent)
+    }
+
     /// Returns the predicted outflow during `period` at the mean rate.
     #[must_use]
     pub fn predict_mean(&self, period: Duration) -> TokenCount {
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -213,7 +213,7 @@
     let outage_demand = match options.reserve_rate {
         ReserveRate::Mean => forecast.predict_mean(reserve),
         ReserveRate::Recent if input.uptime < options.warm_up => TokenCount::ZERO,
-        ReserveRate::Recent => forecast.predict(reserve),
+        ReserveRate::Recent => forecast.predict_peak(reserve),
     };
     let desired = horizon_demand.saturating_add(outage_demand);
     let desired = match options.reserve_rate {
