--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -158,6 +158,8 @@
             // Demand that arose after the borrow request does not make the loan a partial one.
             if !is_owner && is_partial && balance < wanted {
                 exchange.scarce_until = scarce_until;
+            } else if !is_owner && !is_partial && is_neighbour {
+                exchange.scarce_until = now;
             }
         }
         self.urgent.insert(key);
--- a/crates/gateway/tests/ledger_fleet/main.rs
+++ b/crates/gateway/tests/ledger_fleet/main.rs
@@ -66,10 +66,15 @@
 /// 8 s twice while they restart in turn.
 #[test]
 fn cuts_and_restarts_refuse_hardly_a_request() {
-    let stats = Fleet::new(HARD, 1).run(u64::MAX);
-    println!("{stats:?}");
-    let refused: u64 = stats.refused_falsely.values().sum();
-    let requests = stats.served + stats.refused;
-    assert_eq!(stats.overspend, 0);
+    let mut totals = (0, 0);
+    for seed in 1..=4 {
+        let stats = Fleet::new(HARD, seed).run(u64::MAX);
+        println!("{stats:?}");
+        assert_eq!(stats.overspend, 0);
+        totals.0 += stats.refused_falsely.values().sum::<u64>();
+        totals.1 += stats.served + stats.refused;
+    }
+    let (refused, requests) = totals;
+    println!("{refused} of {requests} requests refused falsely");
     assert!(refused * 100 < requests, "{refused} of {requests} refused");
 }
