Repeat lost loan messages within the wait of a request

The ledger ticked every 200 ms and resent transfers after 200 ms, while a request waits for 80 ms: one lost datagram was a refusal.

--- a/crates/core/src/budget/ledger/mod.rs
+++ b/crates/core/src/budget/ledger/mod.rs
@@ -356,6 +356,12 @@
         self.active = keys;
     }
 
+    /// Returns whether requests or borrowers wait for tokens, so that ticks should come sooner.
+    #[must_use]
+    pub fn has_demand(&self) -> bool {
+        !self.urgent.is_empty()
+    }
+
     /// Updates the budgets that requests, borrowers or a drain are waiting for.
     fn update_urgent(&mut self, now: MonotonicTime) {
         let keys = std::mem::take(&mut self.urgent);
--- a/crates/gateway/src/process/ledger.rs
+++ b/crates/gateway/src/process/ledger.rs
@@ -11,7 +11,10 @@
     },
 };
 use parking_lot::{Mutex, MutexGuard};
-use tokio::sync::{Notify, mpsc};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::Instant,
+};
 
 use crate::{
     edge::{EdgeError, PlatformEdge, ReadAge},
@@ -20,6 +23,11 @@
 
 /// Interval between ticks of the ledger.
 const LEDGER_TICK: Duration = Duration::from_millis(200);
+/// Interval between ticks while requests wait for tokens, so that lost messages are repeated within
+/// the wait.
+const DEMAND_TICK: Duration = BORROW_TIMEOUT;
+/// Time after which an unacknowledged transfer is first resent.
+const RESEND_INITIAL: Duration = Duration::from_millis(40);
 /// Time for which a balance should last in addition to the outage reserve.
 const HORIZON: Duration = Duration::from_secs(2);
 /// Time for which a loan from a peer should last. It is short because a lender is only about a
@@ -80,6 +88,7 @@
         need_factor: NEED_FACTOR,
         hold_cap: HOLD_CAP_FACTOR,
         borrow_timeout: BORROW_TIMEOUT,
+        resend_initial: RESEND_INITIAL,
         resend_max: RESEND_MAX,
         max_owner_requests: MAX_OWNER_REQUESTS,
         direct_draw_period: DIRECT_DRAW_PERIOD,
@@ -135,16 +144,27 @@
     edge: Arc<P>,
     mut events: mpsc::UnboundedReceiver<LedgerEvent>,
 ) {
-    let mut interval = tokio::time::interval(LEDGER_TICK);
+    let mut next_tick = Instant::now();
     loop {
         let event = tokio::select! {
-        event = events.recv() => match event {
-        Some(event) => event,
-        None => return,
-        },
-        _ = interval.tick() => LedgerEvent::Tick,
+            event = events.recv() => match event {
+                Some(event) => event,
+                None => return,
+            },
+            () = tokio::time::sleep_until(next_tick) => LedgerEvent::Tick,
+        };
+        let is_tick = event == LedgerEvent::Tick;
+        let (effects, has_demand) = {
+            let mut ledger = state.ledger.lock();
+            (ledger.handle(event, state.now()), ledger.has_demand())
         };
-        let effects = state.ledger.lock().handle(event, state.now());
+        let now = Instant::now();
+        if is_tick {
+            next_tick = now + LEDGER_TICK;
+        }
+        if has_demand {
+            next_tick = next_tick.min(now + DEMAND_TICK);
+        }
         for effect in effects {
             run_effect(&state, &edge, effect);
         }
--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -26,6 +26,8 @@
 const STORE_CALL_TIME: Duration = Duration::from_millis(4);
 /// Interval between ticks, as in the ledger task.
 const TICK: Duration = Duration::from_millis(200);
+/// Interval between ticks while requests wait for tokens, as in the ledger task.
+const DEMAND_TICK: Duration = Duration::from_millis(20);
 /// Time for which a request waits for tokens, as in the gateway.
 const TOKEN_WAIT: Duration = Duration::from_millis(80);
 /// Time that a restarted instance drains, and until it and its peers know each other.
@@ -88,6 +90,7 @@
 
 enum Event {
     Tick(usize),
+    DemandTick(HolderId),
     Arrival,
     Message {
         from: HolderId,
@@ -126,7 +129,7 @@
     keys: Vec<BudgetKey>,
     waiting: Vec<WaitingRequest>,
     domain: usize,
-    is_draining: bool,
+    has_demand_tick: bool,
     /// Whether the other instances know this one.
     is_member: bool,
 }
@@ -251,7 +254,7 @@
             keys,
             waiting: Vec::new(),
             domain,
-            is_draining: false,
+            has_demand_tick: false,
             is_member: false,
         }
     }
@@ -328,6 +331,12 @@
                 self.push(self.now + TICK, Event::Tick(index));
                 self.handle_ledger_event(index, LedgerEvent::Tick);
             }
+            Event::DemandTick(holder) => {
+                if let Some(index) = self.find(&holder) {
+                    self.instances[index].has_demand_tick = false;
+                    self.handle_ledger_event(index, LedgerEvent::Tick);
+                }
+            }
             Event::Arrival => self.handle_arrival(),
             Event::Message { from, to, message } => {
                 if let Some(index) = self.find(&to) {
@@ -383,7 +392,6 @@
                 let gap = Duration::from_millis(gap);
                 self.push(self.now + gap, Event::Drain(next));
                 self.push(self.now + DRAIN_TIME, Event::Restart(index));
-                self.instances[index].is_draining = true;
                 self.instances[index].is_member = false;
                 self.announce_peers();
                 self.handle_ledger_event(index, LedgerEvent::DrainStarted);
@@ -497,8 +505,14 @@
     }
 
     fn handle_ledger_event(&mut self, index: usize, event: LedgerEvent) {
-        let effects = self.instances[index].ledger.handle(event, self.now);
-        let holder = self.holder(index);
+        let instance = &mut self.instances[index];
+        let effects = instance.ledger.handle(event, self.now);
+        let needs_tick = instance.ledger.has_demand() && !instance.has_demand_tick;
+        let holder = instance.ledger.holder().clone();
+        if needs_tick {
+            instance.has_demand_tick = true;
+            self.push(self.now + DEMAND_TICK, Event::DemandTick(holder.clone()));
+        }
         let is_store_down = self.is_store_down();
         for effect in effects {
             match effect {
