An instance that draws for itself holds a reserve like a shard owner

While the owner of its domain does not answer, an instance drew exactly what requests waited for: a write for each request of a busy customer, with a conflict for most.

--- a/crates/core/src/budget/ledger/plan.rs
+++ b/crates/core/src/budget/ledger/plan.rs
@@ -80,7 +80,7 @@
             uptime: now.since(MonotonicTime::START),
         };
         let options = &self.options;
-        match !options.policy.is_lending() || self.is_owner(account) {
+        match self.draws_directly(account, now) {
             true => options.policy.goal(&input, &account.forecast, options),
             false => options.policy.loan_goal(&input, &account.forecast, options),
         }
--- a/crates/gateway/tests/ledger_fleet/fleet.rs
+++ b/crates/gateway/tests/ledger_fleet/fleet.rs
@@ -32,6 +32,8 @@
 const TOKEN_WAIT: Duration = Duration::from_millis(80);
 /// Time that a restarted instance drains, and until it and its peers know each other.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
+/// Time until the others notice that an instance is gone.
+const NOTICE_TIME: Duration = Duration::from_millis(2_000);
 const JOIN_TIME: Duration = Duration::from_millis(700);
 /// Duration of a request.
 const REQUEST_TIME: Duration = Duration::from_millis(800);
@@ -65,6 +67,9 @@
     pub(crate) loss: u64,
     /// When instances begin to restart in turn, and the time between two restarts, in milliseconds.
     pub(crate) restarts_ms: Option<(u64, u64)>,
+    /// When the shard owners of the first domain are killed, in milliseconds. The others notice it
+    /// after `NOTICE_TIME`.
+    pub(crate) kills_ms: &'static [u64],
     /// When all instances lose power, in milliseconds.
     pub(crate) power_loss_ms: Option<u64>,
 }
@@ -109,6 +114,9 @@
     /// The other instances know the new process, and it knows them.
     Join(HolderId),
     PowerLoss,
+    KillOwners,
+    /// The other instances notice which ones are gone.
+    Notice,
 }
 
 struct WaitingRequest {
@@ -234,6 +242,9 @@
         if let Some((from, _)) = options.restarts_ms {
             self.push(MonotonicTime::from_millis(from), Event::Drain(0));
         }
+        for at in options.kills_ms {
+            self.push(MonotonicTime::from_millis(*at), Event::KillOwners);
+        }
         if let Some(at) = options.power_loss_ms {
             self.push(MonotonicTime::from_millis(at), Event::PowerLoss);
         }
@@ -274,13 +285,32 @@
         }
     }
 
+    fn kill_owners(&mut self) {
+        let owners: Vec<usize> = (0..self.instances.len())
+            .filter(|index| {
+                let instance = &self.instances[*index];
+                let mut keys = instance.keys.iter();
+                instance.domain == 0
+                    && instance.is_member
+                    && keys.any(|key| {
+                        let shortage = instance.ledger.shortage(*key, self.now);
+                        shortage.is_some_and(|shortage| shortage.is_owner)
+                    })
+            })
+            .collect();
+        for index in owners {
+            self.restart(index);
+        }
+        self.push(self.now + NOTICE_TIME, Event::Notice);
+    }
+
     fn restart(&mut self, index: usize) {
         let old = self.instances[index].ledger.holder().clone();
         let holder = HolderId::new(old.instance.clone(), old.epoch + 1);
         let waiting = std::mem::take(&mut self.instances[index].waiting);
         self.stats.refused += waiting.len() as u64;
         self.instances[index] = self.new_instance(holder.clone(), self.instances[index].domain);
-        self.push(self.now + JOIN_TIME, Event::Join(holder));
+        self.push(self.now + NOTICE_TIME + JOIN_TIME, Event::Join(holder));
     }
 
     /// Returns the index of an instance if the given process of it still runs.
@@ -403,6 +433,8 @@
                     self.announce_peers();
                 }
             }
+            Event::KillOwners => self.kill_owners(),
+            Event::Notice => self.announce_peers(),
             Event::PowerLoss => {
                 for index in 0..self.instances.len() {
                     self.restart(index);
--- a/crates/gateway/tests/ledger_fleet/main.rs
+++ b/crates/gateway/tests/ledger_fleet/main.rs
@@ -25,6 +25,7 @@
     failure_ms: 300,
     loss: 0,
     restarts_ms: None,
+    kills_ms: &[],
     power_loss_ms: None,
 };
 
@@ -45,6 +46,7 @@
     failure_ms: 3_000,
     loss: 100,
     restarts_ms: Some((7_000, 2_000)),
+    kills_ms: &[],
     power_loss_ms: None,
 };
 
@@ -78,3 +80,22 @@
     println!("{refused} of {requests} requests refused falsely");
     assert!(refused * 100 < requests, "{refused} of {requests} refused");
 }
+
+/// Guards against refusals while the shard owners of a domain are gone and nobody has noticed yet:
+/// a busy instance that then draws for itself must not draw for each request.
+#[test]
+fn killed_owners_are_replaced_by_direct_draws() {
+    let options = FleetOptions {
+        outages_ms: &[],
+        restarts_ms: None,
+        kills_ms: &[10_000, 20_000],
+        ..HARD
+    };
+    let stats = Fleet::new(options, 1).run(u64::MAX);
+    println!("{stats:?}");
+    let refused: u64 = stats.refused_falsely.values().sum();
+    let requests = stats.served + stats.refused;
+    assert_eq!(stats.overspend, 0);
+    println!("{refused} of {requests} requests refused falsely");
+    assert!(refused * 200 < requests, "{refused} of {requests} refused");
+}
