--- a/crates/core/src/budget/ledger/account.rs
+++ b/crates/core/src/budget/ledger/account.rs
@@ -88,6 +88,8 @@
     pub(super) unreported_since: Option<MonotonicTime>,
     pub(super) scarce_until: MonotonicTime,
     pub(super) has_balance_grown: bool,
+    /// Whether this draining process has handed its balance over to its successor.
+    pub(super) is_handed_over: bool,
 }
 
 /// Tracks the tokens of one budget that are owned by this process.
--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -546,9 +546,13 @@
         account.balance > goal.return_above && since.is_some_and(|since| now.since(since) >= delay)
     }
 
-    /// Hands the balance and reports of a draining process over to another one while the platform
-    /// is down.
+    /// Hands the balance and reports of a draining process over to another one: the balance of a
+    /// budget in use once, so that the next shard owner has it even if the platform is away and this
+    /// process has not noticed; afterwards only while the platform is down.
     fn hand_over(&mut self, key: BudgetKey, now: MonotonicTime) {
+        if self.options.policy.is_lending() && self.hand_over_in_use(key, now) {
+            return;
+        }
         // Once a platform retry is due, it takes precedence. Otherwise draining instances that
         // still assume an outage after its end would pass the same tokens around indefinitely.
         if !self.platform.is_backing_off(now) {
@@ -561,15 +565,34 @@
         }
     }
 
-    /// Returns the instance that takes over the tokens of a draining one: the shard owner, another
-    /// neighbour, or an owner in another domain, in this order.
+    /// Returns whether the balance was handed over to the next shard owner of the domain.
+    fn hand_over_in_use(&mut self, key: BudgetKey, now: MonotonicTime) -> bool {
+        let account = &self.accounts[key];
+        let has_moved = account
+            .exchange
+            .as_ref()
+            .is_some_and(|exchange| exchange.is_handed_over);
+        let is_in_use = !account.forecast.predict(self.options.horizon).is_zero();
+        if has_moved || !is_in_use || account.balance.is_zero() {
+            return false;
+        }
+        let (domain, shard) = (&self.options.domain, account.shard);
+        let Some(successor) = self.peers.successor(domain, shard, &self.holder) else {
+            return false;
+        };
+        let (successor, amount) = (successor.clone(), account.balance);
+        self.accounts[key].exchange_mut().is_handed_over = true;
+        self.transfer(key, &successor, amount, TokenCount::ZERO, now);
+        true
+    }
+
+    /// Returns the instance that takes over the tokens of a draining one: the next shard owner of
+    /// the domain or, without neighbours, an owner in another domain.
     fn find_successor(&self, account: &Account) -> Option<&HolderId> {
         let domain = &self.options.domain;
-        let is_other = |peer: &&HolderId| **peer != self.holder;
-        let owner = self.owner(account).filter(is_other);
-        let neighbour = self.peers.members(domain).iter().find(is_other);
+        let neighbour = self.peers.successor(domain, account.shard, &self.holder);
         let remote = self.peers.other_owners(domain, account.shard).next();
-        owner.or(neighbour).or(remote)
+        neighbour.or(remote)
     }
 }
 
--- a/crates/core/src/budget/peer.rs
+++ b/crates/core/src/budget/peer.rs
@@ -37,12 +37,19 @@
     /// no live instance.
     #[must_use]
     pub fn owner(&self, domain: &DomainName, shard: ShardNumber) -> Option<&HolderId> {
-        let holders = self.domains.get(domain)?;
-        let seed = u64::from(shard.0);
-        let hash = |holder: &HolderId| xxh3_64_with_seed(holder.instance.as_bytes(), seed);
-        holders
-            .iter()
-            .max_by_key(|holder| (hash(holder), holder.epoch))
+        pick_owner(self.members(domain).iter(), shard)
+    }
+
+    /// Returns the owner of a shard in a domain once `leaving` is gone.
+    #[must_use]
+    pub fn successor(
+        &self,
+        domain: &DomainName,
+        shard: ShardNumber,
+        leaving: &HolderId,
+    ) -> Option<&HolderId> {
+        let members = self.members(domain).iter();
+        pick_owner(members.filter(|holder| *holder != leaving), shard)
     }
 
     /// Returns the live instances of a domain.
@@ -69,3 +76,13 @@
             .any(|holders| holders.contains(holder))
     }
 }
+
+/// Selects one of the holders by rendezvous hashing.
+fn pick_owner<'a>(
+    holders: impl Iterator<Item = &'a HolderId>,
+    shard: ShardNumber,
+) -> Option<&'a HolderId> {
+    let seed = u64::from(shard.0);
+    let hash = |holder: &HolderId| xxh3_64_with_seed(holder.instance.as_bytes(), seed);
+    holders.max_by_key(|holder| (hash(holder), holder.epoch))
+}
