--- a/crates/core/tests/budget/seconds.rs
+++ b/crates/core/tests/budget/seconds.rs
@@ -348,3 +348,140 @@
     let transfers = deliver_messages([&mut left, &mut right], asks.to_vec(), now, 1_000);
     assert!(transfers <= 4, "{transfers} transfers");
 }
+
+fn join(ledger: &mut BudgetLedger, store: &mut Store, peers: &[(&str, &str)], now: MonotonicTime) {
+    let peers = peers.iter().map(|(name, domain)| DomainPeer {
+        holder: holder(name),
+        domain: DomainName::new(domain),
+    });
+    store.run(ledger, LedgerEvent::PeersChanged(peers.collect()), now);
+}
+
+/// Guards against a store call that hangs for seconds in a cut: meanwhile the ledger asked nobody
+/// for tokens, since the last read showed enough of them at the platform.
+#[test]
+fn hanging_store_call_does_not_keep_an_owner_from_asking_others() {
+    let mut store = Store::default();
+    let (mut ledger, key) = new_ledger("r1", "a", 1_000_000);
+    join(&mut ledger, &mut store, &[("r2", "b")], at(0));
+    spend(&mut store, &mut ledger, key, 1..3, 5);
+    let amount = TokenCount::new(REQUEST);
+    // Nobody answers the calls that follow from now on.
+    let mut asked = Vec::new();
+    for step in 0..200 {
+        let now = at(4_000 + step * 20);
+        let _ = ledger.reserve(key, amount, now);
+        let effects = ledger.handle(LedgerEvent::Tick, now);
+        asked.extend(effects.into_iter().filter(|effect| {
+            matches!(
+                effect,
+                LedgerEffect::Send {
+                    message: BudgetMessage::BorrowRequest { .. },
+                    ..
+                }
+            )
+        }));
+    }
+    assert!(!asked.is_empty());
+}
+
+/// Guards against an owner that forecasts no demand after a cut, and enters the next one without a
+/// reserve, because tokens from other domains counted as returned loans.
+#[test]
+fn tokens_of_other_domains_do_not_lower_the_forecast() {
+    let mut store = Store::default();
+    let (mut ledger, key) = new_ledger("r1", "a", 1_000_000);
+    join(&mut ledger, &mut store, &[("r2", "b")], at(0));
+    spend(&mut store, &mut ledger, key, 1..10, 5);
+    let before = ledger.account(key).expect("is registered").burn_per_s;
+    let event = LedgerEvent::Received {
+        from: holder("r2"),
+        to: holder("r1"),
+        message: BudgetMessage::Transfer {
+            sequence: 1,
+            budget: budget(),
+            amount: TokenCount::new(60_000),
+            spent: TokenCount::ZERO,
+        },
+    };
+    store.run(&mut ledger, event, at(10_000));
+    spend(&mut store, &mut ledger, key, 10..16, 5);
+    let after = ledger.account(key).expect("is registered").burn_per_s;
+    assert!(after >= before * 0.8, "{before} and then {after} tokens/s");
+}
+
+/// Guards against a reserve that follows a rise of the demand so slowly that a cut seconds later
+/// finds half of it.
+#[test]
+fn reserve_follows_a_step_of_the_demand() {
+    let mut store = Store::default();
+    let (mut ledger, key) = new_ledger("r1", "a", 10_000_000);
+    spend(&mut store, &mut ledger, key, 1..10, 1);
+    spend(&mut store, &mut ledger, key, 10..16, 10);
+    store.is_down = true;
+    // Without the rise the reserve covers 11 requests.
+    assert!(spend(&mut store, &mut ledger, key, 16..25, 10) >= 85);
+}
+
+/// Guards against a leaving owner whose reserve waits for a store that it does not know to be
+/// unreachable, while its successor has nothing.
+#[test]
+fn leaving_owner_hands_its_reserve_to_its_successor() {
+    let mut store = Store::default();
+    let (mut ledger, key) = new_ledger("r1", "a", 1_000_000);
+    spend(&mut store, &mut ledger, key, 1..10, 5);
+    join(
+        &mut ledger,
+        &mut store,
+        &[("r3", "a"), ("r2", "b")],
+        at(10_000),
+    );
+    let balance = ledger.account(key).expect("is registered").balance;
+    let effects = ledger.handle(LedgerEvent::DrainStarted, at(10_100));
+    let moved = effects.into_iter().find_map(|effect| match effect {
+        LedgerEffect::Send {
+            to,
+            message: BudgetMessage::Transfer { amount, .. },
+        } => Some((to, amount)),
+        _ => None,
+    });
+    assert_eq!(moved, Some((holder("r3"), balance)));
+}
+
+/// Guards against a draining instance that passes a handed-over balance on again and again, since
+/// its successor drains as well.
+#[test]
+fn instances_that_drain_together_return_their_tokens() {
+    let mut store = Store::default();
+    let (mut left, key) = new_ledger("r1", "a", 1_000_000);
+    let (mut right, _) = new_ledger("r3", "a", 1_000_000);
+    spend(&mut store, &mut left, key, 1..10, 5);
+    join(&mut left, &mut store, &[("r3", "a")], at(10_000));
+    join(&mut right, &mut store, &[("r1", "a")], at(10_000));
+    for step in 0..40 {
+        let now = at(10_100 + step * 20);
+        let event = match step {
+            0 => LedgerEvent::DrainStarted,
+            _ => LedgerEvent::Tick,
+        };
+        let mut pending: Vec<(usize, HolderId, BudgetMessage)> = Vec::new();
+        for (index, ledger) in [&mut left, &mut right].into_iter().enumerate() {
+            let sent = store.run(ledger, event.clone(), now);
+            pending.extend(sent.into_iter().map(|(to, message)| (index, to, message)));
+        }
+        while let Some((sender, to, message)) = pending.pop() {
+            let (from, receiver) = match sender {
+                0 => (holder("r1"), &mut right),
+                _ => (holder("r3"), &mut left),
+            };
+            let event = LedgerEvent::Received { from, to, message };
+            let sent = store.run(receiver, event, now);
+            pending.extend(
+                sent.into_iter()
+                    .map(|(to, message)| (1 - sender, to, message)),
+            );
+        }
+    }
+    assert!(left.is_drained() && right.is_drained());
+    assert_eq!(store.held(), 0);
+}
