--- a/crates/core/src/budget/ledger/lending.rs
+++ b/crates/core/src/budget/ledger/lending.rs
@@ -86,7 +86,7 @@
         let given = self.lendable(key).min(amount);
         self.lend(key, from, given, now);
         let rest = amount.saturating_sub(given);
-        if given.is_zero() && !self.platform.is_down() {
+        if given.is_zero() && !self.is_platform_away(now) {
             // Tells the borrower that this instance is trying to get tokens. While the platform is
             // down for this instance, it does not answer, so that a borrower that can reach the
             // platform draws for itself.
@@ -101,7 +101,7 @@
         }
         // If nothing can be drawn, tokens come only from other instances. Owners that keep each
         // other's requests would then pass the same few tokens around until the requests expire.
-        if !self.is_neighbour(from) && !self.can_draw(&self.accounts[key]) {
+        if !self.is_neighbour(from) && !self.can_draw(&self.accounts[key], now) {
             return;
         }
         let exchange = self.accounts[key].exchange_mut();
@@ -133,15 +133,16 @@
         let key = self.register(budget);
         self.activate(key);
         let is_owner = self.is_owner(&self.accounts[key]);
+        let is_neighbour = self.is_neighbour(from);
         let scarce_until = now + self.options.end_wait * SCARCE_PERIOD_WAITS;
         let account = &mut self.accounts[key];
         account.add_unreported(spent, now);
+        if is_neighbour {
+            account.close_loans(spent, amount);
+        }
         if !amount.is_zero() {
             let wanted = account.wanted;
             account.add_balance(amount);
-            if is_owner {
-                account.forecast.remove(amount);
-            }
             let balance = account.balance;
             let exchange = account.exchange_mut();
             let is_partial = amount < exchange.asked_amount;
@@ -157,6 +158,8 @@
             // Demand that arose after the borrow request does not make the loan a partial one.
             if !is_owner && is_partial && balance < wanted {
                 exchange.scarce_until = scarce_until;
+            } else if !is_owner && !is_partial && is_neighbour {
+                exchange.scarce_until = now;
             }
         }
         self.urgent.insert(key);
@@ -223,10 +226,12 @@
         }
     }
 
-    /// Transfers tokens to an instance that asked for them. They count towards the lender's burn
-    /// forecast, because it draws for its borrowers as well.
+    /// Transfers tokens to an instance that asked for them. Loans to neighbours count towards the
+    /// lender's burn forecast, because it draws for them as well; other domains draw for themselves.
     fn lend(&mut self, key: BudgetKey, to: &HolderId, amount: TokenCount, now: MonotonicTime) {
-        self.accounts[key].forecast.add(amount);
+        if self.is_neighbour(to) {
+            self.accounts[key].open_loan(amount);
+        }
         self.transfer(key, to, amount, TokenCount::ZERO, now);
     }
 
@@ -261,10 +266,10 @@
     }
 
     /// Returns whether the platform is up and the budget is not known to be exhausted there.
-    fn can_draw(&self, account: &Account) -> bool {
+    fn can_draw(&self, account: &Account, now: MonotonicTime) -> bool {
         let totals = self.totals(account);
         let is_empty = totals.is_some_and(|totals| totals.available.is_zero());
-        !self.platform.is_down() && !is_empty
+        !self.is_platform_away(now) && !is_empty
     }
 
     fn is_neighbour(&self, holder: &HolderId) -> bool {
@@ -286,9 +291,12 @@
     pub(super) fn draws_directly(&self, account: &Account, now: MonotonicTime) -> bool {
         let bypasses_owner =
             |exchange: &super::account::ExchangeState| now < exchange.bypass_owner_until;
+        // Without the platform the shard owner, which also asks other domains, is still the best
+        // source.
+        let is_bypassing = account.exchange.as_deref().is_some_and(bypasses_owner);
         !self.options.policy.is_lending()
             || self.is_owner(account)
-            || account.exchange.as_deref().is_some_and(bypasses_owner)
+            || (is_bypassing && !self.is_platform_away(now))
     }
 
     /// Updates a budget: serves waiting requests and borrowers, asks other instances for tokens if
@@ -364,6 +372,7 @@
         };
         let (timeout, silence) = (self.options.borrow_timeout, self.options.direct_draw_period);
         let is_waiting = account.wanted > account.balance;
+        let is_platform_away = self.is_platform_away(now);
         let exchange = self.accounts[key].exchange_mut();
         // New demand does not wait for the backoff of earlier unsuccessful requests.
         let wait = match exchange.has_new_demand {
@@ -372,7 +381,7 @@
         };
         match exchange.asked_at {
             Some(at) if now.since(at) < wait => {}
-            Some(_) if is_waiting && exchange.ask_count >= max_asks => {
+            Some(_) if is_waiting && exchange.ask_count >= max_asks && !is_platform_away => {
                 (exchange.asked_at, exchange.ask_count) = (None, 0);
                 exchange.bypass_owner_until = now + silence;
                 self.search_peers(key, now);
@@ -385,6 +394,9 @@
                 let budget = self.accounts[key].budget.clone();
                 let message = BudgetMessage::BorrowRequest { budget, amount };
                 self.effects.push(LedgerEffect::Send { to: owner, message });
+                if is_waiting && is_platform_away && !has_answered {
+                    self.search_peers(key, now);
+                }
             }
         }
     }
@@ -397,7 +409,7 @@
         let totals = self.totals(account);
         let available = totals.map(|totals| totals.available);
         let is_covered = available.is_none_or(|available| available >= shortfall);
-        if shortfall.is_zero() || (is_covered && !self.platform.is_down()) {
+        if shortfall.is_zero() || (is_covered && !self.is_platform_away(now)) {
             return;
         }
         if let Some(exchange) = &account.exchange
@@ -534,9 +546,13 @@
         account.balance > goal.return_above && since.is_some_and(|since| now.since(since) >= delay)
     }
 
-    /// Hands the balance and reports of a draining process over to another one while the platform
-    /// is down.
+    /// Hands the balance and reports of a draining process over to another one: the balance of a
+    /// budget in use once, so that the next shard owner has it even if the platform is away and this
+    /// process has not noticed; afterwards only while the platform is down.
     fn hand_over(&mut self, key: BudgetKey, now: MonotonicTime) {
+        if self.options.policy.is_lending() && self.hand_over_in_use(key, now) {
+            return;
+        }
         // Once a platform retry is due, it takes precedence. Otherwise draining instances that
         // still assume an outage after its end would pass the same tokens around indefinitely.
         if !self.platform.is_backing_off(now) {
@@ -549,15 +565,34 @@
         }
     }
 
-    /// Returns the instance that takes over the tokens of a draining one: the shard owner, another
-    /// neighbour, or an owner in another domain, in this order.
+    /// Returns whether the balance was handed over to the next shard owner of the domain.
+    fn hand_over_in_use(&mut self, key: BudgetKey, now: MonotonicTime) -> bool {
+        let account = &self.accounts[key];
+        let has_moved = account
+            .exchange
+            .as_ref()
+            .is_some_and(|exchange| exchange.is_handed_over);
+        let is_in_use = !account.forecast.predict(self.options.horizon).is_zero();
+        if has_moved || !is_in_use || account.balance.is_zero() {
+            return false;
+        }
+        let (domain, shard) = (&self.options.domain, account.shard);
+        let Some(successor) = self.peers.successor(domain, shard, &self.holder) else {
+            return false;
+        };
+        let (successor, amount) = (successor.clone(), account.balance);
+        self.accounts[key].exchange_mut().is_handed_over = true;
+        self.transfer(key, &successor, amount, TokenCount::ZERO, now);
+        true
+    }
+
+    /// Returns the instance that takes over the tokens of a draining one: the next shard owner of
+    /// the domain or, without neighbours, an owner in another domain.
     fn find_successor(&self, account: &Account) -> Option<&HolderId> {
         let domain = &self.options.domain;
-        let is_other = |peer: &&HolderId| **peer != self.holder;
-        let owner = self.owner(account).filter(is_other);
-        let neighbour = self.peers.members(domain).iter().find(is_other);
+        let neighbour = self.peers.successor(domain, account.shard, &self.holder);
         let remote = self.peers.other_owners(domain, account.shard).next();
-        owner.or(neighbour).or(remote)
+        neighbour.or(remote)
     }
 }
 
