--- /dev/null
+++ b/crates/core/src/admission/pressure.rs
@@ -0,0 +1,297 @@
+//! Load of the instance's own path to the upstreams, and which requests it hands back.
+
+use std::time::Duration;
+
+use crate::{
+    admission::usage::{CustomerUsage, RouteLimits},
+    base::{CustomerName, MonotonicTime},
+};
+
+/// Time over which the usual shares of customers are learnt: longer than a burst.
+const USUAL_WINDOW: Duration = Duration::from_secs(30);
+/// Time over which the requests that are taken from them are counted.
+const TAKEN_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time to open a connection above which the own path is suspected: longer than a round trip between
+/// domains and the handshake of a busy upstream.
+const CONNECT_SLOW: Duration = Duration::from_millis(50);
+/// Fraction of the connections that must open quickly. During a cut or a failure of some upstreams,
+/// the others still do.
+const QUICK_FRACTION: f64 = 0.1;
+/// Period of the decisions about the limit.
+const WINDOW: Duration = Duration::from_millis(200);
+/// Number of connections that are needed to tell that the path is congested.
+const SAMPLES_MIN: u32 = 8;
+/// Number of quick connections that show that it is clear.
+const QUICK_MIN: u32 = 2;
+/// Longest window.
+const WINDOW_MAX: Duration = Duration::from_secs(2);
+/// Number of slow windows in a row that show a congestion.
+const SLOW_WINDOWS: u32 = 2;
+/// Time after a reduction in which its effect does not show yet.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
+/// Factor of the limit while the path is congested.
+const REDUCTION: f64 = 0.8;
+/// Factor of the limit for each window in which the path is clear, at first.
+const GROWTH: f64 = 1.03;
+/// The same once the path has been clear for some windows, or while the limit is far below what the
+/// path has carried.
+const GROWTH_FAST: f64 = 1.25;
+/// Fraction of what the path has carried up to which the limit grows fast.
+const CARRIED_FRACTION: f64 = 0.7;
+/// Factor of what the path has carried with each reduction, as it may carry less now.
+const CARRIED_DECAY: f64 = 0.97;
+/// Number of clear windows after which the limit grows fast.
+const CLEAR_WINDOWS: u32 = 10;
+/// Fraction of the requests that is always taken, which shows when the path is clear again.
+const TAKEN_FRACTION_MIN: f64 = 0.1;
+/// Multiple of the demand above which a limit is lifted.
+const LIFT_FACTOR: f64 = 2.0;
+/// Time in which the tokens for all admissions are refilled.
+const BURST_TIME: Duration = Duration::from_millis(200);
+/// Least number of requests that may be admitted at once.
+const BURST_MIN: f64 = 4.0;
+/// Time constant of the demand.
+const DEMAND_WINDOW: Duration = Duration::from_millis(500);
+/// Delay after which a caller that is handed back may try another instance.
+pub const DETOUR: Duration = Duration::from_millis(50);
+/// Multiples of the detour from which an objective bears it, with the fraction of the tokens that
+/// is left to less patient callers.
+const PATIENCE_LEVELS: [(u32, f64); 2] = [(20, 0.5), (8, 0.25)];
+/// Fraction of the tokens that is left to customers that have not had their share.
+const SHARE_RESERVE: f64 = 0.5;
+/// Fraction of the tokens that is left to callers that were refused and have come back, as they may
+/// not get another chance.
+const RETURN_RESERVE: f64 = 0.75;
+
+/// A request that has arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct ArrivedRequest<'a> {
+    /// Customer that sends the request.
+    pub customer: &'a CustomerName,
+    /// Name of the route.
+    pub route: &'a str,
+    /// Time within which a response should begin.
+    pub objective: Duration,
+    /// Time for which the caller waits.
+    pub limit: Duration,
+}
+
+/// What a window has shown so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct PathWindow {
+    since: MonotonicTime,
+    quick: u32,
+    slow: u32,
+}
+
+/// Decaying rate of events.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventRate {
+    count: f64,
+    at: MonotonicTime,
+}
+
+impl EventRate {
+    fn record(&mut self, now: MonotonicTime) {
+        self.count = self.remaining(now) + 1.0;
+        self.at = now;
+    }
+
+    fn remaining(&self, now: MonotonicTime) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.count * (-age / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn per_second(&self, now: MonotonicTime) -> f64 {
+        self.remaining(now) / DEMAND_WINDOW.as_secs_f64()
+    }
+}
+
+/// Limit of the requests that are taken, while the path is or was congested.
+#[derive(Clone, Copy, Debug)]
+struct TakenLimit {
+    /// Requests a second.
+    rate: f64,
+    tokens: f64,
+    filled_at: MonotonicTime,
+    reduced_at: MonotonicTime,
+    clear_windows: u32,
+}
+
+impl TakenLimit {
+    fn burst(&self) -> f64 {
+        (self.rate * BURST_TIME.as_secs_f64()).max(BURST_MIN)
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let added = self.rate * now.since(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + added).min(self.burst());
+        self.filled_at = now;
+    }
+}
+
+/// Detects that the own path to the upstreams is congested, and hands back the requests that exceed
+/// what it carries.
+///
+/// Callers are distributed unevenly. If those of one instance need more than its network or
+/// processor bears, connections to all upstreams become slow at once, while other instances have
+/// room. A request that is handed back at once is served there in time; one that is held would fail.
+/// Slow connections to some upstreams only are the concern of placement.
+#[derive(Clone, Debug)]
+pub struct PathPressure {
+    window: PathWindow,
+    limit: Option<TakenLimit>,
+    slow_windows: u32,
+    /// Most requests a second that were taken while the path was clear.
+    carried: f64,
+    arrived: EventRate,
+    taken: EventRate,
+    usual: CustomerUsage,
+    taken_from: CustomerUsage,
+    limits: RouteLimits,
+}
+
+impl Default for PathPressure {
+    fn default() -> Self {
+        Self {
+            window: PathWindow::default(),
+            limit: None,
+            slow_windows: 0,
+            carried: 0.0,
+            arrived: EventRate::default(),
+            taken: EventRate::default(),
+            usual: CustomerUsage::new(USUAL_WINDOW),
+            taken_from: CustomerUsage::new(TAKEN_WINDOW),
+            limits: RouteLimits::default(),
+        }
+    }
+}
+
+impl PathPressure {
+    /// Records the time until a connection to an upstream was open, was refused by it, or had failed
+    /// for lack of an answer.
+    pub fn record_connect(&mut self, time: Duration, now: MonotonicTime) {
+        match time < CONNECT_SLOW {
+            true => self.window.quick += 1,
+            false => self.window.slow += 1,
+        }
+        self.close_window(now);
+    }
+
+    /// Returns whether the path is congested, so that a connection that fails says nothing about its
+    /// upstream.
+    #[must_use]
+    pub const fn is_congested(&self) -> bool {
+        self.slow_windows >= SLOW_WINDOWS
+    }
+
+    /// Returns the requests per second that are taken, or `None` if they are not limited.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.limit.map(|limit| limit.rate)
+    }
+
+    /// Decides whether a request that has arrived is taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns the delay after which the caller may try another instance if it is handed back.
+    pub fn admit(
+        &mut self,
+        request: &ArrivedRequest<'_>,
+        now: MonotonicTime,
+    ) -> Result<(), Duration> {
+        self.close_window(now);
+        self.arrived.record(now);
+        self.usual.record(request.customer, 1, now);
+        let has_returned = self.limits.record(request.route, request.limit);
+        if let Some(limit) = &mut self.limit {
+            limit.refill(now);
+            let share = self.usual.share(request.customer, now);
+            let had_share = self.taken_from.rate(request.customer, now) > limit.rate * share;
+            let mut reserve = patience_reserve(request.objective);
+            if !had_share {
+                reserve -= SHARE_RESERVE;
+            }
+            if has_returned {
+                reserve -= RETURN_RESERVE;
+            }
+            if limit.tokens < reserve * limit.burst() + 1.0 {
+                return Err(DETOUR);
+            }
+            limit.tokens -= 1.0;
+        }
+        self.taken_from.record(request.customer, 1, now);
+        self.taken.record(now);
+        Ok(())
+    }
+
+    /// Decides about the limit if the window is over.
+    fn close_window(&mut self, now: MonotonicTime) {
+        let age = now.since(self.window.since);
+        let (quick, slow) = (self.window.quick, self.window.slow);
+        let is_slow = f64::from(quick) < f64::from(quick + slow) * QUICK_FRACTION;
+        let is_known = quick + slow >= SAMPLES_MIN || (!is_slow && quick >= QUICK_MIN);
+        if age < WINDOW || (!is_known && age < WINDOW_MAX) {
+            return;
+        }
+        self.window = PathWindow {
+            since: now,
+            ..PathWindow::default()
+        };
+        if !is_known || !is_slow {
+            self.slow_windows = 0;
+            self.grow(now);
+            return;
+        }
+        self.slow_windows = self.slow_windows.saturating_add(1);
+        if self.is_congested() {
+            self.reduce(now);
+        }
+    }
+
+    fn reduce(&mut self, now: MonotonicTime) {
+        let settles = |limit: &TakenLimit| now.since(limit.reduced_at) < SETTLE_TIME;
+        if self.limit.as_ref().is_some_and(settles) {
+            return;
+        }
+        self.carried *= CARRIED_DECAY;
+        let taken = self.taken.per_second(now);
+        let least = self.arrived.per_second(now) * TAKEN_FRACTION_MIN;
+        let rate = (taken * REDUCTION).max(least);
+        let tokens = self.limit.map_or(0.0, |limit| limit.tokens);
+        self.limit = Some(TakenLimit {
+            rate,
+            tokens,
+            filled_at: now,
+            reduced_at: now,
+            clear_windows: 0,
+        });
+    }
+
+    fn grow(&mut self, now: MonotonicTime) {
+        let demand = self.arrived.per_second(now);
+        self.carried = self.carried.max(self.taken.per_second(now));
+        let is_low = |rate: f64| rate < self.carried * CARRIED_FRACTION;
+        let Some(limit) = &mut self.limit else {
+            return;
+        };
+        limit.refill(now);
+        limit.clear_windows += 1;
+        limit.rate *= match limit.clear_windows > CLEAR_WINDOWS || is_low(limit.rate) {
+            true => GROWTH_FAST,
+            false => GROWTH,
+        };
+        if limit.rate > demand * LIFT_FACTOR {
+            self.limit = None;
+        }
+    }
+}
+
+/// Returns the fraction of the tokens that a request leaves to those that bear a detour less.
+fn patience_reserve(objective: Duration) -> f64 {
+    let mut levels = PATIENCE_LEVELS.iter();
+    let level = levels.find(|(factor, _)| objective >= DETOUR * *factor);
+    level.map_or(0.0, |(_, reserve)| *reserve)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! its state and returning effects. No module performs I/O, reads a clock or uses a global random
 //! source, so the same code runs in production, fault tests, model checking and simulation.
 
+pub mod admission;
 pub mod base;
 pub mod blocklist;
 pub mod budget;
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -67,6 +67,8 @@
     ContentRefused => 2409, Info, "request has blocked content";
     /// A lost request is not sent again because of content that may crash upstreams.
     RetrySuppressed => 2410, Info, "request is not sent again";
+    /// A request exceeds what this instance carries, and is left to another instance.
+    RequestHandedBack => 2411, Info, "request handed back";
 }
 
 /// Writes a numbered event with details to the log, unless the event has reached its limit of lines
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -184,6 +184,7 @@
     calls: Family<CallLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
     resumes: Counter,
+    handed_back: Counter,
     crashes: Counter,
     blocked: Gauge,
     running: Gauge,
@@ -205,6 +206,7 @@
             calls: Family::default(),
             notices: Family::default(),
             resumes: Counter::default(),
+            handed_back: Counter::default(),
             crashes: Counter::default(),
             blocked: Gauge::default(),
             running: Gauge::default(),
@@ -221,6 +223,9 @@
         let notices = metrics.notices.clone();
         registry.register("upstream_notices", "Notices of upstreams", notices);
         registry.register("resumes", "Streams resumed", metrics.resumes.clone());
+        let handed_back = metrics.handed_back.clone();
+        let help = "Requests left to other instances because the own path is congested";
+        registry.register("handed_back", help, handed_back);
         let (crashes, blocked) = (metrics.crashes.clone(), metrics.blocked.clone());
         registry.register("upstream_crashes", "Upstream crashes", crashes);
         registry.register("blocked_content", "Blocked content", blocked);
@@ -281,6 +286,10 @@
         self.resumes.inc();
     }
 
+    pub(crate) fn count_handed_back(&self) {
+        self.handed_back.inc();
+    }
+
     pub(crate) fn count_crash(&self) {
         self.crashes.inc();
     }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -10,6 +10,7 @@
 };
 
 use cornelarch_core::{
+    admission::PathPressure,
     base::{BudgetName, MonotonicTime, ServiceName},
     budget::{LedgerEvent, PaidAmount},
     placement::{LimitReport, PlacementOptions, PlacementTable, UpstreamDeparture},
@@ -60,6 +61,7 @@
     /// Index of the active configuration, once a peer or this instance needed it.
     document_index: Mutex<Arc<DocumentIndex>>,
     pub(crate) placement: Mutex<PlacementTable>,
+    pub(crate) pressure: Mutex<PathPressure>,
     pub(crate) ledger: SharedLedger,
     pub(crate) pool: UpstreamPool,
     pub(crate) buffers: BufferPool,
@@ -107,6 +109,7 @@
             document: ActiveDocument::default(),
             document_index: Mutex::new(Arc::new(DocumentIndex::empty())),
             placement: Mutex::new(placement),
+            pressure: Mutex::default(),
             ledger,
             pool: UpstreamPool::default(),
             buffers: BufferPool::default(),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one upstream, up to the response head.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cornelarch_core::placement::{FlightOutcome, Placement};
@@ -126,9 +126,34 @@
         .as_ref()
         .is_ok_and(|connection| !connection.is_unused)
     {
-        state.metrics.observe(TimedStage::Connect, began.elapsed());
+        let error = opened.as_ref().err();
+        record_connect(state, began.elapsed(), error);
     }
-    opened.map_err(|error| AttemptFailure::new(FlightOutcome::NotReached, error.to_string()))
+    opened.map_err(|error| {
+        // A connection that is slow because of the own path says nothing about the upstream.
+        let is_own = is_unanswered(&error) && state.pressure.lock().is_congested();
+        let end = match is_own {
+            true => FlightOutcome::NotSent,
+            false => FlightOutcome::NotReached,
+        };
+        AttemptFailure::new(end, error.to_string())
+    })
+}
+
+/// Returns whether an upstream has not answered the attempt to open a connection.
+fn is_unanswered(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::TimedOut
+}
+
+fn record_connect(state: &GatewayState, elapsed: Duration, error: Option<&io::Error>) {
+    state.metrics.observe(TimedStage::Connect, elapsed);
+    let elapsed = match error {
+        // The rest of a short deadline may have been less than the usual limit.
+        Some(error) if is_unanswered(error) => elapsed.max(CONNECT_TIMEOUT),
+        _ => elapsed,
+    };
+    let mut pressure = state.pressure.lock();
+    pressure.record_connect(elapsed, state.now());
 }
 
 fn build_request(
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -100,6 +100,7 @@
     }
     exchange.state.record_request(&exchange.service.name);
     exchange.check_content(&RequestExchange::new_history())?;
+    exchange.admit()?;
     let bill = exchange.reserve().await?;
     let metrics = &state.metrics;
     metrics.observe(TimedStage::Reserve, started.elapsed());
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use cornelarch_core::{
+    admission::{ArrivedRequest, DETOUR},
+    base::CustomerName,
     blocklist::content::ContentKey,
     error::ErrorKind,
     placement::{
@@ -155,6 +157,43 @@
         }
     }
 
+    /// Decides whether this instance takes the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller if the instance cannot carry the request.
+    pub(crate) fn admit(&self) -> Result<(), RequestRefusal> {
+        let customer = self.customer.as_ref().and_then(|name| name.to_str().ok());
+        let customer = CustomerName::new(customer.unwrap_or_default());
+        let request = ArrivedRequest {
+            customer: &customer,
+            route: &self.rule.name,
+            objective: self.rule.objective,
+            limit: self.deadline.saturating_duration_since(self.started),
+        };
+        let mut pressure = self.state.pressure.lock();
+        let admitted = pressure.admit(&request, self.state.now());
+        admitted.map_err(|retry_after| {
+            let rate = pressure.rate_limit().unwrap_or_default();
+            drop(pressure);
+            log_event!(
+                RequestHandedBack,
+                "id={} route={} customer={customer} rate={rate:.0}",
+                self.id(),
+                self.rule.name
+            );
+            self.hand_back(retry_after)
+        })
+    }
+
+    fn hand_back(&self, retry_after: Duration) -> RequestRefusal {
+        self.state.metrics.count_handed_back();
+        RequestRefusal {
+            kind: ErrorKind::Overloaded,
+            retry_after: Some(retry_after),
+        }
+    }
+
     /// Sends the request until an upstream responds or no further attempt is allowed.
     ///
     /// # Errors
@@ -352,6 +391,10 @@
     pub(crate) fn check_retry(&self, history: &AttemptHistory) -> Result<(), RequestRefusal> {
         let is_allowed = !history.may_have_run || self.rule.kind.is_repeatable();
         let is_unreached = history.last == Some(AttemptOutcome::NotReached);
+        // Another instance reaches the upstreams while this one does not.
+        if is_unreached && !history.may_have_run && self.state.pressure.lock().is_congested() {
+            return Err(self.hand_back(DETOUR));
+        }
         let has_attempts = match is_unreached {
             true => history.unreached < UNREACHED_ATTEMPTS_MAX && history.sent < self.rule.attempts,
             false => history.sent < self.rule.attempts,
