--- a/crates/core/src/admission/pressure.rs
+++ b/crates/core/src/admission/pressure.rs
@@ -28,6 +28,15 @@
 const WINDOW_MAX: Duration = Duration::from_secs(2);
 /// Number of slow windows in a row that show a congestion.
 const SLOW_WINDOWS: u32 = 2;
+/// Number of slow windows in a row after which the instance asks for fewer callers.
+const AWAY_WINDOWS: u32 = 5;
+/// Shortest time for which it does, beyond the congestion. Callers that fall on the instance by a hash
+/// come back with their whole load.
+const AWAY_MIN: Duration = Duration::from_secs(15);
+/// Longest time for which it does.
+const AWAY_MAX: Duration = Duration::from_secs(120);
+/// Time without a congestion after which the next one counts as the first.
+const RELAPSE_TIME: Duration = Duration::from_secs(60);
 /// Time after a reduction in which its effect does not show yet.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
 /// Factor of the limit while the path is congested.
@@ -131,6 +140,14 @@
     }
 }
 
+/// Time in which the instance asks for fewer callers.
+#[derive(Clone, Copy, Debug)]
+struct AwayTime {
+    until: MonotonicTime,
+    /// Time beyond the congestion.
+    hold: Duration,
+}
+
 /// Detects that the own path to the upstreams is congested, and hands back the requests that exceed
 /// what it carries.
 ///
@@ -138,10 +155,14 @@
 /// processor bears, connections to all upstreams become slow at once, while other instances have
 /// room. A request that is handed back at once is served there in time; one that is held would fail.
 /// Slow connections to some upstreams only are the concern of placement.
+///
+/// Requests that are handed back have used the path already. If it stays congested, the instance asks
+/// the load balancer for fewer callers.
 #[derive(Clone, Debug)]
 pub struct PathPressure {
     window: PathWindow,
     limit: Option<TakenLimit>,
+    away: Option<AwayTime>,
     slow_windows: u32,
     /// Most requests a second that were taken while the path was clear.
     carried: f64,
@@ -157,6 +178,7 @@
         Self {
             window: PathWindow::default(),
             limit: None,
+            away: None,
             slow_windows: 0,
             carried: 0.0,
             arrived: EventRate::default(),
@@ -170,13 +192,23 @@
 
 impl PathPressure {
     /// Records the time until a connection to an upstream was open, was refused by it, or had failed
-    /// for lack of an answer.
-    pub fn record_connect(&mut self, time: Duration, now: MonotonicTime) {
+    /// for lack of an answer. Returns the time for which the instance now asks for fewer callers, if it
+    /// begins to.
+    pub fn record_connect(&mut self, time: Duration, now: MonotonicTime) -> Option<Duration> {
+        let was_away = self.is_away(now);
         match time < CONNECT_SLOW {
             true => self.window.quick += 1,
             false => self.window.slow += 1,
         }
         self.close_window(now);
+        let away = self.away.filter(|_| !was_away && self.is_away(now));
+        away.map(|away| away.hold)
+    }
+
+    /// Returns whether the instance should get fewer callers.
+    #[must_use]
+    pub fn is_away(&self, now: MonotonicTime) -> bool {
+        self.away.is_some_and(|away| now < away.until)
     }
 
     /// Returns whether the path is congested, so that a connection that fails says nothing about its
@@ -249,6 +281,19 @@
         if self.is_congested() {
             self.reduce(now);
         }
+        if self.slow_windows >= AWAY_WINDOWS {
+            self.extend_away(now);
+        }
+    }
+
+    fn extend_away(&mut self, now: MonotonicTime) {
+        let hold = match self.away {
+            Some(away) if now < away.until => away.hold,
+            Some(away) if now.since(away.until) < RELAPSE_TIME => (away.hold * 2).min(AWAY_MAX),
+            _ => AWAY_MIN,
+        };
+        let until = now + hold;
+        self.away = Some(AwayTime { until, hold });
     }
 
     fn reduce(&mut self, now: MonotonicTime) {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -241,3 +241,32 @@
     assert!(counts[1].share() > 0.95, "{counts:?}");
     assert!(counts[0].share() > 0.3, "{counts:?}");
 }
+
+/// Guards against an instance that stays in rotation although the callers that it gets use up its path
+/// even if it hands them back, and against one that leaves for a short burst or returns too soon.
+#[test]
+fn overloaded_instance_stays_in_rotation() {
+    let mut pressure = PathPressure::default();
+    let mut now = MonotonicTime::START;
+    let mut connect = |pressure: &mut PathPressure, time, period: Duration| {
+        let mut begun = None;
+        let end = now + period;
+        while now < end {
+            now = now + Duration::from_millis(10);
+            begun = begun.or(pressure.record_connect(time, now));
+        }
+        (begun, now)
+    };
+    let short = Duration::from_millis(700);
+    assert_eq!(connect(&mut pressure, CONNECT_TIMEOUT, short).0, None);
+    assert_eq!(connect(&mut pressure, ROUND_TRIP, short).0, None);
+    let (first, at) = connect(&mut pressure, CONNECT_TIMEOUT, Duration::from_secs(2));
+    let first = first.expect("leaves");
+    assert!(pressure.is_away(at) && !pressure.is_away(at + first));
+    let (_, at) = connect(&mut pressure, ROUND_TRIP, first / 2);
+    assert!(pressure.is_away(at));
+    let (_, at) = connect(&mut pressure, ROUND_TRIP, first);
+    assert!(!pressure.is_away(at));
+    let (second, _) = connect(&mut pressure, CONNECT_TIMEOUT, Duration::from_secs(2));
+    assert!(second.expect("leaves again") > first);
+}
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -69,6 +69,8 @@
     RetrySuppressed => 2410, Info, "request is not sent again";
     /// A request exceeds what this instance carries, and is left to another instance.
     RequestHandedBack => 2411, Info, "request handed back";
+    /// The path to all upstreams stays congested, so that the readiness check fails for some time.
+    PathCongested => 2412, Warn, "own path is congested";
 }
 
 /// Writes a numbered event with details to the log, unless the event has reached its limit of lines
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -291,11 +291,18 @@
     /// Returns whether the instance should get new connections.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining()
+            && !self.is_away()
             && self.has_directory.load(Ordering::Acquire)
             && self.has_blocklist.load(Ordering::Acquire)
             && self.document.load().is_some()
     }
 
+    /// Returns whether the callers of the instance exceed what its path to the upstreams carries, so
+    /// that new ones should go elsewhere.
+    pub(crate) fn is_away(&self) -> bool {
+        self.pressure.lock().is_away(self.now())
+    }
+
     /// Records the number of live instances. What they share is divided by the largest number seen, as
     /// those that are not seen any more may only be cut off.
     pub(crate) fn record_instances(&self, live: usize) {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     connection::{PooledConnection, SendFailure},
-    process::{GatewayState, TimedStage},
+    process::{GatewayState, TimedStage, log_event},
     request::{
         head::{LAST_EVENT_ID, RequestHead, read_notice},
         in_flight::InFlightRequest,
@@ -152,8 +152,10 @@
         Some(error) if is_unanswered(error) => elapsed.max(CONNECT_TIMEOUT),
         _ => elapsed,
     };
-    let mut pressure = state.pressure.lock();
-    pressure.record_connect(elapsed, state.now());
+    let away = state.pressure.lock().record_connect(elapsed, state.now());
+    if let Some(hold) = away {
+        log_event!(PathCongested, "away_s={}", hold.as_secs());
+    }
 }
 
 fn build_request(
--- /dev/null
+++ b/crates/gateway/tests/congestion.rs
@@ -0,0 +1,132 @@
+//! An instance whose connections to all upstreams are slow, as if its own network were congested.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use common::{FakePlatform, FakeUpstream, Fixture, FixtureOptions, Reply, document, record};
+use futures_util::future::join_all;
+use rstest::rstest;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Upstreams of the test: more than one request tries.
+const UPSTREAMS: usize = 8;
+/// Requests that are sent at the same time.
+const CROWD: usize = 12;
+/// Waves of requests before the check.
+const WAVES: usize = 5;
+const WAVE_PERIOD: Duration = Duration::from_millis(350);
+/// Time for the refusal of a request that is not sent: less than one attempt to connect.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
+/// Time in which a gateway learns of a change at the platform.
+const SYNC_TIME: Duration = Duration::from_millis(1_200);
+
+/// An address that does not answer attempts to connect, because its queue of connections is full.
+struct SilentAddress {
+    address: SocketAddr,
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl SilentAddress {
+    async fn bind() -> Self {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("address");
+        let listener = socket.listen(1).expect("listener");
+        let address = listener.local_addr().expect("address");
+        let mut queued = Vec::new();
+        let connect_time = Duration::from_millis(200);
+        while let Ok(Ok(stream)) =
+            tokio::time::timeout(connect_time, TcpStream::connect(address)).await
+        {
+            queued.push(stream);
+        }
+        Self {
+            address,
+            _listener: listener,
+            _queued: queued,
+        }
+    }
+}
+
+async fn send_crowd(fixture: &Fixture, path: &str, wave: usize) {
+    let requests = (0..CROWD).map(|number| {
+        let request = fixture.post(path, &format!("w{wave}-{number}"));
+        request.header("t-tokens", "100,50").send()
+    });
+    for response in join_all(requests).await {
+        assert_eq!(response.expect("answer").status(), 503);
+    }
+}
+
+/// Guards against an instance that holds callers although it reaches no upstream, while others do; and
+/// against one that refuses them once it does.
+#[rstest]
+#[case::call("plain", "/again/a")]
+#[case::order("plain", "/once/a")]
+#[case::stream("engine", "/stream/a")]
+#[tokio::test]
+async fn congested_instance_holds_its_callers(#[case] service: &str, #[case] path: &str) {
+    let silent = SilentAddress::bind().await;
+    let options = FixtureOptions::default();
+    let platform = Arc::new(FakePlatform::default());
+    platform.publish(document(1, &options));
+    for index in 0..UPSTREAMS {
+        platform.list(record(&format!("u{index}"), service, silent.address));
+    }
+    let fixture = Fixture::start_with(&options, Arc::clone(&platform)).await;
+    let waves = (0..WAVES).map(|wave| {
+        let fixture = &fixture;
+        async move {
+            tokio::time::sleep(WAVE_PERIOD * wave as u32).await;
+            send_crowd(fixture, path, wave).await;
+        }
+    });
+    join_all(waves).await;
+    let began = Instant::now();
+    let requests = (0..CROWD).map(|number| {
+        let request = fixture.post(path, &format!("last-{number}"));
+        request.header("t-tokens", "100,50").send()
+    });
+    let mut refused_at_once = 0;
+    for response in join_all(requests.map(|request| async {
+        let response = request.await.expect("answer");
+        (response, began.elapsed())
+    }))
+    .await
+    {
+        let (response, elapsed) = response;
+        assert_eq!(response.status(), 503);
+        let delay = response.headers()["retry-after"].to_str().expect("text");
+        let delay: f64 = delay.parse().expect("seconds");
+        if elapsed < REFUSAL_TIME && delay <= 0.1 {
+            refused_at_once += 1;
+        }
+    }
+    assert!(refused_at_once >= CROWD / 2, "{refused_at_once} of {CROWD}");
+    assert!(fixture.gauge("cornelarch_handed_back_total").await > 0);
+
+    let sound = FakeUpstream::start(vec![]).await;
+    if service == "engine" {
+        sound.set_last_reply(Reply::Events(vec!["id: 1\ndata: t1\n\n".to_owned()]));
+    }
+    for index in 0..UPSTREAMS {
+        platform.unlist(&format!("u{index}"));
+    }
+    platform.list(record("sound", service, sound.address));
+    tokio::time::sleep(SYNC_TIME).await;
+    let mut answered = 0;
+    for number in 0..20 {
+        let request = fixture.post(path, &format!("clear-{number}"));
+        let response = request.header("t-tokens", "100,50").send().await;
+        if response.expect("answer").status() == 200 {
+            answered += 1;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(answered >= 15, "{answered} of 20 after the congestion");
+}
