--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -157,13 +157,19 @@
 #[case::many(4.0)]
 fn overloaded_path_takes_what_it_carries(#[case] excess: f64) {
     let mut instance = LinkedInstance::new();
-    let sources = [Source::new("a", CAPACITY * excess / 2.0), Source::new("b", CAPACITY * excess / 2.0)];
+    let sources = [
+        Source::new("a", CAPACITY * excess / 2.0),
+        Source::new("b", CAPACITY * excess / 2.0),
+    ];
     instance.run(&sources, Duration::from_secs(5));
     let count = total(&instance.run(&sources, Duration::from_secs(20)));
     let carried = f64::from(count.sent) / (CAPACITY * 20.0);
     assert!(carried > 0.8, "{carried:.2} of the capacity, {count:?}");
     let lost = f64::from(count.taken - count.sent) / f64::from(count.taken);
-    assert!(lost < 0.1, "{lost:.2} of the taken requests are lost, {count:?}");
+    assert!(
+        lost < 0.1,
+        "{lost:.2} of the taken requests are lost, {count:?}"
+    );
 }
 
 /// Guards against an instance that hands back requests although it carries them.
@@ -173,7 +179,10 @@
 fn sufficient_path_takes_all(#[case] load: f64, #[case] cut: f64) {
     let mut instance = LinkedInstance::new();
     instance.cut = cut;
-    let count = total(&instance.run(&[Source::new("a", CAPACITY * load)], Duration::from_secs(10)));
+    let count = total(&instance.run(
+        &[Source::new("a", CAPACITY * load)],
+        Duration::from_secs(10),
+    ));
     assert_eq!(count.handed_back, 0, "{count:?}");
 }
 
@@ -184,7 +193,10 @@
 fn limit_ends_with_the_congestion(#[case] load: f64, #[case] cut: f64) {
     let mut instance = LinkedInstance::new();
     instance.cut = cut;
-    instance.run(&[Source::new("a", CAPACITY * load)], Duration::from_secs(10));
+    instance.run(
+        &[Source::new("a", CAPACITY * load)],
+        Duration::from_secs(10),
+    );
     assert!(instance.pressure.rate_limit().is_some());
     instance.cut = 0.0;
     let calm = [Source::new("a", CAPACITY * 0.5)];
@@ -218,7 +230,11 @@
         objective: Duration::from_millis(millis),
         ..Source::new("a", 50.0)
     };
-    let sources = [with_objective(150), with_objective(500), with_objective(1_500)];
+    let sources = [
+        with_objective(150),
+        with_objective(500),
+        with_objective(1_500),
+    ];
     instance.run(&sources, Duration::from_secs(5));
     let counts = instance.run(&sources, Duration::from_secs(20));
     assert!(counts[0].share() > counts[1].share(), "{counts:?}");
