--- a/crates/core/src/admission/pressure.rs
+++ b/crates/core/src/admission/pressure.rs
@@ -12,9 +12,13 @@
 /// Time over which the requests that are taken from them are counted.
 const TAKEN_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time to open a connection above which the own path is suspected: longer than a round trip between
-/// domains and the handshake of a busy upstream.
-const CONNECT_SLOW: Duration = Duration::from_millis(50);
+/// Time to open a connection, beyond the shortest one, above which the own path is suspected: longer
+/// than the handshake of a busy upstream.
+const CONNECT_SLOW_S: f64 = 0.05;
+/// Multiple of the shortest time, since some domains are farther away than others.
+const ROUND_TRIPS: f64 = 3.0;
+/// Growth of the shortest known time with each connection, so that it follows a longer path.
+const SHORTEST_GROWTH: f64 = 1.001;
 /// Fraction of the connections that must open quickly. During a cut or a failure of some upstreams,
 /// the others still do.
 const QUICK_FRACTION: f64 = 0.1;
@@ -163,6 +167,8 @@
     window: PathWindow,
     limit: Option<TakenLimit>,
     away: Option<AwayTime>,
+    /// Shortest time to open a connection, in seconds.
+    shortest_s: f64,
     slow_windows: u32,
     /// Most requests a second that were taken while the path was clear.
     carried: f64,
@@ -179,6 +185,7 @@
             window: PathWindow::default(),
             limit: None,
             away: None,
+            shortest_s: f64::INFINITY,
             slow_windows: 0,
             carried: 0.0,
             arrived: EventRate::default(),
@@ -191,12 +198,16 @@
 }
 
 impl PathPressure {
-    /// Records the time until a connection to an upstream was open, was refused by it, or had failed
-    /// for lack of an answer. Returns the time for which the instance now asks for fewer callers, if it
-    /// begins to.
-    pub fn record_connect(&mut self, time: Duration, now: MonotonicTime) -> Option<Duration> {
+    /// Records the time until a connection to an upstream was open or was refused by it, or `None` if it
+    /// did not answer. Returns the time for which the instance now asks for fewer callers, if it begins
+    /// to.
+    pub fn record_connect(
+        &mut self,
+        answered: Option<Duration>,
+        now: MonotonicTime,
+    ) -> Option<Duration> {
         let was_away = self.is_away(now);
-        match time < CONNECT_SLOW {
+        match answered.is_some_and(|time| self.is_quick(time)) {
             true => self.window.quick += 1,
             false => self.window.slow += 1,
         }
@@ -205,6 +216,12 @@
         away.map(|away| away.hold)
     }
 
+    fn is_quick(&mut self, time: Duration) -> bool {
+        let time_s = time.as_secs_f64();
+        self.shortest_s = time_s.min(self.shortest_s * SHORTEST_GROWTH);
+        time_s < CONNECT_SLOW_S + self.shortest_s * ROUND_TRIPS
+    }
+
     /// Returns whether the instance should get fewer callers.
     #[must_use]
     pub fn is_away(&self, now: MonotonicTime) -> bool {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -147,12 +147,10 @@
 
 fn record_connect(state: &GatewayState, elapsed: Duration, error: Option<&io::Error>) {
     state.metrics.observe(TimedStage::Connect, elapsed);
-    let elapsed = match error {
-        // The rest of a short deadline may have been less than the usual limit.
-        Some(error) if is_unanswered(error) => elapsed.max(CONNECT_TIMEOUT),
-        _ => elapsed,
-    };
-    let away = state.pressure.lock().record_connect(elapsed, state.now());
+    let answered = (!error.is_some_and(is_unanswered)).then_some(elapsed);
+    let mut pressure = state.pressure.lock();
+    let away = pressure.record_connect(answered, state.now());
+    drop(pressure);
     if let Some(hold) = away {
         log_event!(PathCongested, "away_s={}", hold.as_secs());
     }
