--- a/crates/core/src/admission/pressure.rs
+++ b/crates/core/src/admission/pressure.rs
@@ -258,7 +258,7 @@
         if let Some(limit) = &mut self.limit {
             limit.refill(now);
             let share = self.usual.share(request.customer, now);
-            let had_share = self.taken_from.rate(request.customer, now) > limit.rate * share;
+            let had_share = self.taken_from.share(request.customer, now) > share;
             let mut reserve = patience_reserve(request.objective);
             if !had_share {
                 reserve -= SHARE_RESERVE;
--- a/crates/core/src/admission/usage.rs
+++ b/crates/core/src/admission/usage.rs
@@ -64,12 +64,6 @@
         }
     }
 
-    /// Returns the load of a customer per second.
-    pub(super) fn rate(&self, customer: &CustomerName, now: MonotonicTime) -> f64 {
-        let own = self.loads.get(customer);
-        own.map_or(0.0, |load| load.at(self.window, now)) / self.window.as_secs_f64()
-    }
-
     /// Returns the share of a customer in the load, from 0 to 1.
     pub(super) fn share(&self, customer: &CustomerName, now: MonotonicTime) -> f64 {
         let own = self.loads.get(customer);
