--- a/crates/core/src/admission/pressure.rs
+++ b/crates/core/src/admission/pressure.rs
@@ -26,6 +26,8 @@
 const WINDOW: Duration = Duration::from_millis(200);
 /// Number of connections that are needed to tell that the path is congested.
 const SAMPLES_MIN: u32 = 8;
+/// The same while it is congested: fewer requests are sent then.
+const SAMPLES_CONGESTED_MIN: u32 = 4;
 /// Number of quick connections that show that it is clear.
 const QUICK_MIN: u32 = 2;
 /// Longest window.
@@ -33,12 +35,12 @@
 /// Number of slow windows in a row that show a congestion.
 const SLOW_WINDOWS: u32 = 2;
 /// Number of slow windows in a row after which the instance asks for fewer callers.
-const AWAY_WINDOWS: u32 = 5;
+const AWAY_WINDOWS: u32 = 4;
 /// Shortest time for which it does, beyond the congestion. Callers that fall on the instance by a hash
-/// come back with their whole load.
-const AWAY_MIN: Duration = Duration::from_secs(15);
+/// come back with their whole load, and it takes seconds until they have moved again.
+const AWAY_MIN: Duration = Duration::from_secs(30);
 /// Longest time for which it does.
-const AWAY_MAX: Duration = Duration::from_secs(120);
+const AWAY_MAX: Duration = Duration::from_secs(240);
 /// Time without a congestion after which the next one counts as the first.
 const RELAPSE_TIME: Duration = Duration::from_secs(60);
 /// Time after a reduction in which its effect does not show yet.
@@ -167,6 +169,8 @@
     window: PathWindow,
     limit: Option<TakenLimit>,
     away: Option<AwayTime>,
+    /// Time of a departure that was not returned yet.
+    announced: Option<Duration>,
     /// Shortest time to open a connection, in seconds.
     shortest_s: f64,
     slow_windows: u32,
@@ -185,6 +189,7 @@
             window: PathWindow::default(),
             limit: None,
             away: None,
+            announced: None,
             shortest_s: f64::INFINITY,
             slow_windows: 0,
             carried: 0.0,
@@ -206,14 +211,12 @@
         answered: Option<Duration>,
         now: MonotonicTime,
     ) -> Option<Duration> {
-        let was_away = self.is_away(now);
         match answered.is_some_and(|time| self.is_quick(time)) {
             true => self.window.quick += 1,
             false => self.window.slow += 1,
         }
         self.close_window(now);
-        let away = self.away.filter(|_| !was_away && self.is_away(now));
-        away.map(|away| away.hold)
+        self.announced.take()
     }
 
     fn is_quick(&mut self, time: Duration) -> bool {
@@ -281,7 +284,11 @@
         let age = now.since(self.window.since);
         let (quick, slow) = (self.window.quick, self.window.slow);
         let is_slow = f64::from(quick) < f64::from(quick + slow) * QUICK_FRACTION;
-        let is_known = quick + slow >= SAMPLES_MIN || (!is_slow && quick >= QUICK_MIN);
+        let needed = match self.is_congested() {
+            true => SAMPLES_CONGESTED_MIN,
+            false => SAMPLES_MIN,
+        };
+        let is_known = quick + slow >= needed || (!is_slow && quick >= QUICK_MIN);
         if age < WINDOW || (!is_known && age < WINDOW_MAX) {
             return;
         }
@@ -309,6 +316,9 @@
             Some(away) if now.since(away.until) < RELAPSE_TIME => (away.hold * 2).min(AWAY_MAX),
             _ => AWAY_MIN,
         };
+        if !self.is_away(now) {
+            self.announced = Some(hold);
+        }
         let until = now + hold;
         self.away = Some(AwayTime { until, hold });
     }
