--- a/crates/core/src/admission/pressure.rs
+++ b/crates/core/src/admission/pressure.rs
@@ -24,6 +24,8 @@
 const QUICK_FRACTION: f64 = 0.1;
 /// Period of the decisions about the limit.
 const WINDOW: Duration = Duration::from_millis(200);
+/// Time after a connection in the own domain in which those to others do not count.
+const NEAR_TIME: Duration = Duration::from_secs(10);
 /// Number of connections that are needed to tell that the path is congested.
 const SAMPLES_MIN: u32 = 8;
 /// The same while it is congested: fewer requests are sent then.
@@ -60,6 +62,10 @@
 const CLEAR_WINDOWS: u32 = 10;
 /// Fraction of the requests that is always taken, which shows when the path is clear again.
 const TAKEN_FRACTION_MIN: f64 = 0.1;
+/// Requests a second that are always taken.
+const RATE_MIN: f64 = 5.0;
+/// Requests a second up to which the limit grows fast, as they take little of a path.
+const RATE_SMALL: f64 = 20.0;
 /// Multiple of the demand above which a limit is lifted.
 const LIFT_FACTOR: f64 = 2.0;
 /// Time in which the tokens for all admissions are refilled.
@@ -171,6 +177,8 @@
     away: Option<AwayTime>,
     /// Time of a departure that was not returned yet.
     announced: Option<Duration>,
+    /// Time until which only connections in the own domain count.
+    near_until: MonotonicTime,
     /// Shortest time to open a connection, in seconds.
     shortest_s: f64,
     slow_windows: u32,
@@ -190,6 +198,7 @@
             limit: None,
             away: None,
             announced: None,
+            near_until: MonotonicTime::START,
             shortest_s: f64::INFINITY,
             slow_windows: 0,
             carried: 0.0,
@@ -204,13 +213,20 @@
 
 impl PathPressure {
     /// Records the time until a connection to an upstream was open or was refused by it, or `None` if it
-    /// did not answer. Returns the time for which the instance now asks for fewer callers, if it begins
-    /// to.
+    /// did not answer. Connections to other domains count only if there are none to the own one, as a
+    /// cut between domains is no congestion. Returns the time for which the instance now asks for fewer
+    /// callers, if it begins to.
     pub fn record_connect(
         &mut self,
         answered: Option<Duration>,
+        is_near: bool,
         now: MonotonicTime,
     ) -> Option<Duration> {
+        if is_near {
+            self.near_until = now + NEAR_TIME;
+        } else if now < self.near_until {
+            return None;
+        }
         match answered.is_some_and(|time| self.is_quick(time)) {
             true => self.window.quick += 1,
             false => self.window.slow += 1,
@@ -288,7 +304,8 @@
             true => SAMPLES_CONGESTED_MIN,
             false => SAMPLES_MIN,
         };
-        let is_known = quick + slow >= needed || (!is_slow && quick >= QUICK_MIN);
+        let is_clear = slow == 0 || (!is_slow && quick >= QUICK_MIN);
+        let is_known = is_clear || quick + slow >= needed;
         if age < WINDOW || (!is_known && age < WINDOW_MAX) {
             return;
         }
@@ -297,7 +314,10 @@
             ..PathWindow::default()
         };
         if !is_known || !is_slow {
-            self.slow_windows = 0;
+            // Without any connection, more requests are needed to tell.
+            if quick + slow > 0 {
+                self.slow_windows = 0;
+            }
             self.grow(now);
             return;
         }
@@ -331,7 +351,7 @@
         self.carried *= CARRIED_DECAY;
         let taken = self.taken.per_second(now);
         let least = self.arrived.per_second(now) * TAKEN_FRACTION_MIN;
-        let rate = (taken * REDUCTION).max(least);
+        let rate = (taken * REDUCTION).max(least).max(RATE_MIN);
         let tokens = self.limit.map_or(0.0, |limit| limit.tokens);
         self.limit = Some(TakenLimit {
             rate,
@@ -345,13 +365,13 @@
     fn grow(&mut self, now: MonotonicTime) {
         let demand = self.arrived.per_second(now);
         self.carried = self.carried.max(self.taken.per_second(now));
-        let is_low = |rate: f64| rate < self.carried * CARRIED_FRACTION;
+        let low = RATE_SMALL.max(self.carried * CARRIED_FRACTION);
         let Some(limit) = &mut self.limit else {
             return;
         };
         limit.refill(now);
         limit.clear_windows += 1;
-        limit.rate *= match limit.clear_windows > CLEAR_WINDOWS || is_low(limit.rate) {
+        limit.rate *= match limit.clear_windows > CLEAR_WINDOWS || limit.rate < low {
             true => GROWTH_FAST,
             false => GROWTH,
         };
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -65,10 +65,10 @@
     /// Requests that wait on the link.
     queued: f64,
     /// Outcome of connections that are being opened.
-    opening: BTreeMap<(MonotonicTime, u64), Option<Duration>>,
+    opening: BTreeMap<(MonotonicTime, u64), (Option<Duration>, bool)>,
     next: u64,
     due: Vec<f64>,
-    /// Fraction of the upstreams that cannot be reached at all.
+    /// Fraction of the requests whose upstreams are in domains that cannot be reached.
     cut: f64,
 }
 
@@ -127,15 +127,16 @@
         }
         let time = if is_lost { CONNECT_TIMEOUT } else { delay };
         let answered = (!is_lost).then_some(time);
-        self.opening.insert((self.now + time, self.next), answered);
+        let outcome = (answered, !is_cut);
+        self.opening.insert((self.now + time, self.next), outcome);
     }
 
     fn finish_opening(&mut self) {
         while let Some(entry) = self.opening.first_entry()
             && entry.key().0 <= self.now
         {
-            let answered = entry.remove();
-            self.pressure.record_connect(answered, self.now);
+            let (answered, is_near) = entry.remove();
+            self.pressure.record_connect(answered, is_near, self.now);
         }
     }
 }
@@ -177,6 +178,7 @@
 #[rstest]
 #[case::calm(0.9, 0.0)]
 #[case::domains_cut(0.5, 0.66)]
+#[case::most_connections_cut(0.5, 0.95)]
 fn sufficient_path_takes_all(#[case] load: f64, #[case] cut: f64) {
     let mut instance = LinkedInstance::new();
     instance.cut = cut;
@@ -270,7 +272,7 @@
         let end = now + period;
         while now < end {
             now = now + Duration::from_millis(10);
-            begun = begun.or(pressure.record_connect(time, now));
+            begun = begun.or(pressure.record_connect(time, true, now));
         }
         (begun, now)
     };
@@ -295,7 +297,7 @@
     for number in 0..1_000 {
         let now = MonotonicTime::from_millis(number * 20);
         let time = Duration::from_millis(110 + number % 30);
-        assert_eq!(pressure.record_connect(Some(time), now), None);
+        assert_eq!(pressure.record_connect(Some(time), true, now), None);
         assert!(!pressure.is_congested());
     }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -127,7 +127,7 @@
         .is_ok_and(|connection| !connection.is_unused)
     {
         let error = opened.as_ref().err();
-        record_connect(state, began.elapsed(), error);
+        record_connect(state, placement, began.elapsed(), error);
     }
     opened.map_err(|error| {
         // A connection that is slow because of the own path says nothing about the upstream.
@@ -145,11 +145,21 @@
     error.kind() == io::ErrorKind::TimedOut
 }
 
-fn record_connect(state: &GatewayState, elapsed: Duration, error: Option<&io::Error>) {
+fn record_connect(
+    state: &GatewayState,
+    placement: &Placement,
+    elapsed: Duration,
+    error: Option<&io::Error>,
+) {
     state.metrics.observe(TimedStage::Connect, elapsed);
     let answered = (!error.is_some_and(is_unanswered)).then_some(elapsed);
+    let is_near = {
+        let table = state.placement.lock();
+        let record = table.record(placement.key);
+        record.is_some_and(|record| record.domain == state.settings.domain)
+    };
     let mut pressure = state.pressure.lock();
-    let away = pressure.record_connect(answered, state.now());
+    let away = pressure.record_connect(answered, is_near, state.now());
     drop(pressure);
     if let Some(hold) = away {
         log_event!(PathCongested, "away_s={}", hold.as_secs());
