--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -7,7 +7,10 @@
 //!   back.
 //! - A customer that sends more than its usual share is refused before the others.
 
+mod limit;
 mod pressure;
+mod rotation;
 mod usage;
+mod window;
 
 pub use pressure::{ArrivedRequest, DETOUR, PathPressure};
--- a/crates/core/src/admission/usage.rs
+++ b/crates/core/src/admission/usage.rs
@@ -1,4 +1,4 @@
-//! Usual load of customers, and the usual time limits of routes.
+//! Load of customers, and usual time limits of routes.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -6,75 +6,93 @@
 
 /// Maximum number of customers and of routes that are tracked.
 const TRACKED_MAX: usize = 1_024;
+/// Sum from which on a customer is tracked when there are too many.
+const TRACKED_SUM_MIN: f64 = 1.0;
 /// Fraction of the usual time limit below which a caller counts as short of time.
 const SHORT_FRACTION: f64 = 0.95;
 /// Fraction of the usual time limit that remains after a request that states a shorter one.
 const LIMIT_DECAY: f64 = 0.999;
 
-/// Decaying sum of the cost of a customer's requests.
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingSum {
-    cost: f64,
+/// Sum of values that decay with their age.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DecayingSum {
+    /// Time constant of the decay.
+    window: Duration,
+    sum: f64,
     at: MonotonicTime,
 }
 
 impl DecayingSum {
-    fn at(&self, window: Duration, now: MonotonicTime) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        self.cost * (-age / window.as_secs_f64()).exp()
+    pub(super) const fn new(window: Duration) -> Self {
+        Self {
+            window,
+            sum: 0.0,
+            at: MonotonicTime::START,
+        }
     }
 
-    fn add(&mut self, cost: u64, window: Duration, now: MonotonicTime) {
-        self.cost = self.at(window, now) + cost as f64;
+    pub(super) fn add(&mut self, value: f64, now: MonotonicTime) {
+        self.sum = self.at(now) + value;
         self.at = now;
     }
+
+    /// Returns the sum that remains.
+    fn at(&self, now: MonotonicTime) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.sum * (-age / self.window.as_secs_f64()).exp()
+    }
+
+    /// Returns the average of the last values per second.
+    pub(super) fn per_second(&self, now: MonotonicTime) -> f64 {
+        self.at(now) / self.window.as_secs_f64()
+    }
 }
 
-/// Load of customers over some time.
+/// Requests of customers over some time.
 #[derive(Clone, Debug)]
 pub(super) struct CustomerUsage {
-    window: Duration,
-    loads: HashMap<CustomerName, DecayingSum>,
+    customers: HashMap<CustomerName, DecayingSum>,
     total: DecayingSum,
 }
 
 impl CustomerUsage {
     pub(super) fn new(window: Duration) -> Self {
         Self {
-            window,
-            loads: HashMap::new(),
-            total: DecayingSum::default(),
+            customers: HashMap::new(),
+            total: DecayingSum::new(window),
         }
     }
 
-    pub(super) fn record(&mut self, customer: &CustomerName, cost: u64, now: MonotonicTime) {
-        let window = self.window;
-        self.total.add(cost, window, now);
-        if let Some(load) = self.loads.get_mut(customer) {
-            load.add(cost, window, now);
+    /// Records a request of a customer.
+    pub(super) fn record(&mut self, customer: &CustomerName, now: MonotonicTime) {
+        self.total.add(1.0, now);
+        if let Some(usage) = self.customers.get_mut(customer) {
+            usage.add(1.0, now);
             return;
         }
-        if self.loads.len() >= TRACKED_MAX {
-            self.loads.retain(|_, load| load.at(window, now) >= 1.0);
+        if self.customers.len() >= TRACKED_MAX {
+            self.customers
+                .retain(|_, usage| usage.at(now) >= TRACKED_SUM_MIN);
         }
-        if self.loads.len() < TRACKED_MAX {
-            let mut load = DecayingSum::default();
-            load.add(cost, window, now);
-            self.loads.insert(customer.clone(), load);
+        if self.customers.len() < TRACKED_MAX {
+            let mut usage = DecayingSum::new(self.total.window);
+            usage.add(1.0, now);
+            self.customers.insert(customer.clone(), usage);
         }
     }
 
-    /// Returns the share of a customer in the load, from 0 to 1.
+    /// Returns the share of a customer in all requests, from 0 to 1.
     pub(super) fn share(&self, customer: &CustomerName, now: MonotonicTime) -> f64 {
-        let own = self.loads.get(customer);
-        let own = own.map_or(0.0, |load| load.at(self.window, now));
-        own / self.total.at(self.window, now).max(f64::MIN_POSITIVE)
+        let own = self.customers.get(customer);
+        let own = own.map_or(0.0, |usage| usage.at(now));
+        own / self.total.at(now).max(f64::MIN_POSITIVE)
     }
 }
 
 /// Usual time limits that callers state, by route.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RouteLimits {
+    /// In seconds.
     limits: HashMap<String, f64>,
 }
 
