--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -75,6 +75,10 @@
     RetrySuppressed => 2410, Info, "request is not sent again";
     /// A caller holds too much, stands still, or finds no free connection.
     CallerCut => 2411, Warn, "caller cut";
+    /// A request exceeds what this instance carries, and is left to another instance.
+    RequestHandedBack => 2412, Info, "request handed back";
+    /// The path to all upstreams stays congested, so that the readiness check fails for some time.
+    PathCongested => 2413, Warn, "own path is congested";
 }
 
 /// Writes a numbered event with details to the log, unless the event has reached its limit of lines
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -11,6 +11,7 @@
 
 use cornelarch_callers::{CallerAccount, CutReason};
 use cornelarch_core::{
+    admission::PathPressure,
     base::{BudgetName, MonotonicTime, ServiceName},
     budget::{LedgerEvent, PaidAmount},
     placement::{LimitReport, PlacementOptions, PlacementTable, UpstreamDeparture},
@@ -61,6 +62,7 @@
     /// Index of the active configuration, once a peer or this instance needed it.
     document_index: Mutex<Arc<DocumentIndex>>,
     pub(crate) placement: Mutex<PlacementTable>,
+    pub(crate) pressure: Mutex<PathPressure>,
     pub(crate) ledger: SharedLedger,
     pub(crate) pool: UpstreamPool,
     pub(crate) buffers: BufferPool,
@@ -114,6 +116,7 @@
             document: ActiveDocument::default(),
             document_index: Mutex::new(Arc::new(DocumentIndex::empty())),
             placement: Mutex::new(placement),
+            pressure: Mutex::default(),
             ledger,
             pool: UpstreamPool::default(),
             buffers: BufferPool::new(Arc::clone(&callers)),
@@ -313,12 +316,19 @@
     /// Returns whether the instance should get new connections.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining()
+            && !self.is_away()
             && self.has_directory.load(Ordering::Acquire)
             && self.has_blocklist.load(Ordering::Acquire)
             && self.has_evacuations.load(Ordering::Acquire)
             && self.document.load().is_some()
     }
 
+    /// Returns whether the callers of the instance exceed what its path to the upstreams carries, so
+    /// that new ones should go elsewhere.
+    pub(crate) fn is_away(&self) -> bool {
+        self.pressure.lock().is_away(self.now())
+    }
+
     /// Records the number of live instances. What they share is divided by the largest number seen, as
     /// those that are not seen any more may only be cut off.
     pub(crate) fn record_instances(&self, live: usize) {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one upstream, up to the response head.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cornelarch_core::placement::{FlightOutcome, Placement};
@@ -11,7 +11,7 @@
 
 use crate::{
     connection::{PooledConnection, SendFailure},
-    process::{GatewayState, TimedStage},
+    process::{GatewayState, TimedStage, log_event},
     request::{
         head::{LAST_EVENT_ID, RequestHead, read_notice},
         in_flight::InFlightRequest,
@@ -126,9 +126,44 @@
         .as_ref()
         .is_ok_and(|connection| !connection.is_unused)
     {
-        state.metrics.observe(TimedStage::Connect, began.elapsed());
+        let error = opened.as_ref().err();
+        record_connect(state, placement, began.elapsed(), error);
+    }
+    opened.map_err(|error| {
+        // A connection that is slow because of the own path says nothing about the upstream.
+        let is_own = is_unanswered(&error) && state.pressure.lock().is_congested();
+        let end = match is_own {
+            true => FlightOutcome::NotSent,
+            false => FlightOutcome::NotReached,
+        };
+        AttemptFailure::new(end, error.to_string())
+    })
+}
+
+/// Returns whether an upstream has not answered the attempt to open a connection.
+fn is_unanswered(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::TimedOut
+}
+
+fn record_connect(
+    state: &GatewayState,
+    placement: &Placement,
+    elapsed: Duration,
+    error: Option<&io::Error>,
+) {
+    state.metrics.observe(TimedStage::Connect, elapsed);
+    let answered = (!error.is_some_and(is_unanswered)).then_some(elapsed);
+    let is_near = {
+        let table = state.placement.lock();
+        let record = table.record(placement.key);
+        record.is_some_and(|record| record.domain == state.settings.domain)
+    };
+    let mut pressure = state.pressure.lock();
+    let away = pressure.record_connect(answered, is_near, state.now());
+    drop(pressure);
+    if let Some(hold) = away {
+        log_event!(PathCongested, "away_s={}", hold.as_secs());
     }
-    opened.map_err(|error| AttemptFailure::new(FlightOutcome::NotReached, error.to_string()))
 }
 
 fn build_request(
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -60,7 +60,7 @@
             refusal.into_response(rand::rng().random())
         }
     };
-    if state.is_draining() {
+    if state.is_draining() || state.is_away() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -100,6 +100,7 @@
     }
     exchange.state.record_request(&exchange.service.name);
     exchange.check_content(&RequestExchange::new_history())?;
+    exchange.admit()?;
     let bill = exchange.reserve().await?;
     let metrics = &state.metrics;
     metrics.observe(TimedStage::Reserve, started.elapsed());
