Placement under load: strained instances leave the rotation, drawn candidates, learnt prompt line, failures told in the domain

An instance that fails to connect to most upstreams of its own domain fails its readiness for 10 to 60 s, closes callers' connections and neither ejects nor denounces upstreams meanwhile. Starts are predicted by a learnt line and the stated slowness; candidates are drawn; prompts count what they cost streams. Failures without an answer are told to peers of the domain (union field 22).

--- a/crates/core/src/placement/entry.rs
+++ b/crates/core/src/placement/entry.rs
@@ -6,7 +6,8 @@
     base::MonotonicTime,
     notice::{NoticeState, RecentRequests},
     placement::{
-        FlightOutcome, PlacementOptions, PromptPart, RequestSize, UpstreamRecord, shared_parts,
+        FlightOutcome, LoadFigures, PlacementOptions, PromptPart, RequestSize, UpstreamRecord,
+        prompt_line::PromptLine, shared_parts, slowness::SlownessEstimate,
     },
 };
 
@@ -19,6 +20,8 @@
 const SPEED_RANGE: (f64, f64) = (0.1, 4.0);
 /// Smoothing factor of the failure rate.
 const FAILURE_WEIGHT: f64 = 0.25;
+/// Failure rate up to which failures that peers have seen raise it.
+const PEER_FAILURE_MAX: f64 = 0.4;
 /// Maximum exponent of the ejection back-off.
 const EJECT_EXPONENT_MAX: u32 = 4;
 
@@ -50,6 +53,7 @@
     /// Tokens of engine memory reserved by requests of this instance.
     pub(super) memory_used: u64,
     report: Option<LoadReport>,
+    slowness: SlownessEstimate,
     speed: f64,
     duration_s: Option<f64>,
     failure_rate: f64,
@@ -71,6 +75,7 @@
             pending_tokens: 0.0,
             memory_used: 0,
             report: None,
+            slowness: SlownessEstimate::default(),
             speed: 1.0,
             duration_s: None,
             failure_rate: 0.0,
@@ -121,15 +126,23 @@
             .is_some_and(|until| now < until || self.in_flight > 0)
     }
 
-    /// Returns the estimated number of requests at the upstream.
-    pub(super) fn load(&self, options: &PlacementOptions, now: MonotonicTime) -> f64 {
-        let in_flight = f64::from(self.in_flight);
-        match self.report {
-            Some(report) if now.since(report.at) < options.report_max_age => {
-                (report.requests + in_flight - f64::from(report.in_flight)).max(in_flight)
-            }
-            _ => in_flight,
-        }
+    /// Returns the estimated number of requests of other instances at the upstream, if a recent report
+    /// tells it.
+    pub(super) fn others(&self, options: &PlacementOptions, now: MonotonicTime) -> Option<f64> {
+        let report = self.report?;
+        let is_recent = now.since(report.at) < options.report_max_age;
+        is_recent.then(|| (report.requests - f64::from(report.in_flight)).max(0.0))
+    }
+
+    /// Returns the estimated number of requests at the upstream. `mean_others` is assumed of other
+    /// instances if no recent report tells theirs.
+    pub(super) fn load(
+        &self,
+        mean_others: f64,
+        options: &PlacementOptions,
+        now: MonotonicTime,
+    ) -> f64 {
+        f64::from(self.in_flight) + self.others(options, now).unwrap_or(mean_others)
     }
 
     /// Returns the prompt tokens that the engine has to prefill. `shared_fraction` is the fraction of
@@ -160,18 +173,42 @@
         (size.prompt_tokens as f64 - cached).max(0.0)
     }
 
-    /// Returns the predicted time to first token in seconds of a prompt with `tokens` to prefill.
+    /// Returns whether the engine has cached most of the shared tokens of a prompt, as far as this
+    /// instance knows.
+    pub(super) fn holds_parts(
+        &self,
+        size: &RequestSize,
+        options: &PlacementOptions,
+        now: MonotonicTime,
+    ) -> bool {
+        let tokens = |parts: &[PromptPart]| parts.iter().map(|part| f64::from(part.tokens)).sum();
+        let shared: f64 = tokens(shared_parts(size));
+        let uncached = self.uncached_tokens(size, 0.0, options, now);
+        shared > 0.0 && size.prompt_tokens as f64 - uncached > shared / 2.0
+    }
+
+    /// Returns the predicted time to first token in seconds of a prompt with `tokens` to prefill, once
+    /// it has a slot.
     pub(super) fn first_token_s(
         &self,
         tokens: f64,
+        line: &PromptLine,
         options: &PlacementOptions,
         now: MonotonicTime,
     ) -> f64 {
-        let rate = options.prompt_rate * self.speed;
-        let running = self.load(options, now) * options.running_cost.as_secs_f64();
-        options.base_first_token.as_secs_f64() / self.speed
-            + (self.pending_tokens + tokens) / rate
-            + running
+        line.first_token_s(self.pending_tokens + tokens) * self.work_factor(options, now)
+    }
+
+    /// Returns the duration of work now relative to the usual one of the service.
+    pub(super) fn work_factor(&self, options: &PlacementOptions, now: MonotonicTime) -> f64 {
+        self.slowness.factor(options.slowness_decay, now) / self.speed
+    }
+
+    /// Returns the predicted wait in seconds for a slot.
+    pub(super) fn slot_wait_s(&self, load: f64, mean_duration_s: f64) -> f64 {
+        let slots = f64::from(self.record.slots.max(1));
+        let excess = (load + 1.0 - slots).max(0.0);
+        excess * self.duration_s.unwrap_or(mean_duration_s) / slots
     }
 
     /// Returns the average duration of a call in seconds, if any was measured.
@@ -183,13 +220,14 @@
     /// measured duration is assumed to take `mean_duration_s`.
     pub(super) fn call_s(
         &self,
+        load: f64,
         mean_duration_s: f64,
         options: &PlacementOptions,
         now: MonotonicTime,
     ) -> f64 {
-        let duration_s = self.duration_s.unwrap_or(mean_duration_s);
+        let slowness = self.slowness.factor(options.slowness_decay, now);
+        let duration_s = self.duration_s.unwrap_or(mean_duration_s) * slowness;
         let slots = f64::from(self.record.slots.max(1));
-        let load = self.load(options, now);
         let waiting = (load + 1.0 - slots).max(0.0) / slots;
         // Prefers the least loaded upstream with free slots, to leave room for requests of other
         // instances.
@@ -213,12 +251,24 @@
         self.failure_rate * (-age / options.failure_half_life.as_secs_f64()).exp2()
     }
 
-    pub(super) fn report(&mut self, running: u32, waiting: u32, now: MonotonicTime) {
+    /// Records the load that a response reports.
+    pub(super) fn report(&mut self, figures: LoadFigures, now: MonotonicTime) {
         self.report = Some(LoadReport {
-            requests: f64::from(running) + f64::from(waiting),
+            requests: f64::from(figures.running) + f64::from(figures.waiting),
             in_flight: self.in_flight,
             at: now,
         });
+        if let Some(slowness) = figures.slowness {
+            self.slowness.record(slowness, now);
+        }
+    }
+
+    /// Records a failure that a peer has seen. Several peers see the same outage, so that its weight is
+    /// bounded.
+    pub(super) fn record_peer_failure(&mut self, options: &PlacementOptions, now: MonotonicTime) {
+        if self.failure_rate(options, now) < PEER_FAILURE_MAX {
+            self.raise_failure_rate(options, now);
+        }
     }
 
     pub(super) fn record_cached_parts(&mut self, size: &RequestSize, now: MonotonicTime) {
@@ -235,11 +285,10 @@
         }
     }
 
-    /// Updates the speed with a measured time to first token; `predicted_s` is the prediction at
-    /// speed 1.
-    pub(super) fn update_speed(&mut self, predicted_s: f64, measured: Duration) {
-        let measured_s = measured.as_secs_f64().max(0.001);
-        let sample = (predicted_s / measured_s).clamp(SPEED_RANGE.0, SPEED_RANGE.1);
+    /// Updates the speed with a measured time to first token; `usual_s` is the usual one.
+    pub(super) fn update_speed(&mut self, usual_s: f64, measured: Duration) {
+        let sample = usual_s / measured.as_secs_f64().max(0.001);
+        let sample = sample.clamp(SPEED_RANGE.0, SPEED_RANGE.1);
         // Geometric mean, because speeds are ratios.
         let mean = (self.speed.ln() * (1.0 - SMOOTHING) + sample.ln() * SMOOTHING).exp();
         self.speed = mean.clamp(SPEED_RANGE.0, SPEED_RANGE.1);
@@ -253,10 +302,6 @@
         });
     }
 
-    pub(super) const fn speed(&self) -> f64 {
-        self.speed
-    }
-
     /// Updates the failure rate and the ejection with the outcome of a request.
     pub(super) fn record_end(
         &mut self,
@@ -264,22 +309,18 @@
         options: &PlacementOptions,
         now: MonotonicTime,
     ) {
-        let rate = self.failure_rate(options, now);
         match end {
             FlightOutcome::Answered => {
-                self.failure_rate = rate * (1.0 - FAILURE_WEIGHT);
-                self.failure_at = now;
+                self.record_success(options, now);
                 self.consecutive_failures = 0;
                 self.ejected_until = None;
             }
             FlightOutcome::Cancelled | FlightOutcome::NotSent => {}
             FlightOutcome::Failed | FlightOutcome::Refused => {
-                self.failure_rate = rate + (1.0 - rate) * FAILURE_WEIGHT;
-                self.failure_at = now;
+                self.raise_failure_rate(options, now);
             }
             FlightOutcome::NotReached | FlightOutcome::Lost | FlightOutcome::TimedOut => {
-                self.failure_rate = rate + (1.0 - rate) * FAILURE_WEIGHT;
-                self.failure_at = now;
+                self.raise_failure_rate(options, now);
                 self.consecutive_failures += 1;
                 if end == FlightOutcome::NotReached || self.consecutive_failures >= 2 {
                     self.eject(options, now);
@@ -290,6 +331,17 @@
         }
     }
 
+    fn record_success(&mut self, options: &PlacementOptions, now: MonotonicTime) {
+        self.failure_rate = self.failure_rate(options, now) * (1.0 - FAILURE_WEIGHT);
+        self.failure_at = now;
+    }
+
+    fn raise_failure_rate(&mut self, options: &PlacementOptions, now: MonotonicTime) {
+        let rate = self.failure_rate(options, now);
+        self.failure_rate = rate + (1.0 - rate) * FAILURE_WEIGHT;
+        self.failure_at = now;
+    }
+
     fn eject(&mut self, options: &PlacementOptions, now: MonotonicTime) {
         let exponent = self
             .consecutive_failures
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -11,12 +11,18 @@
 mod entry;
 mod former;
 mod missing;
+mod observation;
 mod options;
+mod prompt_line;
+mod reach;
 mod request;
+mod selection;
+mod slowness;
 mod table;
 
 pub use departure::UpstreamDeparture;
 pub use missing::MissingUpstreams;
+pub use observation::{LoadFigures, UpstreamFailure};
 pub use options::PlacementOptions;
 pub use request::{
     FlightOutcome, LimitReport, NoticeNews, Placement, PlacementRefusal, PlacementRequest,
--- a/crates/core/src/placement/options.rs
+++ b/crates/core/src/placement/options.rs
@@ -33,6 +33,13 @@
     pub seed: u64,
     /// Longest pause of an upstream, whatever time it asks for.
     pub pause_max: Duration,
+    /// Time in which the stated slowness of a machine loses most of its weight.
+    pub slowness_decay: Duration,
+    /// Longest pause between the events of a stream that its caller does not notice. The prompts that
+    /// an engine reads beside its streams add to their pauses.
+    pub pause_target: Duration,
+    /// Weight of the time that running streams lose by the prompt of a request.
+    pub stream_weight: f64,
     /// Age after which a load report is ignored.
     pub report_max_age: Duration,
     /// Time after its last use for which a prompt part counts as cached.
@@ -61,6 +68,9 @@
             eject_max: Duration::from_secs(4),
             seed: 0,
             pause_max: PAUSE_MAX_DEFAULT,
+            slowness_decay: Duration::from_millis(300),
+            pause_target: Duration::from_millis(300),
+            stream_weight: 0.3,
             report_max_age: Duration::from_millis(1_500),
             cache_ttl: Duration::from_secs(30),
             preferred_fraction: 0.8,
--- a/crates/core/src/placement/request.rs
+++ b/crates/core/src/placement/request.rs
@@ -174,3 +174,11 @@
     /// The caller cancelled the request.
     Cancelled,
 }
+
+impl FlightOutcome {
+    /// Returns whether the upstream did not answer, so that other instances would fail there too.
+    #[must_use]
+    pub const fn is_outage(self) -> bool {
+        matches!(self, Self::NotReached | Self::Lost | Self::TimedOut)
+    }
+}
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -9,9 +9,17 @@
     base::{MonotonicTime, ServiceName, UpstreamName},
     notice::{LimitNotice, NoticeContext, UpstreamNotice},
     placement::{
-        FlightOutcome, LimitReport, NoticeNews, Placement, PlacementOptions, PlacementRefusal,
-        PlacementRequest, RequestSize, UpstreamDeparture, UpstreamIncarnation, UpstreamRecord,
-        departure::PendingDepartures, entry::UpstreamEntry, former::FormerUpstreams, shared_parts,
+        FlightOutcome, LimitReport, LoadFigures, NoticeNews, Placement, PlacementOptions,
+        PlacementRefusal, PlacementRequest, RequestSize, UpstreamDeparture, UpstreamFailure,
+        UpstreamIncarnation, UpstreamRecord,
+        departure::PendingDepartures,
+        entry::UpstreamEntry,
+        former::FormerUpstreams,
+        observation::{UntoldFailures, is_recent},
+        prompt_line::PromptLine,
+        reach::ReachMonitor,
+        selection::{Candidate, draw, draw_count, stream_loss_s},
+        shared_parts,
     },
 };
 
@@ -30,8 +38,8 @@
     size: RequestSize,
     /// Uncached prompt tokens, counted as pending until the first token.
     pending_tokens: f64,
-    /// Predicted time to first token in seconds at speed 1; `None` for plain services.
-    predicted_s: Option<f64>,
+    /// Prompt tokens that the engine had to read before the first token; `None` for plain services.
+    prompt_tokens: Option<f64>,
     started: MonotonicTime,
     has_begun: bool,
 }
@@ -46,6 +54,12 @@
     flights: SlotMap<FlightKey, InFlightRequest>,
     former: FormerUpstreams,
     departures: PendingDepartures,
+    /// Connections to upstreams of the own domain.
+    reach: ReachMonitor,
+    /// Failures that the peers of the domain do not know of yet.
+    untold: UntoldFailures,
+    /// Learnt times to the first token by service.
+    lines: HashMap<ServiceName, PromptLine>,
     /// Number of instances that share the limits of upstreams.
     instances: usize,
 }
@@ -62,6 +76,9 @@
             flights: SlotMap::with_key(),
             former: FormerUpstreams::default(),
             departures: PendingDepartures::default(),
+            reach: ReachMonitor::default(),
+            untold: UntoldFailures::default(),
+            lines: HashMap::new(),
             instances: 1,
         }
     }
@@ -223,20 +240,22 @@
         } else {
             &healthy
         };
+        let usual = self.usual(&listed, request, now);
         let preferred = self.preferred(&listed, request.size);
-        let mean_duration_s = self.mean_duration_s(&listed);
-        let candidates = usable.iter().map(|key| {
-            let is_preferred = preferred == Some(*key);
-            self.evaluate(*key, is_preferred, mean_duration_s, request, now)
-        });
-        let fitting = candidates.filter(|candidate| candidate.has_memory);
-        let best = fitting.min_by(|left, right| left.cost_s.total_cmp(&right.cost_s));
+        let evaluate =
+            |key: PlacementKey| self.evaluate(key, preferred == Some(key), &usual, request, now);
+        let drawn = self.draw_candidates(usable, preferred, request, now);
+        let best = find_best(drawn.into_iter().map(evaluate));
+        // The request is refused only if none at all fits.
+        let best = best
+            .filter(|best| best.is_in_time(request.latency_limit))
+            .or_else(|| find_best(usable.iter().copied().map(evaluate)));
         let Some(best) = best else {
             return Err(PlacementRefusal::Overloaded {
                 retry_after: request.latency_limit,
             });
         };
-        let expected = Duration::from_secs_f64(best.expected_s.clamp(0.0, 3_600.0));
+        let expected = best.expected();
         if expected > request.latency_limit {
             return Err(PlacementRefusal::Overloaded {
                 retry_after: expected.saturating_sub(request.latency_limit),
@@ -252,6 +271,27 @@
         })
     }
 
+    /// Returns the candidates for a request: those that may hold its shared parts, and some others
+    /// drawn at random.
+    fn draw_candidates(
+        &self,
+        usable: &[PlacementKey],
+        preferred: Option<PlacementKey>,
+        request: &PlacementRequest<'_>,
+        now: MonotonicTime,
+    ) -> Vec<PlacementKey> {
+        let holds_parts = |key: &PlacementKey| {
+            preferred == Some(*key)
+                || self.entries[*key].holds_parts(request.size, &self.options, now)
+        };
+        let (mut chosen, others): (Vec<_>, Vec<_>) = usable.iter().copied().partition(holds_parts);
+        let digest = request.size.parts.last().map_or(0, |part| part.digest);
+        let seed = xxh3_64_with_seed(&now.as_micros().to_le_bytes(), self.options.seed ^ digest);
+        let count = draw_count(self.instances);
+        chosen.extend(draw(others, count, seed));
+        chosen
+    }
+
     /// Returns the upstreams of a service that are listed and not shutting down.
     fn listed(&self, service: &ServiceName, excluded: &[PlacementKey]) -> Vec<PlacementKey> {
         let group = self.groups.get(service).into_iter().flatten().copied();
@@ -274,7 +314,7 @@
         &self,
         key: PlacementKey,
         is_preferred: bool,
-        mean_duration_s: f64,
+        usual: &UsualFigures,
         request: &PlacementRequest<'_>,
         now: MonotonicTime,
     ) -> Candidate {
@@ -286,21 +326,55 @@
             0.0
         };
         let uncached = entry.uncached_tokens(request.size, shared_fraction, options, now);
-        let expected_s = match is_engine {
-            true => entry.first_token_s(uncached, options, now),
-            false => entry.call_s(mean_duration_s, options, now),
+        let load = entry.load(usual.others, options, now);
+        let (expected_s, shared_cost_s) = match is_engine {
+            true => {
+                let first_token_s = entry.first_token_s(uncached, &usual.line, options, now);
+                let wait_s = entry.slot_wait_s(load, usual.duration_s);
+                let prompt_s = uncached * usual.line.slope() * entry.work_factor(options, now);
+                let pause_s = options.pause_target.as_secs_f64();
+                let lost_s = stream_loss_s(load, prompt_s, pause_s) * options.stream_weight;
+                let running_s = load * options.running_cost.as_secs_f64();
+                (first_token_s, wait_s + lost_s + running_s)
+            }
+            false => (entry.call_s(load, usual.duration_s, options, now), 0.0),
         };
         let memory_max = request.memory_tokens as f64 * options.memory_fraction;
         let memory = entry.memory_used.saturating_add(request.size.total());
+        let failure_s = entry.failure_s(options, now);
         Candidate {
             key,
             expected_s,
-            cost_s: expected_s + entry.failure_s(options, now) + entry.remote_s(options),
+            cost_s: expected_s + shared_cost_s + failure_s + entry.remote_s(options),
             uncached,
             has_memory: !is_engine || entry.memory_used == 0 || memory as f64 <= memory_max,
         }
     }
 
+    /// Returns what is assumed of upstreams about which too little is known.
+    fn usual(
+        &self,
+        keys: &[PlacementKey],
+        request: &PlacementRequest<'_>,
+        now: MonotonicTime,
+    ) -> UsualFigures {
+        let others = keys
+            .iter()
+            .filter_map(|key| self.entries[*key].others(&self.options, now));
+        let (sum, count) = others.fold((0.0, 0_u32), |sum, n| (sum.0 + n, sum.1 + 1));
+        let line = self.lines.get(request.service).copied();
+        UsualFigures {
+            line: line.unwrap_or_else(|| self.initial_line()),
+            others: sum / f64::from(count.max(1)),
+            duration_s: self.mean_duration_s(keys),
+        }
+    }
+
+    fn initial_line(&self) -> PromptLine {
+        let base_s = self.options.base_first_token.as_secs_f64();
+        PromptLine::new(base_s, self.options.prompt_rate)
+    }
+
     /// Returns the mean call duration in seconds of the upstreams that have answered.
     fn mean_duration_s(&self, keys: &[PlacementKey]) -> f64 {
         let known = keys
@@ -323,6 +397,26 @@
         keys.iter().copied().max_by_key(rank)
     }
 
+    /// Records whether a connection for a request was opened. Returns whether the instance is strained
+    /// since then.
+    pub fn record_connection(
+        &mut self,
+        key: PlacementKey,
+        has_failed: bool,
+        now: MonotonicTime,
+    ) -> bool {
+        let entry = self.entries.get(key);
+        let is_home = entry.is_some_and(|entry| entry.record.domain == self.options.domain);
+        is_home && self.reach.record(key, has_failed, now)
+    }
+
+    /// Returns whether this instance itself is the reason that it does not reach upstreams, so that
+    /// callers are better served by others.
+    #[must_use]
+    pub fn is_strained(&self, now: MonotonicTime) -> bool {
+        self.reach.is_strained(now)
+    }
+
     /// Records that a request was sent to an upstream.
     pub fn start(
         &mut self,
@@ -336,15 +430,15 @@
             incarnation: self.record(placement.key).map(UpstreamRecord::incarnation),
             size: size.clone(),
             pending_tokens: 0.0,
-            predicted_s: None,
+            prompt_tokens: None,
             started: now,
             has_begun: false,
         };
         if let Some(entry) = self.entries.get_mut(placement.key) {
             if is_engine {
-                flight.predicted_s = Some(placement.expected.as_secs_f64() * entry.speed());
                 flight.pending_tokens = placement.uncached_tokens as f64;
                 entry.pending_tokens += flight.pending_tokens;
+                flight.prompt_tokens = Some(entry.pending_tokens);
                 entry.memory_used = entry.memory_used.saturating_add(size.total());
                 entry.record_cached_parts(size, now);
             }
@@ -355,6 +449,7 @@
 
     /// Records the first token of a request.
     pub fn begin(&mut self, key: FlightKey, now: MonotonicTime) {
+        let initial_line = self.initial_line();
         let Some(flight) = self.flights.get_mut(key).filter(|flight| !flight.has_begun) else {
             return;
         };
@@ -363,17 +458,42 @@
             return;
         };
         entry.pending_tokens = (entry.pending_tokens - flight.pending_tokens).max(0.0);
-        if let Some(predicted_s) = flight.predicted_s {
-            entry.update_speed(predicted_s, now.since(flight.started));
+        if let Some(tokens) = flight.prompt_tokens {
+            let measured = now.since(flight.started);
+            let line = self.lines.entry(entry.record.service.clone());
+            let line = line.or_insert(initial_line);
+            entry.update_speed(line.first_token_s(tokens), measured);
+            line.record(tokens, measured.as_secs_f64());
         }
     }
 
     /// Records the load that an upstream reported with its response.
-    pub fn report(&mut self, key: FlightKey, running: u32, waiting: u32, now: MonotonicTime) {
+    pub fn report(&mut self, key: FlightKey, figures: LoadFigures, now: MonotonicTime) {
         let upstream = self.flights.get(key).map(|flight| flight.upstream);
         if let Some(entry) = upstream.and_then(|upstream| self.entries.get_mut(upstream)) {
-            entry.report(running, waiting, now);
+            entry.report(figures, now);
+        }
+    }
+
+    /// Removes and returns the failures of upstreams that the peers of the domain should know of.
+    pub fn take_failures(&mut self, now: MonotonicTime) -> Vec<UpstreamFailure> {
+        self.untold.take(now)
+    }
+
+    /// Merges failures that a peer of the domain has seen. Returns how many concern known upstreams.
+    pub fn merge_failures(&mut self, failures: &[UpstreamFailure], now: MonotonicTime) -> usize {
+        let mut merged = 0;
+        for failure in failures.iter().filter(|failure| is_recent(failure)) {
+            let key = self.names.get(&failure.upstream);
+            let Some(entry) = key.and_then(|key| self.entries.get_mut(*key)) else {
+                continue;
+            };
+            if entry.record.started_unix_ms == failure.started_unix_ms {
+                entry.record_peer_failure(&self.options, now);
+                merged += 1;
+            }
         }
+        merged
     }
 
     /// Records what a response says about its upstream, and returns what of it is news.
@@ -442,15 +562,24 @@
             return;
         };
         entry.in_flight = entry.in_flight.saturating_sub(1);
-        if flight.predicted_s.is_some() {
+        if flight.prompt_tokens.is_some() {
             entry.memory_used = entry.memory_used.saturating_sub(flight.size.total());
             if !flight.has_begun {
                 entry.pending_tokens = (entry.pending_tokens - flight.pending_tokens).max(0.0);
             }
-        } else if end == FlightOutcome::Answered {
+        }
+        if end == FlightOutcome::Answered {
             entry.update_duration(now.since(flight.started));
         }
-        entry.record_end(end, &self.options, now);
+        // While the instance is strained, a failed connection says nothing about the upstream.
+        if end != FlightOutcome::NotReached || !self.reach.is_strained(now) {
+            entry.record_end(end, &self.options, now);
+        }
+        if end.is_outage() && !self.reach.is_doubtful(now) {
+            let record = &entry.record;
+            self.untold
+                .record(record.name.clone(), record.started_unix_ms, now);
+        }
         self.remove_if_idle(flight.upstream);
     }
 
@@ -482,11 +611,18 @@
     xxh3_64_with_seed(upstream.as_bytes(), seed) as f64 / u64::MAX as f64
 }
 
-/// An upstream with its predicted latency and cost for a request.
-struct Candidate {
-    key: PlacementKey,
-    expected_s: f64,
-    cost_s: f64,
-    uncached: f64,
-    has_memory: bool,
+/// Returns the candidate with the lowest cost among those with enough memory.
+fn find_best(candidates: impl Iterator<Item = Candidate>) -> Option<Candidate> {
+    candidates
+        .filter(|candidate| candidate.has_memory)
+        .min_by(|left, right| left.cost_s.total_cmp(&right.cost_s))
+}
+
+/// What is assumed of upstreams of a service about which too little is known.
+struct UsualFigures {
+    line: PromptLine,
+    /// Requests of other instances.
+    others: f64,
+    /// Duration of a call in seconds.
+    duration_s: f64,
 }
--- a/crates/gateway/src/process/event.rs
+++ b/crates/gateway/src/process/event.rs
@@ -13,6 +13,8 @@
     DrainTimedOut => 2003, Warn, "requests still run at the end of the grace time";
     /// A background task ended, which only a fault of the gateway causes.
     TaskFailed => 2004, Error, "background task failed";
+    /// Most connections to upstreams of the own domain fail, which is the fault of this instance.
+    InstanceStrained => 2005, Warn, "instance does not reach upstreams";
     /// A configuration version was activated.
     DocumentApplied => 2100, Info, "configuration in force";
     /// Calls to a dependency fail repeatedly.
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -169,6 +169,7 @@
     pub(crate) newest_version: u64,
     pub(crate) upstreams: usize,
     pub(crate) blocked: usize,
+    pub(crate) is_strained: bool,
 }
 
 fn to_gauge(value: impl TryInto<i64>) -> i64 {
@@ -185,6 +186,8 @@
     notices: Family<NoticeLabels, Counter>,
     resumes: Counter,
     crashes: Counter,
+    peer_failures: Counter,
+    strained: Gauge,
     blocked: Gauge,
     running: Gauge,
     version: Gauge,
@@ -206,6 +209,8 @@
             notices: Family::default(),
             resumes: Counter::default(),
             crashes: Counter::default(),
+            peer_failures: Counter::default(),
+            strained: Gauge::default(),
             blocked: Gauge::default(),
             running: Gauge::default(),
             version: Gauge::default(),
@@ -224,6 +229,14 @@
         let (crashes, blocked) = (metrics.crashes.clone(), metrics.blocked.clone());
         registry.register("upstream_crashes", "Upstream crashes", crashes);
         registry.register("blocked_content", "Blocked content", blocked);
+        let failures = metrics.peer_failures.clone();
+        registry.register("peer_failures", "Failures told by peers", failures);
+        let strained = metrics.strained.clone();
+        registry.register(
+            "strained",
+            "Whether this instance leaves the rotation",
+            strained,
+        );
         registry.register("running", "Requests in progress", metrics.running.clone());
         registry.register("version", "Configuration version", metrics.version.clone());
         let newest = metrics.newest_version.clone();
@@ -285,12 +298,18 @@
         self.crashes.inc();
     }
 
+    /// Counts failures of upstreams that a peer has told.
+    pub(crate) fn count_peer_failures(&self, count: usize) {
+        self.peer_failures.inc_by(count as u64);
+    }
+
     /// Updates the gauges and encodes all metrics in the Prometheus text format.
     pub(crate) fn render(&self, gauges: MetricGauges) -> String {
         self.running.set(to_gauge(gauges.running));
         self.version.set(to_gauge(gauges.version));
         self.newest_version.set(to_gauge(gauges.newest_version));
         self.upstreams.set(to_gauge(gauges.upstreams));
+        self.strained.set(gauges.is_strained.into());
         self.blocked.set(to_gauge(gauges.blocked));
         self.dropped_lines.set(to_gauge(dropped_lines()));
         let mut text = String::new();
--- a/crates/gateway/src/process/peers.rs
+++ b/crates/gateway/src/process/peers.rs
@@ -18,9 +18,10 @@
 };
 use cornelarch_wire::{
     decode_budget_message, decode_content_report, decode_departure_report, decode_document_part,
-    decode_document_request, decode_envelope, decode_limit_report, decode_member_event,
-    encode_budget_message, encode_content_report, encode_departure_report, encode_document_part,
-    encode_document_request, encode_envelope, encode_limit_report,
+    decode_document_request, decode_envelope, decode_failure_report, decode_limit_report,
+    decode_member_event, encode_budget_message, encode_content_report, encode_departure_report,
+    encode_document_part, encode_document_request, encode_envelope, encode_failure_report,
+    encode_limit_report,
     peer::{WireBody, WireEnvelope, WireHolder},
 };
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
@@ -52,6 +53,9 @@
 /// Number of these peers. With three, an instance that missed the reports of a crash learns of it
 /// within two seconds with a probability of 0.998.
 const REPEAT_PEERS: usize = 3;
+/// Maximum number of peers of the domain that are told which upstreams have failed, so that the cost does
+/// not grow with the domain.
+const FAILURE_PEERS_MAX: usize = 24;
 /// Maximum number of entries of a report in one datagram, which then has about 4 kB.
 const REPORT_ENTRIES_MAX: usize = 48;
 /// Time for which the peers of a domain are told that an upstream has left: by then, instances that
@@ -174,6 +178,7 @@
                 task.apply(MemberEvent::Tick).await;
                 task.state.report_lag();
                 task.repeat_limits().await;
+                task.tell_failures().await;
                 task.update_replica(ReplicaEvent::Tick).await;
             }
         }
@@ -235,6 +240,9 @@
         if let Some(departures) = decode_departure_report(&envelope.body) {
             return self.state.merge_departures(&departures);
         }
+        if let Some(failures) = decode_failure_report(&envelope.body) {
+            return self.state.merge_failures(&failures);
+        }
         if let Some(request) = decode_document_request(&envelope.body) {
             return self.send_document(&from, &request).await;
         }
@@ -450,6 +458,21 @@
             .await;
     }
 
+    /// Tells peers of the domain which upstreams have failed since the last tick. A lost message is not
+    /// repeated: the next failure is told as well.
+    async fn tell_failures(&mut self) {
+        let failures = self.state.take_failures();
+        if failures.is_empty() {
+            return;
+        }
+        let peers = self.addresses(self.table.live_members(&self.state.settings.domain));
+        let chosen = peers
+            .into_iter()
+            .choose_multiple(&mut self.generator, FAILURE_PEERS_MAX);
+        self.send_all(&chosen, [encode_failure_report(&failures)])
+            .await;
+    }
+
     /// Tells a peer what is blocked.
     async fn send_blocked(&self, to: &HolderId) {
         let report = self.state.crashes.blocked_report(self.state.now());
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -12,7 +12,10 @@
 use cornelarch_core::{
     base::{BudgetName, MonotonicTime, ServiceName},
     budget::{LedgerEvent, PaidAmount},
-    placement::{LimitReport, PlacementOptions, PlacementTable, UpstreamDeparture},
+    placement::{
+        LimitReport, PlacementKey, PlacementOptions, PlacementTable, UpstreamDeparture,
+        UpstreamFailure,
+    },
     retry::WindowBudget,
     route::{ActiveDocument, RouteDocument, replica::DocumentIndex},
 };
@@ -291,6 +294,22 @@
             && self.has_directory.load(Ordering::Acquire)
             && self.has_blocklist.load(Ordering::Acquire)
             && self.document.load().is_some()
+            && !self.is_strained()
+    }
+
+    /// Returns whether this instance itself does not reach upstreams, so that callers should use others.
+    pub(crate) fn is_strained(&self) -> bool {
+        self.placement.lock().is_strained(self.now())
+    }
+
+    /// Records whether a connection to an upstream was opened.
+    pub(crate) fn record_connection(&self, upstream: PlacementKey, has_failed: bool) {
+        let now = self.now();
+        let mut placement = self.placement.lock();
+        if placement.record_connection(upstream, has_failed, now) {
+            drop(placement);
+            log_event!(InstanceStrained, "running={}", self.running());
+        }
     }
 
     /// Records the number of live instances. What they share is divided by the largest number seen, as
@@ -313,6 +332,17 @@
         }
     }
 
+    /// Returns the failures of upstreams since the last call.
+    pub(crate) fn take_failures(&self) -> Vec<UpstreamFailure> {
+        self.placement.lock().take_failures(self.now())
+    }
+
+    /// Merges a report of a peer of the domain about failures of upstreams.
+    pub(crate) fn merge_failures(&self, failures: &[UpstreamFailure]) {
+        let merged = self.placement.lock().merge_failures(failures, self.now());
+        self.metrics.count_peer_failures(merged);
+    }
+
     /// Merges a report of a peer about upstreams that have left.
     pub(crate) fn merge_departures(&self, departures: &[UpstreamDeparture]) {
         for departure in departures {
@@ -388,6 +418,7 @@
             newest_version: self.versions.newest(),
             upstreams,
             blocked,
+            is_strained: self.is_strained(),
         };
         self.metrics.render(gauges)
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -128,6 +128,7 @@
     {
         state.metrics.observe(TimedStage::Connect, began.elapsed());
     }
+    state.record_connection(placement.key, opened.is_err());
     opened.map_err(|error| AttemptFailure::new(FlightOutcome::NotReached, error.to_string()))
 }
 
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -60,7 +60,7 @@
             refusal.into_response(rand::rng().random())
         }
     };
-    if state.is_draining() {
+    if state.is_draining() || state.is_strained() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -352,8 +352,13 @@
     pub(crate) fn check_retry(&self, history: &AttemptHistory) -> Result<(), RequestRefusal> {
         let is_allowed = !history.may_have_run || self.rule.kind.is_repeatable();
         let is_unreached = history.last == Some(AttemptOutcome::NotReached);
+        // The caller's retry reaches another instance.
+        let unreached_max = match self.state.is_strained() {
+            true => 1,
+            false => UNREACHED_ATTEMPTS_MAX,
+        };
         let has_attempts = match is_unreached {
-            true => history.unreached < UNREACHED_ATTEMPTS_MAX && history.sent < self.rule.attempts,
+            true => history.unreached < unreached_max && history.sent < self.rule.attempts,
             false => history.sent < self.rule.attempts,
         };
         if !is_allowed || !has_attempts || Instant::now() >= self.hard_deadline {
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -4,7 +4,7 @@
 
 use cornelarch_core::{
     notice::{LimitNotice, UpstreamNotice, parse_delay, parse_rate},
-    placement::{PromptPart, RequestSize},
+    placement::{LoadFigures, PromptPart, RequestSize},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 use hyper::body::Body;
@@ -109,11 +109,21 @@
     })
 }
 
-/// Parses the running and waiting counts of a load header `RUNNING,WAITING,SLOTS`.
-pub(crate) fn read_load(headers: &HeaderMap, names: &HeaderNames) -> Option<(u32, u32)> {
+/// Parses a load header `RUNNING,WAITING,SLOTS`, or `RUNNING,WAITING,SLOTS,SLOWNESS` with the current
+/// duration of work in percent of the usual one.
+pub(crate) fn read_load(headers: &HeaderMap, names: &HeaderNames) -> Option<LoadFigures> {
     let text = header_text(headers, &names.upstream_load)?;
-    let mut counts = text.split(',').map(|count| count.trim().parse::<u32>());
-    Some((counts.next()?.ok()?, counts.next()?.ok()?))
+    let mut figures = text.split(',').map(str::trim);
+    let running = figures.next()?.parse().ok()?;
+    let waiting = figures.next()?.parse().ok()?;
+    let slowness = figures.nth(1).and_then(|text| text.parse::<f64>().ok());
+    Some(LoadFigures {
+        running,
+        waiting,
+        slowness: slowness
+            .filter(|percent| percent.is_finite() && *percent > 0.0)
+            .map(|percent| percent / 100.0),
+    })
 }
 
 /// Returns what a response says about its upstream.
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -64,16 +64,13 @@
 
     /// Records the upstream load that a response reports.
     pub(crate) fn record_load(&self, headers: &HeaderMap) {
-        if let (Some(flight), Some((running, waiting))) =
+        if let (Some(flight), Some(mut figures)) =
             (self.flight, read_load(headers, &self.state.headers))
         {
             let now = self.state.now();
             // The reported load includes this request.
-            let running = running.max(1);
-            self.state
-                .placement
-                .lock()
-                .report(flight, running, waiting, now);
+            figures.running = figures.running.max(1);
+            self.state.placement.lock().report(flight, figures, now);
         }
     }
 
--- a/crates/wire/idl/peer.thrift
+++ b/crates/wire/idl/peer.thrift
@@ -172,6 +172,17 @@
   1: required list<WireDeparture> departures
 }
 
+// A failure of an upstream, for the instances of the sender's domain.
+struct WireUpstreamFailure {
+  1: required string upstream
+  2: optional i64 started_unix_ms
+  3: required i32 age_ms
+}
+
+struct WireFailureReport {
+  1: required list<WireUpstreamFailure> failures
+}
+
 union WireBody {
   1: WirePing ping
   2: WireAck ack
@@ -193,6 +204,7 @@
   18: WireVersionNotice version_notice
   19: WireLimitReport limit_report
   20: WireDepartureReport departure_report
+  22: WireFailureReport failure_report
 }
 
 // One frame on a peer connection. The recipient drops a frame that is addressed to an earlier
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -4,6 +4,7 @@
 mod content;
 mod departure;
 mod document;
+mod failure;
 mod limit;
 mod member;
 
@@ -13,5 +14,6 @@
 pub use document::{
     decode_document_part, decode_document_request, encode_document_part, encode_document_request,
 };
+pub use failure::{decode_failure_report, encode_failure_report};
 pub use limit::{decode_limit_report, encode_limit_report};
 pub use member::decode_member_event;
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,18 +1,19 @@
 //! Guards against frames that are decoded wrongly and corrupt frames that exhaust the memory.
 
-use std::fmt::Debug;
+use std::{fmt::Debug, time::Duration};
 
 use bytes::{BufMut, BytesMut};
 use cornelarch_core::{
     base::UpstreamName,
-    placement::{LimitReport, UpstreamDeparture, UpstreamIncarnation},
+    placement::{LimitReport, UpstreamDeparture, UpstreamFailure, UpstreamIncarnation},
 };
 use cornelarch_wire::{
-    FrameCodec, FrameError, decode_departure_report, decode_envelope, decode_limit_report,
-    encode_departure_report, encode_envelope, encode_limit_report,
+    FrameCodec, FrameError, decode_departure_report, decode_envelope, decode_failure_report,
+    decode_limit_report, encode_departure_report, encode_envelope, encode_failure_report,
+    encode_limit_report,
     peer::{
-        WireBody, WireDeparture, WireDepartureReport, WireEnvelope, WireHolder, WireTransfer,
-        WireVersionNotice,
+        WireBody, WireDeparture, WireDepartureReport, WireEnvelope, WireFailureReport, WireHolder,
+        WireTransfer, WireUpstreamFailure, WireVersionNotice,
     },
 };
 use rstest::rstest;
@@ -152,3 +153,33 @@
     let body = WireBody::DepartureReport(WireDepartureReport::new(vec![invalid]));
     assert_eq!(decode_departure_report(&body), None);
 }
+
+fn failure(started_unix_ms: Option<u64>) -> UpstreamFailure {
+    UpstreamFailure {
+        upstream: UpstreamName::new("u1"),
+        started_unix_ms,
+        age: Duration::from_millis(120),
+    }
+}
+
+/// Guards against failures that change on their way to a peer.
+#[test]
+fn failures_change_on_their_way() {
+    let failures = [failure(None), failure(Some(i64::MAX as u64))];
+    let decoded = decode_failure_report(&encode_failure_report(&failures));
+    assert_eq!(decoded.as_deref(), Some(&failures[..]));
+}
+
+/// Guards against a failure of a process that cannot exist.
+#[test]
+fn failure_with_invalid_numbers_is_taken() {
+    assert_eq!(
+        encode_failure_report(&[failure(Some(u64::MAX))]),
+        encode_failure_report(&[])
+    );
+    for (started, age_ms) in [(Some(-1), 0), (None, -1)] {
+        let invalid = WireUpstreamFailure::new("u1".to_owned(), started, age_ms);
+        let body = WireBody::FailureReport(WireFailureReport::new(vec![invalid]));
+        assert_eq!(decode_failure_report(&body), None);
+    }
+}
