--- a/crates/callers/src/entry.rs
+++ b/crates/callers/src/entry.rs
@@ -21,9 +21,9 @@
 /// Memory of a connection without a request, in bytes: its buffers and its task.
 pub(crate) const CONNECTION_BYTES: usize = 16 * 1024;
 
-/// State that a sweep compares, behind a lock that only sweeps take for long.
+/// Progress of the current stage, as sweeps see it.
 #[derive(Debug)]
-struct Course {
+struct CallerProgress {
     mark: ProgressMark,
     began: MonotonicTime,
 }
@@ -45,7 +45,7 @@
     moved: AtomicU64,
     /// Whether the connection takes no more bytes of an answer.
     is_blocked: AtomicBool,
-    course: Mutex<Course>,
+    progress: Mutex<CallerProgress>,
     /// Set if the connection was chosen to be cut, until its memory is free.
     cut: Mutex<Option<CutReason>>,
     refused: Notify,
@@ -84,7 +84,7 @@
             unwritten: AtomicUsize::new(0),
             moved: AtomicU64::new(0),
             is_blocked: AtomicBool::new(false),
-            course: Mutex::new(Course {
+            progress: Mutex::new(CallerProgress {
                 mark: ProgressMark::new(0, now),
                 began: now,
             }),
@@ -110,7 +110,7 @@
 
     pub(crate) fn start_body(&self) {
         let now = self.account.now();
-        *self.course.lock() = Course {
+        *self.progress.lock() = CallerProgress {
             mark: ProgressMark::new(self.moved.load(Ordering::Relaxed), now),
             began: now,
         };
@@ -123,7 +123,7 @@
 
     pub(crate) fn start_answer(&self) {
         let moved = self.moved.load(Ordering::Relaxed);
-        self.course.lock().mark = ProgressMark::new(moved, self.account.now());
+        self.progress.lock().mark = ProgressMark::new(moved, self.account.now());
         self.set_stage(CallerStage::Answer);
     }
 
@@ -192,10 +192,10 @@
 
     /// Returns the state for a decision, after noting the progress so far.
     pub(crate) fn view<K>(&self, key: K, now: MonotonicTime) -> CallerView<K> {
-        let progress = self.account.options.progress_bytes;
-        let mut course = self.course.lock();
+        let progress_bytes = self.account.options.progress_bytes;
+        let mut progress = self.progress.lock();
         let moved = self.moved.load(Ordering::Relaxed);
-        let still = course.mark.update(moved, progress, now);
+        let still = progress.mark.update(moved, progress_bytes, now);
         let is_blocked = self.is_blocked.load(Ordering::Relaxed);
         let stage = match self.stage() {
             // The rest of an answer is in the buffer of the connection.
@@ -204,7 +204,7 @@
         };
         // An answer without anything to write waits for the upstream and not for the caller.
         if stage == CallerStage::Answer && !is_blocked {
-            course.mark = ProgressMark::new(moved, now);
+            progress.mark = ProgressMark::new(moved, now);
         }
         CallerView {
             key,
@@ -214,7 +214,7 @@
                 true => Duration::ZERO,
                 false => still,
             },
-            began: course.began,
+            began: progress.began,
         }
     }
 
