--- a/review/standin-2/edge.rs
+++ b/review/standin-2/edge.rs
@@ -16,7 +16,7 @@
 }
 
 pub const SIGHUP: i32 = 1;
-pub const SIGTERM: i32 = 15;
+pub const SIGKILL: i32 = 9;
 
 /// Settings of one entry instance of a small deployment.
 #[derive(Clone, Debug)]
@@ -88,8 +88,8 @@
              Zone={zone}\nRegion=north\nZones.zone-a=north\nZones.zone-b=north\nZones.zone-c=north\n\
              Listen.Front={ip}:8740\nListen.Ready={ip}:8749\nListen.Control={ip}:8748\n\
              PortRange=7200,7215\nSeeds={}\nBootstrap=true\nInTolerance=false\n\
-             Limits.CpuShare=0.62\nLimits.Cores=1\nLimits.MemoryMb=650\nLimits.FdLimit=10250\n\
-             Limits.LinkMbps=2500.0\nLimits.DiskMb=0\nDiscovery=platform\nEntry=vip\n\
+             Limits.CpuShare=0.19\nLimits.Cores=1\nLimits.MemoryMb=195\nLimits.FdLimit=3075\n\
+             Limits.LinkMbps=750.0\nLimits.DiskMb=0\nDiscovery=platform\nEntry=vip\n\
              HeartbeatMs=1200\n\
              Contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform\n\
              FaultTolerance.Machines=1\nFaultTolerance.Zones=1\nFaultTolerance.Regions=0\n\
@@ -165,6 +165,15 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// Returns the resident memory of the process in megabytes.
+    pub fn memory_mb(&self) -> u64 {
+        let text = fs::read_to_string(format!("/proc/{}/statm", self.child.id()));
+        let pages = text
+            .ok()
+            .and_then(|text| text.split(' ').nth(1)?.parse::<u64>().ok());
+        pages.unwrap_or(0) * 4_096 / 1_000_000
+    }
+
     pub fn signal(&self, signal: i32) {
         let pid = i32::try_from(self.child.id()).expect("pid");
         // SAFETY: `kill` only takes numbers; the child was started by this process and is not reaped.
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -16,6 +16,8 @@
 
 /// Maximum number of entries of one list page.
 const PAGE: usize = 500;
+/// Maximum size of the entries of one list page, in bytes, unless it is a single one.
+const PAGE_BYTES: usize = 1_000_000;
 
 #[derive(Default)]
 struct StoreState {
@@ -95,16 +97,6 @@
         changed.notify_all();
     }
 
-    /// Returns the names and contents of a kind.
-    pub fn entries(&self, kind: &str) -> Vec<(String, Json)> {
-        let state = self.state.0.lock().expect("store");
-        let objects = state.objects.iter().filter(|((k, _), _)| k == kind);
-        let spec = |object: &Json| object.get("Spec").cloned().unwrap_or(Json::Null);
-        objects
-            .map(|((_, name), o)| (name.clone(), spec(o)))
-            .collect()
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().expect("clone");
@@ -140,7 +132,7 @@
                     let wait = field("WaitMs").and_then(|text| text.parse().ok());
                     (200, self.watch(kind, revision, wait.unwrap_or(0)))
                 }
-                None => (200, self.list(kind, field("After").unwrap_or(""))),
+                None => (200, self.list(kind, &decode(field("After").unwrap_or("")))),
             },
             ("GET", Some(name)) => {
                 let state = self.state.0.lock().expect("store");
@@ -157,11 +149,20 @@
     fn list(&self, kind: &str, after: &str) -> Json {
         let state = self.state.0.lock().expect("store");
         let objects = state.objects.iter();
-        let mut rest = objects.filter(|((k, name), _)| k == kind && name.as_str() > after);
-        let entries: Vec<Json> = rest.by_ref().take(PAGE).map(|(_, o)| o.clone()).collect();
+        let rest = objects.filter(|((k, name), _)| k == kind && name.as_str() > after);
+        let mut rest = rest.map(|(_, object)| object).peekable();
+        let (mut entries, mut bytes) = (Vec::new(), 0);
+        while let Some(object) = rest.peek() {
+            bytes += object.write().len();
+            let is_full = entries.len() == PAGE || bytes > PAGE_BYTES;
+            if is_full && !entries.is_empty() {
+                break;
+            }
+            entries.extend(rest.next().cloned());
+        }
         Json::object(vec![
             ("Entries", Json::List(entries)),
-            ("HasMore", Json::Bool(rest.next().is_some())),
+            ("HasMore", Json::Bool(rest.peek().is_some())),
             ("AsOf", Json::number(state.revision)),
         ])
     }
@@ -214,3 +215,23 @@
         (200, written)
     }
 }
+
+/// Decodes the escapes of a query value.
+fn decode(text: &str) -> String {
+    let mut rest = text.bytes();
+    let mut decoded = Vec::new();
+    while let Some(byte) = rest.next() {
+        let escape = || {
+            let hex: Vec<u8> = rest.clone().take(2).collect();
+            u8::from_str_radix(std::str::from_utf8(&hex).ok()?, 16).ok()
+        };
+        match (byte, escape()) {
+            (b'%', Some(value)) => {
+                decoded.push(value);
+                rest.nth(1);
+            }
+            _ => decoded.push(byte),
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
