--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/standin review/tests/standin-2/main.rs
+rustc --edition 2024 -O -o target/review-2/standin review/standin-2/tests/main.rs
--- a/review/tests/standin-2/case_leave.rs
+++ b/review/standin-2/tests/case_leave.rs
@@ -47,6 +47,8 @@
     is_closed: AtomicBool,
     channels: Mutex<Vec<Channel>>,
     count: AtomicUsize,
+    /// Ids, events and framing of the answers that were written to their end.
+    ran: Mutex<Vec<(String, u64, bool)>>,
     /// Ids of requests whose answer without a length was written to its end.
     whole: Arc<Mutex<Vec<String>>>,
 }
@@ -126,6 +128,8 @@
             if self.answer(&mut writer, &id, events, is_unframed).is_err() {
                 return;
             }
+            let ran = (id.clone(), events, is_unframed);
+            self.ran.lock().expect("ran").push(ran);
             if is_unframed {
                 let _ = writer.shutdown(std::net::Shutdown::Write);
                 self.whole.lock().expect("whole").push(id);
@@ -237,6 +241,7 @@
             is_closed: AtomicBool::new(false),
             channels: Mutex::default(),
             count: AtomicUsize::new(0),
+            ran: Mutex::default(),
             whole: Arc::clone(&whole),
         });
         world.store.put("servers", &engine.id, engine.entry(1));
@@ -287,13 +292,19 @@
     drop(edge);
     let whole = whole.lock().expect("whole").clone();
     let mut cut = 0;
-    for (id, events, is_complete) in &seen {
-        let is_whole = whole.contains(id);
-        if is_whole || !is_complete {
+    for engine in &engines {
+        for (id, events, bare) in engine.ran.lock().expect("ran").iter() {
+            let id_ran = &engine.id;
             world.note(format!(
-                "{id}: {events} events, complete {is_complete}; without a length {is_whole}"
+                "{id}: run by {id_ran} to its end, {events} events, without a length {bare}"
             ));
         }
+    }
+    for (id, events, is_complete) in &seen {
+        let is_whole = whole.contains(id);
+        world.note(format!(
+            "{id}: sent; answered with {events} events, complete {is_complete}"
+        ));
         cut += usize::from(is_whole && !is_complete);
     }
     let other = seen
--- a/review/tests/standin-2/case_names.rs
+++ b/review/standin-2/tests/case_names.rs
@@ -23,12 +23,7 @@
 fn ask_all(world: &World, edges: &[Edge], tenant: &Tenant) -> usize {
     let served = (0..REQUESTS).filter(|turn| {
         let front = edges[turn % edges.len()].spec.front();
-        let (id, seen) = world.ask(front, &tenant.key, (100, 60));
-        world.note(format!(
-            "{id}: status {} events {}",
-            seen.status(),
-            seen.events()
-        ));
+        let (_, seen) = world.ask(front, &tenant.key, (100, 60));
         thread::sleep(Duration::from_millis(100));
         seen.status() == 200 && seen.events() == 10
     });
@@ -97,6 +92,7 @@
     world.note(format!("peak memory of the instances: {most:?} MB"));
     let after = ask_all(&world, &edges, &tenant);
     drop(edges);
+    world.note_runs();
     world.conclude(format!(
         "{before} of {REQUESTS} requests served before the final fault, {after} of {REQUESTS} later \
          than {} s after it; at most {most:?} MB held by the instances, killed for more than \
--- a/review/tests/standin-2/case_slow.rs
+++ b/review/standin-2/tests/case_slow.rs
@@ -17,7 +17,9 @@
 };
 
 /// Time for which clients do not read, well below their time limit.
-const PAUSE: Duration = Duration::from_secs(4);
+const PAUSE: Duration = Duration::from_millis(3_500);
+/// `GapTargetMs` of the streams. Clients abandon one after a gap of eight times this, 4 s.
+const GAP_MS: u64 = 500;
 const LIMIT_MS: u64 = 12_000;
 /// Channels of each kind in each phase.
 const CHANNELS: usize = 6;
@@ -135,7 +137,7 @@
 pub fn play(trouble: bool) -> bool {
     let world = Arc::new(World::start("7"));
     let tenant = Tenant::new("huka270", "xd9dnn2ctnfzs989anu6", 100_000_000);
-    world.publish_limits(7, std::slice::from_ref(&tenant), LIMIT_MS);
+    world.publish_limits(7, std::slice::from_ref(&tenant), LIMIT_MS, GAP_MS);
     let engine = world.runner("i-7f3a91c2", ENGINES, "zone-a");
     engine.start(&world.store, Arc::new(|_, _| Reply::Sound));
     let orders = world.runner("i-51c07a3e", ORDERS, "zone-a");
@@ -163,6 +165,7 @@
     world.note("second phase: SIGHUP; the settings are the same");
     let planned = phase(&world, spec.front(), &tenant.key, trouble);
     drop(edge);
+    world.note_runs();
     for (name, closed) in [("without planned work", calm), ("after a SIGHUP", planned)] {
         world.conclude(format!(
             "{name}: {} of {CHANNELS} streams and {} of {CHANNELS} orders that had run ended \
--- a/review/tests/standin-2/case_tenant.rs
+++ b/review/standin-2/tests/case_tenant.rs
@@ -24,12 +24,7 @@
     thread::sleep(Duration::from_secs(3));
     let (mut tokens, mut answered, mut refused) = (0, 0, 0);
     for _ in 0..REQUESTS {
-        let (id, seen) = world.ask(spec.front(), &second.key, (PROMPT, ANSWER));
-        world.note(format!(
-            "{id}: status {} events {}",
-            seen.status(),
-            seen.events()
-        ));
+        let (_, seen) = world.ask(spec.front(), &second.key, (PROMPT, ANSWER));
         match seen.status() {
             200 => {
                 answered += 1;
@@ -53,6 +48,7 @@
         .filter(|text| **text != second.name)
         .count();
     drop(edge);
+    world.note_runs();
     world.conclude(format!(
         "{name}: {answered} requests answered, {refused} refused, {tokens} of {PREPAID} prepaid \
          tokens delivered, {wrong} runs with another Cornelarch-Tenant (last: {:?})",
--- a/review/tests/standin-2/edge.rs
+++ b/review/standin-2/tests/edge.rs
@@ -55,6 +55,21 @@
         .expect("a free loopback address")
 }
 
+/// Returns the start command of the role in the deploy file, split at spaces.
+fn deploy_command() -> Vec<String> {
+    let text = fs::read_to_string("deploy/system.toml").expect("deploy file");
+    let role = text.split("[roles.edge]").nth(1).expect("role");
+    let line = role
+        .lines()
+        .find_map(|line| line.strip_prefix("run = "))
+        .expect("run");
+    line.trim()
+        .trim_matches('"')
+        .split(' ')
+        .map(str::to_owned)
+        .collect()
+}
+
 impl EdgeSpec {
     pub fn front(&self) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(self.ip), 8740)
@@ -125,7 +140,9 @@
             let file = fs::OpenOptions::new().create(true).append(true).open(path);
             Stdio::from(file.expect("log"))
         };
-        let mut command = Command::new("target/release/cornelarch-edge");
+        let words = deploy_command();
+        let mut command = Command::new(&words[0]);
+        command.args(&words[1..]);
         command
             .env_clear()
             .env("CORNELARCH_BOOT", self.settings_path());
--- a/review/tests/standin-2/runner.rs
+++ b/review/standin-2/tests/runner.rs
@@ -23,6 +23,7 @@
 /// One request that reached a runner.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    pub runner: String,
     pub request: Message,
     /// Whether the runner began to work on it.
     pub has_run: bool,
@@ -136,6 +137,7 @@
     fn record(&self, request: &Message, has_run: bool) -> usize {
         let mut arrivals = self.arrivals.lock().expect("arrivals");
         arrivals.push(Arrival {
+            runner: self.id.clone(),
             request: request.clone(),
             has_run,
             events: 0,
--- a/review/tests/standin-2/world.rs
+++ b/review/standin-2/tests/world.rs
@@ -20,7 +20,7 @@
     edge::{EdgeSpec, free_ip},
     http::{Message, read_body, read_head, write_message},
     json::Json,
-    runner::{Arrivals, Reply, Runner},
+    runner::{Arrival, Arrivals, Reply, Runner},
     store::Store,
 };
 
@@ -108,6 +108,23 @@
         writeln!(record, "{at:8.3} {line}").expect("record");
     }
 
+    /// Writes to the record what reached the runners.
+    pub fn note_runs(&self) {
+        for arrival in self.arrivals.lock().expect("arrivals").iter() {
+            let id = arrival.header("cornelarch-attempt-id");
+            let Arrival {
+                runner,
+                has_run,
+                events,
+                ..
+            } = arrival;
+            let start = &arrival.request.start;
+            self.note(format!(
+                "{id}: {start} reached {runner}; run {has_run}, events {events}"
+            ));
+        }
+    }
+
     /// Writes the outcome to the record and to standard output.
     pub fn conclude(&self, line: impl Display) {
         println!("{line}");
@@ -154,12 +171,12 @@
 
     /// Writes a manifest with the time limits of the small sites.
     pub fn publish(&self, version: u64, tenants: &[Tenant]) {
-        self.publish_limits(version, tenants, 800);
+        self.publish_limits(version, tenants, 800, 300);
     }
 
     /// Writes a manifest, as the operator does. The answer of the store is its ack. Calls of the order
-    /// service may take `call_ms`.
-    pub fn publish_limits(&self, version: u64, tenants: &[Tenant], call_ms: u64) {
+    /// service may take `call_ms`, and a resumable stream pauses for `gap_ms` at most.
+    pub fn publish_limits(&self, version: u64, tenants: &[Tenant], call_ms: u64, gap_ms: u64) {
         let route = |name: &str, path: &str, kind: &str, service: &str, timeout: u64, more| {
             let mut fields = vec![
                 ("Name", Json::text(name)),
@@ -179,7 +196,7 @@
             ("Attempts", Json::number(2)),
             ("Sticky", Json::Bool(true)),
             ("Resumable", Json::Bool(true)),
-            ("GapTargetMs", Json::number(300)),
+            ("GapTargetMs", Json::number(gap_ms)),
         ];
         let once = vec![("Attempts", Json::number(1))];
         let twice = vec![("Attempts", Json::number(2))];
@@ -291,7 +308,13 @@
             ("X-Api-Key", key),
         ];
         let start = format!("POST {STREAM_PATH} HTTP/1.1");
+        self.note(format!("{id}: {start} sent to {front}, tokens {count}"));
         let seen = send(front, &start, &headers, b"{}", Duration::from_secs(6));
+        self.note(format!(
+            "{id}: answered {}, {} events",
+            seen.status(),
+            seen.events()
+        ));
         (id, seen)
     }
 }
