Whole responses of upstreams that are shut down are kept

Cause: at the end of such a response the gateway asks whether the upstream still accepts connections, or has kept an idle one. An upstream that is shut down in the usual order refuses the one and closes the other first, and finishes its requests.

Evidence: complete_response_of_an_upstream_that_is_shut_down_is_lost failed before, 6 of 6 cases.

Fix: connections with the requests of others are evidence, too. The response is complete if another connection to the same process is open 5 ms after its end and then receives a complete response or stays open for 250 ms. Only those count that were opened before the last sign of life on the own connection and on which everything was read: the end of a connection is not seen behind unread bytes. The last response without another connection beside it still counts as broken off.

--- a/crates/gateway/src/connection/meter.rs
+++ b/crates/gateway/src/connection/meter.rs
@@ -15,6 +15,8 @@
     net::TcpStream,
 };
 
+use crate::connection::ConnectionState;
+
 /// Maximum number of bytes of informational responses, the head, and what is received but not yet
 /// processed. The read buffer alone may have 64 kB, and the head as much.
 const OVERHEAD_MAX: u64 = 256 * 1024;
@@ -65,11 +67,26 @@
 pub(super) struct MeteredStream {
     stream: TcpStream,
     meter: Arc<ResponseMeter>,
+    state: Arc<ConnectionState>,
 }
 
 impl MeteredStream {
-    pub(super) const fn new(stream: TcpStream, meter: Arc<ResponseMeter>) -> Self {
-        Self { stream, meter }
+    pub(super) const fn new(
+        stream: TcpStream,
+        meter: Arc<ResponseMeter>,
+        state: Arc<ConnectionState>,
+    ) -> Self {
+        Self {
+            stream,
+            meter,
+            state,
+        }
+    }
+}
+
+impl Drop for MeteredStream {
+    fn drop(&mut self) {
+        self.state.record_undrained();
     }
 }
 
@@ -82,6 +99,10 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         let bytes = buffer.filled().len() - before;
+        match polled.is_pending() {
+            true => self.state.record_drained(),
+            false => self.state.record_undrained(),
+        }
         if self.meter.record_received(bytes) {
             let error = "upstream sends too many bytes besides the body";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
--- a/crates/gateway/src/connection/pool.rs
+++ b/crates/gateway/src/connection/pool.rs
@@ -22,6 +22,7 @@
 use crate::connection::{
     connect,
     meter::{MeteredStream, ResponseMeter},
+    state::{ConnectionRegistry, ConnectionState, SiblingConnections},
 };
 
 /// Maximum number of idle connections per upstream.
@@ -47,6 +48,9 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     meter: Arc<ResponseMeter>,
+    state: Arc<ConnectionState>,
+    address: SocketAddr,
+    registry: Arc<ConnectionRegistry>,
     /// Whether no request was sent on the connection yet.
     pub(crate) is_unused: bool,
 }
@@ -81,6 +85,15 @@
         })
     }
 
+    /// Returns the other connections to the same process.
+    pub(crate) fn siblings(&self) -> SiblingConnections {
+        SiblingConnections {
+            registry: Arc::clone(&self.registry),
+            address: self.address,
+            own: Arc::clone(&self.state),
+        }
+    }
+
     /// Records that a piece of the body of the response was processed. Without it, the connection ends
     /// once the upstream has sent more than a head may have. `pieces_max` is the number of small pieces
     /// that the response may have.
@@ -96,10 +109,11 @@
     }
 }
 
-/// Idle connections by upstream.
+/// Idle connections by upstream, and the state of all connections to upstreams.
 #[derive(Default)]
 pub(crate) struct UpstreamPool {
     idle: Mutex<HashMap<UpstreamName, VecDeque<IdleConnection>>>,
+    registry: Arc<ConnectionRegistry>,
 }
 
 impl UpstreamPool {
@@ -115,9 +129,11 @@
         }
         let stream = connect(address, timeout).await?;
         let meter = Arc::new(ResponseMeter::default());
+        let state = self.registry.register(address);
+        let stream = MeteredStream::new(stream, Arc::clone(&meter), Arc::clone(&state));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_MAX)
-            .handshake(TokioIo::new(MeteredStream::new(stream, Arc::clone(&meter))))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -129,6 +145,9 @@
             sender,
             task: task.abort_handle(),
             meter,
+            state,
+            address,
+            registry: Arc::clone(&self.registry),
             is_unused: true,
         })
     }
@@ -156,6 +175,7 @@
         connection: PooledConnection,
         headers: &HeaderMap,
     ) {
+        connection.state.record_completed();
         if is_closing(headers) {
             return;
         }
@@ -177,6 +197,7 @@
 
     /// Closes idle connections whose idle timeout has passed.
     pub(crate) fn close_expired(&self) {
+        self.registry.remove_closed();
         let now = Instant::now();
         self.idle.lock().retain(|_, idle| {
             idle.retain(|candidate| {
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -33,4 +33,4 @@
 pub(crate) use state::{DrainTimes, GatewayState, RunningGuard};
 pub(crate) use sync::{PlatformOutage, sync_directory, sync_document};
 pub(crate) use version::VersionMonitor;
-pub(crate) use witness::{ProcessWitness, is_complete};
+pub(crate) use witness::{ProcessWitness, check_complete, watch_process};
--- a/crates/gateway/src/process/witness.rs
+++ b/crates/gateway/src/process/witness.rs
@@ -1,15 +1,16 @@
 //! Evidence that the process of an upstream has not ended.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::{
     net::TcpStream,
     sync::watch,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::connection::connect;
+use crate::connection::{ConnectionState, PooledConnection, SiblingConnections, connect};
 
 /// Connect timeout of the check whether an upstream has ended.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -28,6 +29,7 @@
 const TOGETHER_TIME: Duration = Duration::from_millis(50);
 
 /// Whether the process of an upstream runs.
+#[derive(Debug)]
 pub(super) enum UpstreamStatus {
     Running,
     Ended,
@@ -65,55 +67,130 @@
 /// Tells at the end of a response whether the process that sent it still runs.
 ///
 /// The operating system closes all connections of a process that ends, so that one which stays open
-/// proves that the process runs, even if it accepts no more connections.
+/// proves that the process runs, even if it accepts no more connections. A process that is shut down
+/// may close those without a request first; then the ones with other requests prove it.
 pub(crate) struct ProcessWitness {
-    address: SocketAddr,
+    siblings: SiblingConnections,
     state: watch::Receiver<WitnessState>,
     _task: AbortOnDropHandle<()>,
 }
 
+/// Why a response without a length or chunks counts as broken off.
+#[derive(Debug)]
+pub(crate) struct UpstreamEnd {
+    status: UpstreamStatus,
+    witness: WitnessState,
+    ended: Instant,
+    siblings: usize,
+}
+
+impl fmt::Display for UpstreamEnd {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let WitnessState { phase, closed } = self.witness;
+        write!(
+            formatter,
+            "response without a length ended with its upstream: port {:?}, idle connection {phase:?}",
+            self.status
+        )?;
+        if let Some(closed) = closed {
+            let ms = self.ended.saturating_duration_since(closed).as_millis();
+            write!(formatter, " and closed {ms} ms before")?;
+        }
+        write!(formatter, ", {} other connections", self.siblings)
+    }
+}
+
 impl ProcessWitness {
     /// Opens a connection to the upstream in the background and keeps one open.
-    pub(crate) fn spawn(address: SocketAddr) -> Self {
+    fn spawn(siblings: SiblingConnections) -> Self {
         let (sender, state) = watch::channel(WitnessState {
             phase: ConnectionPhase::Opening,
             closed: None,
         });
+        let task = tokio::spawn(keep_open(siblings.address(), sender));
         Self {
-            address,
+            siblings,
             state,
-            _task: AbortOnDropHandle::new(tokio::spawn(keep_open(address, sender))),
+            _task: AbortOnDropHandle::new(task),
         }
     }
 
-    /// Returns whether the process runs that has just ended a response.
-    async fn has_survived(&mut self) -> bool {
+    /// Checks that the process runs that has just ended a response.
+    ///
+    /// # Errors
+    ///
+    /// Returns what indicates that it does not.
+    async fn check_survival(&mut self) -> Result<(), UpstreamEnd> {
         let ended = Instant::now();
         sleep(GATHER_TIME).await;
-        let status = check_upstream(self.address).await;
-        let WitnessState { phase, closed } = *self.state.borrow_and_update();
+        let siblings = self.siblings.find_open();
+        let gathered = Instant::now();
+        let status = check_upstream(self.siblings.address()).await;
+        let witness = *self.state.borrow_and_update();
         // Another process may have been started at the address before the end was noticed.
-        if closed.is_some_and(|closed| closed + TOGETHER_TIME >= ended) {
-            return false;
-        }
-        match (status, phase) {
-            (_, ConnectionPhase::Lost) => false,
-            (UpstreamStatus::Running, _) => true,
-            (UpstreamStatus::Ended, ConnectionPhase::Open) => {
+        let together = witness.closed.is_some_and(|at| at + TOGETHER_TIME >= ended);
+        let has_survived = match (&status, witness.phase) {
+            // Silent connections stay open behind a partition.
+            (UpstreamStatus::Unknown(_), _) => false,
+            (UpstreamStatus::Running, phase) if !together && phase != ConnectionPhase::Lost => true,
+            (UpstreamStatus::Ended, ConnectionPhase::Open) if !together => {
                 timeout(CLOSE_WAIT, self.state.changed()).await.is_err()
             }
-            (UpstreamStatus::Ended | UpstreamStatus::Unknown(_), _) => false,
+            _ => outlive_response(&siblings, gathered, ended + CLOSE_WAIT).await,
+        };
+        match has_survived {
+            true => Ok(()),
+            false => Err(UpstreamEnd {
+                status,
+                witness,
+                ended,
+                siblings: siblings.len(),
+            }),
         }
     }
 }
 
-/// Returns whether a response is complete after its last byte. One with a witness ends with its
+/// Starts to watch the process at the other end of a connection if the response on it has neither a
+/// length nor chunks. It ends with its connection, which the end of the process closes as well.
+pub(crate) fn watch_process(
+    is_unframed: bool,
+    connection: &PooledConnection,
+) -> Option<ProcessWitness> {
+    is_unframed.then(|| ProcessWitness::spawn(connection.siblings()))
+}
+
+/// Checks that a response is complete after its last byte. One with a witness ends with its
 /// connection, whether it is complete or its upstream has ended.
-pub(crate) async fn is_complete(witness: &mut Option<ProcessWitness>) -> bool {
+///
+/// # Errors
+///
+/// Returns what indicates that the upstream has ended.
+pub(crate) async fn check_complete(
+    witness: &mut Option<ProcessWitness>,
+) -> Result<(), UpstreamEnd> {
     match witness {
-        Some(witness) => witness.has_survived().await,
-        None => true,
+        Some(witness) => witness.check_survival().await,
+        None => Ok(()),
+    }
+}
+
+/// Returns whether one of the connections that were open after the end of a response receives a
+/// complete response after `since`, or is still open at `until`.
+async fn outlive_response(
+    siblings: &[Arc<ConnectionState>],
+    since: Instant,
+    until: Instant,
+) -> bool {
+    let completions = siblings.iter().map(|state| state.wait_completed(since));
+    let mut completions: FuturesUnordered<_> = completions.collect();
+    if let Ok(Some(())) = timeout_at(until, completions.next()).await {
+        return true;
     }
+    let is_open = |state: &Arc<ConnectionState>| {
+        let last_open = state.last_open();
+        last_open.is_some_and(|last| last + TOGETHER_TIME >= until)
+    };
+    siblings.iter().any(is_open)
 }
 
 /// Keeps a connection to an upstream open. Another one is opened when the upstream closes it,
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -11,11 +11,11 @@
 
 use crate::{
     connection::PooledConnection,
-    process::{is_complete, log_event},
+    process::{check_complete, log_event, watch_process},
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
-        exchange::{ENDED_WITH_UPSTREAM, OpenResponse, RequestExchange},
+        exchange::{OpenResponse, RequestExchange},
         head::{forwarded_headers, is_unframed},
         limits::{RESPONSE_MAX, RESPONSE_TOO_LARGE, ResponseLimits},
         response::full_body,
@@ -122,16 +122,20 @@
 ) -> Result<BufferedResponse, FlightOutcome> {
     let OpenResponse { attempt, flight } = opened;
     let (parts, body) = attempt.response.into_parts();
-    let mut witness = flight.watch_process(is_unframed(&parts.headers, &body));
+    let mut witness = watch_process(is_unframed(&parts.headers, &body), &attempt.connection);
     let collected = timeout_at(
         exchange.hard_deadline,
         collect_body(exchange, body, &attempt.connection),
     )
     .await;
-    let (end, reason) = match collected {
-        Ok(Ok(_)) if !is_complete(&mut witness).await => {
-            (FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned())
+    let checked = match collected {
+        Ok(Ok(body)) => {
+            let checked = check_complete(&mut witness).await;
+            Ok(checked.map(|()| body).map_err(|end| end.to_string()))
         }
+        failed => failed,
+    };
+    let (end, reason) = match checked {
         Ok(Ok(body)) => {
             let pool = &exchange.state.pool;
             pool.release(&flight.upstream, attempt.connection, &parts.headers);
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -47,8 +47,6 @@
 const UNREACHED_ATTEMPTS_MAX: u32 = 4;
 /// Reason for which a request is withdrawn from its upstream.
 pub(crate) const CONTENT_BLOCKED: &str = "its content was blocked";
-/// Reason for which a response without a length counts as broken off.
-pub(crate) const ENDED_WITH_UPSTREAM: &str = "response without a length ended with its upstream";
 /// Maximum number of prompt parts in one log line.
 const LOGGED_PARTS_MAX: usize = 8;
 
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 
 use crate::{
-    process::{GatewayState, LostRequest, PeerCommand, ProcessWitness, log_event},
+    process::{GatewayState, LostRequest, PeerCommand, log_event},
     request::head::read_load,
 };
 
@@ -110,12 +110,6 @@
         }
     }
 
-    /// Starts to watch the process of the upstream if the response has neither a length nor chunks. It
-    /// ends with its connection, which the end of the process closes as well.
-    pub(crate) fn watch_process(&self, is_unframed: bool) -> Option<ProcessWitness> {
-        is_unframed.then(|| ProcessWitness::spawn(self.lost.address))
-    }
-
     /// Records how the request ended.
     pub(crate) fn finish(mut self, end: FlightOutcome) {
         self.end(end);
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -16,13 +16,14 @@
 
 use crate::{
     connection::PooledConnection,
-    process::{ProcessWitness, RequestOutcome, RunningGuard, TimedStage, is_complete, log_event},
+    process::{
+        ProcessWitness, RequestOutcome, RunningGuard, TimedStage, check_complete, log_event,
+        watch_process,
+    },
     request::{
         RequestRefusal, ResponseBody,
         bill::RequestBill,
-        exchange::{
-            AttemptHistory, CONTENT_BLOCKED, ENDED_WITH_UPSTREAM, OpenResponse, RequestExchange,
-        },
+        exchange::{AttemptHistory, CONTENT_BLOCKED, OpenResponse, RequestExchange},
         head::{forwarded_headers, is_unframed},
         in_flight::InFlightRequest,
         lease::BufferLease,
@@ -72,7 +73,7 @@
         let (parts, body) = opened.attempt.response.into_parts();
         let is_unframed = is_unframed(&parts.headers, &body);
         Self {
-            witness: opened.flight.watch_process(is_unframed),
+            witness: watch_process(is_unframed, &opened.attempt.connection),
             body,
             connection: opened.attempt.connection,
             headers: parts.headers,
@@ -276,8 +277,10 @@
                 Err(_) => NextChunk::Data(Bytes::new()),
             },
             Ok(Some(Err(error))) => NextChunk::Broken(FlightOutcome::Lost, describe_error(&error)),
-            Ok(None) if is_complete(&mut upstream.witness).await => NextChunk::End,
-            Ok(None) => NextChunk::Broken(FlightOutcome::Lost, ENDED_WITH_UPSTREAM.to_owned()),
+            Ok(None) => match check_complete(&mut upstream.witness).await {
+                Ok(()) => NextChunk::End,
+                Err(end) => NextChunk::Broken(FlightOutcome::Lost, end.to_string()),
+            },
             Err(_) => NextChunk::Broken(
                 FlightOutcome::TimedOut,
                 "deadline of the request has passed".to_owned(),
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -17,6 +17,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Time from the begin of a shutdown to the end of a response.
+const SHUTDOWN_TIME: Duration = Duration::from_millis(150);
+
 /// Reaction of an upstream to a request.
 #[derive(Clone, Debug)]
 pub(crate) enum Reply {
@@ -146,6 +149,11 @@
     Restarted,
     /// The upstream refuses new connections, but sends the response to its end.
     Refusing,
+    /// The upstream is shut down: it refuses new connections, closes those without a request, and
+    /// sends its responses to their end.
+    ShutDown,
+    /// As [`UnframedEnd::ShutDown`], but the process ends before its responses do.
+    ShutDownCrashed,
 }
 
 /// A request as an upstream received it.
@@ -182,6 +190,8 @@
     crashed: CancellationToken,
     /// Cancelled once the port refuses new connections.
     refusing: CancellationToken,
+    /// Cancelled once connections are closed that have no request.
+    shut_down: CancellationToken,
     address: OnceLock<SocketAddr>,
     /// Time from a deadly request until the upstream crashes, unless the connection is closed.
     crash_delay: Mutex<Duration>,
@@ -316,7 +326,12 @@
 
 async fn serve(mut stream: TcpStream, state: Arc<UpstreamState>) {
     let mut buffer = Vec::new();
-    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+    loop {
+        let request = tokio::select! {
+            request = read_request(&mut stream, &mut buffer) => request,
+            () = state.shut_down.cancelled() => None,
+        };
+        let Some(request) = request else { return };
         let id = request.header("t-attempt").unwrap_or("-").to_owned();
         let reply = state.choose_reply(&request);
         state.requests.lock().push(request);
@@ -440,19 +455,25 @@
             let head = stream_head.replace("transfer-encoding: chunked\r\n", headers);
             let _ = stream.write_all((head + &texts.concat()).as_bytes()).await;
             let _ = stream.flush().await;
-            if end == UnframedEnd::Refusing {
-                // The gateway has received the head by then.
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                state.refusing.cancel();
+            // The gateway has received the head by then.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            match end {
+                UnframedEnd::Refusing => state.refusing.cancel(),
+                UnframedEnd::ShutDown | UnframedEnd::ShutDownCrashed => {
+                    state.refusing.cancel();
+                    state.shut_down.cancel();
+                    tokio::time::sleep(SHUTDOWN_TIME).await;
+                }
+                _ => {}
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
             match end {
-                UnframedEnd::Closed | UnframedEnd::Refusing => {}
+                UnframedEnd::Closed | UnframedEnd::Refusing | UnframedEnd::ShutDown => {}
                 UnframedEnd::Restarted => restart(state).await,
                 UnframedEnd::Reset => {
                     let _ = stream.set_zero_linger();
                 }
-                UnframedEnd::Crashed => state.crashed.cancel(),
+                UnframedEnd::Crashed | UnframedEnd::ShutDownCrashed => state.crashed.cancel(),
             }
             return false;
         }
--- a/crates/gateway/tests/unframed.rs
+++ b/crates/gateway/tests/unframed.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{FakeUpstream, Fixture, FixtureOptions, Reply, UnframedEnd, service_of};
 use rstest::rstest;
 
@@ -76,6 +78,98 @@
     assert_eq!(fetch(path, reply).await, Some(events(1..4).concat()));
 }
 
+/// Response of the upstream to another request at the same time.
+#[derive(Clone, Copy, Debug)]
+enum OtherResponse {
+    /// Ends soon after the response without a length.
+    Soon,
+    /// Is still being sent long after it.
+    Later,
+    /// Is not read by its caller, so that nothing shows whether it goes on.
+    Unread,
+}
+
+/// Sends two requests to an upstream that is shut down while it sends both responses, and returns the
+/// body of the second one, which has no length, if it is complete.
+async fn fetch_beside(path: &str, other: OtherResponse, end: UnframedEnd) -> Option<String> {
+    let paced = match other {
+        OtherResponse::Soon => Reply::Paced(events(1..5), Duration::from_millis(95)),
+        OtherResponse::Later => Reply::Paced(events(1..16), Duration::from_millis(100)),
+        OtherResponse::Unread => {
+            let event = format!("data: {}\n\n", "x".repeat(60_000));
+            Reply::Paced(vec![event; 1_000], Duration::ZERO)
+        }
+    };
+    let upstream = FakeUpstream::start(vec![paced, Reply::Unframed("", events(1..4), end)]).await;
+    let options = FixtureOptions {
+        attempts: 1,
+        ..FixtureOptions::default()
+    };
+    let services = [("plain", &upstream), ("engine", &upstream)];
+    let fixture = Fixture::start(&options, &services).await;
+    let first = fixture.post("/stream/other", "r0").send().await;
+    let first = first.expect("head");
+    let read = async {
+        if !matches!(other, OtherResponse::Unread) {
+            // A crash breaks it off.
+            drop(first.text().await);
+        }
+        // The response stays open until the end of the test.
+        std::future::pending::<()>().await;
+    };
+    let second = async {
+        if matches!(other, OtherResponse::Unread) {
+            // The buffers between the upstream and the caller fill.
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        let request = fixture.post(path, "r1").header("t-tokens", "100,50");
+        let response = request.send().await.ok()?;
+        match response.status().is_success() {
+            true => response.text().await.ok(),
+            false => None,
+        }
+    };
+    tokio::select! {
+        body = second => body,
+        () = read => None,
+    }
+}
+
+/// Guards against breaking off a complete response of an upstream that is shut down: it closes idle
+/// connections and refuses new ones, and sends its responses to their end.
+#[rstest]
+#[tokio::test]
+async fn complete_response_of_an_upstream_that_is_shut_down_is_lost(
+    #[values("/stream/a", "/again/a", "/once/a")] path: &str,
+    #[values(OtherResponse::Soon, OtherResponse::Later)] other: OtherResponse,
+) {
+    let body = fetch_beside(path, other, UnframedEnd::ShutDown).await;
+    assert_eq!(body, Some(events(1..4).concat()));
+}
+
+/// Guards against a part of a response that looks complete because the upstream was being shut down
+/// when its process ended, and responses to others seem to go on.
+#[rstest]
+#[tokio::test]
+async fn response_broken_off_in_a_shutdown_looks_complete(
+    #[values("/stream/a", "/again/a", "/once/a")] path: &str,
+    #[values(OtherResponse::Later, OtherResponse::Unread)] other: OtherResponse,
+) {
+    let body = fetch_beside(path, other, UnframedEnd::ShutDownCrashed).await;
+    assert_eq!(body, None);
+}
+
+/// Guards against a part of a response that looks complete although nothing else shows whether its
+/// upstream, which was being shut down, has ended.
+#[rstest]
+#[tokio::test]
+async fn last_response_broken_off_in_a_shutdown_looks_complete(
+    #[values("/stream/a", "/again/a", "/once/a")] path: &str,
+) {
+    let reply = Reply::Unframed("", events(1..4), UnframedEnd::ShutDownCrashed);
+    assert_eq!(fetch(path, reply).await, None);
+}
+
 /// Guards against a part of a response that looks complete because the upstream has been restarted
 /// at the same address before the gateway checks it, such as after a suspension of the gateway.
 #[rstest]
