Requests of a customer are charged whatever its name is

Cause: the request kept its customer as the value of a header for the upstream, and the budget was looked up by the text of that value. `HeaderValue::to_str` fails for bytes outside of ASCII, and a request without a name is handled like one of a route without customers. A name that no header can carry (a line break, a control character) became an empty value, with the same result.

No other hypothesis was left open: the upstreams got the right name, and no budget entry was written.

Fix: the request keeps the record of its customer, so that nothing depends on what a header can carry; admission by customer used the same text.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -3,7 +3,10 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cornelarch_core::placement::{FlightOutcome, Placement};
+use cornelarch_core::{
+    base::CustomerName,
+    placement::{FlightOutcome, Placement},
+};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -51,7 +54,7 @@
     pub(crate) head: &'a RequestHead,
     pub(crate) body: &'a Bytes,
     /// Name of the customer, if the route requires one.
-    pub(crate) customer: Option<&'a HeaderValue>,
+    pub(crate) customer: Option<&'a CustomerName>,
     /// Scheduling priority at engines.
     pub(crate) engine_priority: Option<u8>,
     /// Id of the event after which the stream resumes.
@@ -185,7 +188,7 @@
     );
     set_text(headers, &names.expected_upstream, &placement.upstream);
     if let Some(customer) = request.customer {
-        headers.insert(names.customer.clone(), customer.clone());
+        set_text(headers, &names.customer, customer);
     }
     if let Some(priority) = request.engine_priority {
         set_text(headers, &names.engine_priority, &priority.to_string());
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -169,7 +169,7 @@
             .as_ref()
             .and_then(|customer| customer.priority)
             .unwrap_or(rule.priority),
-        customer: customer.map(|customer| name_header(&customer)),
+        customer,
         state: Arc::clone(state),
         document,
         rule,
@@ -197,10 +197,6 @@
     parts.chain([request]).collect()
 }
 
-fn name_header(customer: &CustomerRecord) -> HeaderValue {
-    HeaderValue::from_str(&customer.name).unwrap_or_else(|_| HeaderValue::from_static(""))
-}
-
 fn find_service(document: &RouteDocument, name: ServiceName) -> ServiceRecord {
     document.service(&name).cloned().unwrap_or(ServiceRecord {
         name,
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -13,9 +13,8 @@
         RequestSize, shared_parts,
     },
     retry::AttemptOutcome,
-    route::{RouteDocument, RouteRule, ServiceRecord},
+    route::{CustomerRecord, RouteDocument, RouteRule, ServiceRecord},
 };
-use http::HeaderValue;
 use tokio::time::Instant;
 
 use crate::{
@@ -60,7 +59,8 @@
     pub(crate) homes: Option<HomeDomains>,
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
-    pub(crate) customer: Option<HeaderValue>,
+    /// The customer, if the route requires one.
+    pub(crate) customer: Option<CustomerRecord>,
     pub(crate) priority: u8,
     pub(crate) size: RequestSize,
     /// The prompt parts and the whole request, by which the causes of crashes are recognised.
@@ -143,14 +143,9 @@
     ///
     /// Returns why the budget does not cover the request now.
     pub(crate) async fn reserve(&self) -> Result<RequestBill, RequestRefusal> {
-        let customer = self.customer.as_ref().and_then(|name| name.to_str().ok());
-        let prepaid = customer.and_then(|name| {
-            let mut customers = self.document.customers();
-            customers.find(|record| &*record.name == name)?.prepaid
-        });
-        match (customer, prepaid) {
-            (Some(name), Some(_)) if self.size.total() > 0 => {
-                let owner = (self.id(), name);
+        match &self.customer {
+            Some(customer) if customer.prepaid.is_some() && self.size.total() > 0 => {
+                let owner = (self.id(), &*customer.name);
                 RequestBill::reserve(&self.state, owner, &self.size, self.hard_deadline).await
             }
             _ => Ok(RequestBill::free(&self.state)),
@@ -163,10 +158,11 @@
     ///
     /// Returns the refusal for the caller if the instance cannot carry the request.
     pub(crate) fn admit(&self) -> Result<(), RequestRefusal> {
-        let customer = self.customer.as_ref().and_then(|name| name.to_str().ok());
-        let customer = CustomerName::new(customer.unwrap_or_default());
+        let anonymous = CustomerName::new("");
+        let customer = self.customer.as_ref();
+        let customer = customer.map_or(&anonymous, |customer| &customer.name);
         let request = ArrivedRequest {
-            customer: &customer,
+            customer,
             route: &self.rule.name,
             objective: self.rule.objective,
             limit: self.deadline.saturating_duration_since(self.started),
@@ -351,7 +347,7 @@
         AttemptRequest {
             head: &self.head,
             body: &self.body,
-            customer: self.customer.as_ref(),
+            customer: self.customer.as_ref().map(|customer| &customer.name),
             engine_priority: self.service.is_engine.then_some(priority),
             last_event_id,
             deadline: self.deadline.min(self.started + self.rule.timeout),
--- /dev/null
+++ b/crates/gateway/tests/names.rs
@@ -0,0 +1,98 @@
+//! Names and other values of requests, responses and the configuration that are not plain ASCII.
+
+mod common;
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use common::{
+    FakePlatform, FakeUpstream, Fixture, FixtureOptions, Reply, document, record as record_of,
+};
+use cornelarch_core::{
+    base::{CustomerName, TokenCount},
+    route::{CustomerRecord, RouteLookup, RouteRule},
+};
+use http::HeaderValue;
+use reqwest::Response;
+use rstest::rstest;
+
+const OTHER_KEY: &str = "key-2";
+const PREPAID: u64 = 1_000;
+/// Prompt and answer of a run that reserves 200 tokens and uses 110: eight of them fit.
+const SIZE: &str = "100,100";
+const RUNS_MAX: usize = 8;
+
+fn events(range: std::ops::Range<u32>) -> Vec<String> {
+    range
+        .map(|id| format!("id: {id}\ndata: t{id}\n\n"))
+        .collect()
+}
+
+/// Host that is not plain ASCII, of a route like that of `shop.example`.
+const OTHER_HOST: &str = "bücher.example";
+
+/// Starts a gateway with another customer that has this name and key.
+async fn start_with_customer(name: &str, key: &str, upstream: &FakeUpstream) -> Fixture {
+    let options = FixtureOptions::default();
+    let mut document = document(1, &options);
+    let record = CustomerRecord {
+        name: CustomerName::new(name),
+        priority: None,
+        prepaid: Some(TokenCount::new(PREPAID)),
+        homes: BTreeSet::new(),
+    };
+    document.add_customer(record, [key.to_owned()]);
+    let RouteLookup::Found(rule) = document.find_route("shop.example", "/stream/a") else {
+        panic!("no route");
+    };
+    let host = OTHER_HOST.to_owned();
+    let rule = RouteRule {
+        host,
+        ..rule.clone()
+    };
+    document.add_route(rule);
+    let platform = Arc::new(FakePlatform::default());
+    platform.publish(document);
+    platform.list(record_of("u0", "engine", upstream.address));
+    Fixture::start_with(&options, platform).await
+}
+
+async fn send(fixture: &Fixture, key: &str, number: usize, size: &[u8]) -> Response {
+    let request = fixture
+        .client
+        .post(format!("http://{}/stream/a", fixture.listen))
+        .header("host", "shop.example")
+        .header(
+            "t-key",
+            HeaderValue::from_bytes(key.as_bytes()).expect("key"),
+        )
+        .header("t-attempt", format!("r{number}"))
+        .header("t-deadline-ms", "3000")
+        .header("t-tokens", HeaderValue::from_bytes(size).expect("size"));
+    request.send().await.expect("answer")
+}
+
+/// Guards against a customer whose requests are not charged because a header cannot carry its name as
+/// plain text.
+#[rstest]
+#[tokio::test]
+async fn customer_with_an_unusual_name_is_not_charged(
+    #[values("Regie", "Régie", "客户", " a ", "a\tb", "a\nb", "\u{7f}", "")] name: &str,
+) {
+    let upstream = FakeUpstream::start(vec![Reply::Events(events(1..3)); 50]).await;
+    let fixture = start_with_customer(name, OTHER_KEY, &upstream).await;
+    let mut served = 0;
+    for number in 0..20 {
+        let response = send(&fixture, OTHER_KEY, number, SIZE.as_bytes()).await;
+        served += usize::from(response.status() == 200);
+        let _ = response.text().await;
+    }
+    assert_eq!(served, RUNS_MAX);
+    let requests = upstream.requests();
+    assert_eq!(requests.len(), RUNS_MAX);
+    let sent = requests[0].header("t-customer").unwrap_or_default();
+    let expected = match name.contains(char::is_control) && name != "a\tb" {
+        true => "",
+        false => name.trim(),
+    };
+    assert_eq!(sent, expected);
+}
