Requests whose size cannot be read are refused if they are charged

A customer with a budget that sends the numbers of tokens as `100,100é`, `100` or `100,x` is served without being charged, or without being charged for the answer.

Cause: `read_size` took 0 for every number that it could not parse; a size of 0 is not charged, and the charge for an answer is capped at its stated size.

Evidence: request_with_an_unreadable_size_is_not_charged failed before, 8 of 8 cases (200 in place of 400).

Fix: such a request of a customer with a budget gets 400, before it is sent. For customers without a budget, and without the header, nothing changes.

--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -22,7 +22,7 @@
         body::read_request,
         call::respond_buffered,
         exchange::RequestExchange,
-        head::{RequestHead, read_deadline, read_size, upstream_headers},
+        head::{MalformedSize, RequestHead, read_deadline, read_size, upstream_headers},
         relay::respond_streaming,
     },
 };
@@ -144,6 +144,13 @@
     let service = rule.pick_service(spread).cloned();
     let service = service.ok_or(ErrorKind::NoUpstream)?;
     let size = read_size(&parts.headers, &state.headers);
+    let is_charged = customer.as_ref().is_some_and(|c| c.prepaid.is_some());
+    let size = match size {
+        Ok(size) => size,
+        // The cost of the request is unknown.
+        Err(MalformedSize) if is_charged => return Err(ErrorKind::MalformedRequest.into()),
+        Err(MalformedSize) => RequestSize::default(),
+    };
     let uri = parts.uri.into_parts().path_and_query;
     let uri = uri.map_or_else(http::Uri::default, http::Uri::from);
     let content = identify_content(
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -39,6 +39,10 @@
     pub(crate) attempt_id: HeaderValue,
 }
 
+/// A request states its size, but not in numbers that can be read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MalformedSize;
+
 /// Returns whether a response has a body without a length or chunks, which ends with its connection.
 pub(crate) fn is_unframed(headers: &HeaderMap, body: &impl Body) -> bool {
     let has_framing = headers.contains_key(header::CONTENT_LENGTH)
@@ -86,19 +90,32 @@
     (ms.is_finite() && ms >= 0.0).then(|| Duration::from_secs_f64(ms.min(1e9) / 1e3))
 }
 
-/// Returns the request size that the caller states. Prompt parts from the first malformed one on
-/// are ignored, that is, they count as not shared with other requests.
-pub(crate) fn read_size(headers: &HeaderMap, names: &HeaderNames) -> RequestSize {
-    let counts = header_text(headers, &names.token_count).unwrap_or_default();
-    let mut counts = counts
-        .split(',')
-        .map(|text| text.trim().parse::<u64>().unwrap_or(0));
+/// Returns the request size that the caller states, an empty one if it states none. Prompt parts from
+/// the first malformed one on are ignored, that is, they count as not shared with other requests.
+///
+/// # Errors
+///
+/// Returns [`MalformedSize`] if the numbers of tokens cannot be read.
+pub(crate) fn read_size(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+) -> Result<RequestSize, MalformedSize> {
     let parts = header_text(headers, &names.prompt_parts).unwrap_or_default();
-    RequestSize {
-        prompt_tokens: counts.next().unwrap_or(0),
-        answer_tokens: counts.next().unwrap_or(0),
+    let (prompt_tokens, answer_tokens) = match headers.get(&names.token_count) {
+        Some(counts) => read_counts(counts).ok_or(MalformedSize)?,
+        None => (0, 0),
+    };
+    Ok(RequestSize {
+        prompt_tokens,
+        answer_tokens,
         parts: parts.split(',').map_while(read_part).collect(),
-    }
+    })
+}
+
+/// Parses the numbers of tokens `PROMPT,ANSWER`. Further fields are ignored.
+fn read_counts(value: &HeaderValue) -> Option<(u64, u64)> {
+    let mut counts = value.to_str().ok()?.split(',').map(str::trim);
+    Some((counts.next()?.parse().ok()?, counts.next()?.parse().ok()?))
 }
 
 fn read_part(text: &str) -> Option<PromptPart> {
--- a/crates/gateway/tests/names.rs
+++ b/crates/gateway/tests/names.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use common::{
-    FakePlatform, FakeUpstream, Fixture, FixtureOptions, Reply, document, record as record_of,
+    FakePlatform, FakeUpstream, Fixture, FixtureOptions, KEY, Reply, document, record as record_of,
 };
 use cornelarch_core::{
     base::{CustomerName, TokenCount},
@@ -96,3 +96,30 @@
     };
     assert_eq!(sent, expected);
 }
+
+/// Guards against a run that is not charged, or only in part, because the size of its request cannot
+/// be read.
+#[rstest]
+#[tokio::test]
+async fn request_with_an_unreadable_size_is_not_charged(
+    #[values(
+        "",
+        "x",
+        "100",
+        "100,x",
+        "100,100é",
+        "-100,100",
+        "1e2,100",
+        "100,99999999999999999999"
+    )]
+    size: &str,
+) {
+    let upstream = FakeUpstream::start(vec![Reply::Events(events(1..3)); 50]).await;
+    let fixture = start_with_customer("acme-2", OTHER_KEY, &upstream).await;
+    let response = send(&fixture, OTHER_KEY, 1, size.as_bytes()).await;
+    assert_eq!(response.status(), 400);
+    assert!(upstream.requests().is_empty());
+    // Customers without a budget are not charged.
+    let response = send(&fixture, KEY, 2, size.as_bytes()).await;
+    assert_eq!(response.status(), 200);
+}
