Header values outside of ASCII are read

A key or a host of the configuration that is not plain ASCII is refused with 401 or 400; a header that is named by `connection` beside an option that is not ASCII is passed on, and a connection that the upstream closes is kept.

Cause: `HeaderValue::to_str` fails for any byte outside of ASCII, and the result is taken for an absent header.

Evidence: key_or_host_outside_of_ascii_is_refused (401, 400 in place of 200) and options_beside_one_outside_of_ascii_are_missed failed before.

Fix: values that are compared with names of the configuration are read as UTF-8; options of `connection` are split as bytes. The other values (deadline, load, notices, idle time) are numbers, for which another script is malformed either way.

--- a/crates/gateway/src/connection/pool.rs
+++ b/crates/gateway/src/connection/pool.rs
@@ -209,12 +209,14 @@
 }
 
 fn is_closing(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(header::CONNECTION);
-    let mut texts = values.iter().filter_map(|value| value.to_str().ok());
-    texts.any(|text| {
-        text.split(',')
-            .any(|option| option.trim().eq_ignore_ascii_case("close"))
-    })
+    connection_options(headers).any(|option| option.eq_ignore_ascii_case(b"close"))
+}
+
+/// Returns the options of the `connection` headers. Each may have any bytes.
+pub(crate) fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &[u8]> {
+    let values = headers.get_all(header::CONNECTION).into_iter();
+    let options = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    options.map(<[u8]>::trim_ascii)
 }
 
 /// Derives the idle timeout of a connection from the `keep-alive` header of the upstream.
--- a/crates/gateway/src/request/entry.rs
+++ b/crates/gateway/src/request/entry.rs
@@ -22,7 +22,9 @@
         body::read_request,
         call::respond_buffered,
         exchange::RequestExchange,
-        head::{MalformedSize, RequestHead, read_deadline, read_size, upstream_headers},
+        head::{
+            MalformedSize, RequestHead, header_text, read_deadline, read_size, upstream_headers,
+        },
         relay::respond_streaming,
     },
 };
@@ -81,8 +83,7 @@
 }
 
 fn read_id(state: &GatewayState, headers: &HeaderMap) -> String {
-    let id = headers.get(&state.headers.attempt_id);
-    let text = id.and_then(|id| id.to_str().ok());
+    let text = header_text(headers, &state.headers.attempt_id);
     text.unwrap_or("-").to_owned()
 }
 
@@ -119,10 +120,7 @@
 ) -> Result<RequestExchange, RequestRefusal> {
     let document = state.document.load().ok_or(ErrorKind::NotReady)?;
     let (mut parts, body) = request.into_parts();
-    let host = parts.headers.get(header::HOST);
-    let host = host
-        .and_then(|host| host.to_str().ok())
-        .ok_or(ErrorKind::MalformedRequest)?;
+    let host = header_text(&parts.headers, &header::HOST).ok_or(ErrorKind::MalformedRequest)?;
     let rule = match document.find_route(host, parts.uri.path()) {
         RouteLookup::Found(rule) => rule.clone(),
         RouteLookup::Missing => return Err(refuse_unknown(state, ErrorKind::UnknownPath)),
@@ -224,10 +222,7 @@
     if rule.is_public || !document.has_customers {
         return Ok(None);
     }
-    let key = headers.get(&state.headers.customer_key);
-    let key = key
-        .and_then(|key| key.to_str().ok())
-        .ok_or(ErrorKind::MissingKey)?;
+    let key = header_text(headers, &state.headers.customer_key).ok_or(ErrorKind::MissingKey)?;
     match document.find_customer(key) {
         Some(customer) => Ok(Some(customer.clone())),
         None => Err(refuse_unknown(state, ErrorKind::UnknownKey)),
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -134,7 +134,7 @@
 impl RequestExchange {
     /// Returns the id of the request for log lines.
     pub(crate) fn id(&self) -> &str {
-        self.head.attempt_id.to_str().unwrap_or("-")
+        std::str::from_utf8(self.head.attempt_id.as_bytes()).unwrap_or("-")
     }
 
     /// Reserves the maximum cost of the request in the budget of its customer.
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 use hyper::body::Body;
 
-use crate::{edge::HeaderNames, process::log_event};
+use crate::{connection::connection_options, edge::HeaderNames, process::log_event};
 
 /// Hop-by-hop headers, and the length, which hyper sets anew.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
@@ -53,10 +53,8 @@
 /// Returns the headers of a message without the hop-by-hop headers.
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
-    let named = headers.get_all(header::CONNECTION);
-    let named = named.iter().filter_map(|value| value.to_str().ok());
-    for name in named.flat_map(|text| text.split(',')) {
-        if let Ok(name) = HeaderName::from_bytes(name.trim().as_bytes()) {
+    for option in connection_options(headers) {
+        if let Ok(name) = HeaderName::from_bytes(option) {
             forwarded.remove(name);
         }
     }
@@ -78,9 +76,11 @@
     forwarded
 }
 
-/// Returns the first value of a header if it is readable text.
+/// Returns the first value of a header if it is readable text. Values that are compared with names of
+/// the configuration may have characters outside of ASCII.
 pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
+    let value = headers.get(name)?;
+    std::str::from_utf8(value.as_bytes()).ok()
 }
 
 /// Returns the time for which the caller waits, if it states one.
@@ -101,9 +101,9 @@
     names: &HeaderNames,
 ) -> Result<RequestSize, MalformedSize> {
     let parts = header_text(headers, &names.prompt_parts).unwrap_or_default();
-    let (prompt_tokens, answer_tokens) = match headers.get(&names.token_count) {
-        Some(counts) => read_counts(counts).ok_or(MalformedSize)?,
-        None => (0, 0),
+    let (prompt_tokens, answer_tokens) = match headers.contains_key(&names.token_count) {
+        true => read_counts(headers, &names.token_count).ok_or(MalformedSize)?,
+        false => (0, 0),
     };
     Ok(RequestSize {
         prompt_tokens,
@@ -113,8 +113,8 @@
 }
 
 /// Parses the numbers of tokens `PROMPT,ANSWER`. Further fields are ignored.
-fn read_counts(value: &HeaderValue) -> Option<(u64, u64)> {
-    let mut counts = value.to_str().ok()?.split(',').map(str::trim);
+fn read_counts(headers: &HeaderMap, name: &HeaderName) -> Option<(u64, u64)> {
+    let mut counts = header_text(headers, name)?.split(',').map(str::trim);
     Some((counts.next()?.parse().ok()?, counts.next()?.parse().ok()?))
 }
 
@@ -163,7 +163,7 @@
     parse: impl FnOnce(&str) -> Option<T>,
 ) -> Option<T> {
     let value = headers.get(name)?;
-    let parsed = value.to_str().ok().and_then(parse);
+    let parsed = header_text(headers, name).and_then(parse);
     if parsed.is_none() {
         log_event!(NoticeRejected, "header={name} value={value:?}");
     }
--- a/crates/gateway/tests/names.rs
+++ b/crates/gateway/tests/names.rs
@@ -123,3 +123,40 @@
     let response = send(&fixture, KEY, 2, size.as_bytes()).await;
     assert_eq!(response.status(), 200);
 }
+
+/// Guards against refusing a key, or a host, of the configuration that is not plain ASCII.
+#[rstest]
+#[case::key("clé-€", "shop.example")]
+#[case::host(OTHER_KEY, "bücher.example:80")]
+#[tokio::test]
+async fn key_or_host_outside_of_ascii_is_refused(#[case] key: &str, #[case] host: &str) {
+    let upstream = FakeUpstream::start(vec![Reply::Events(events(1..2))]).await;
+    let fixture = start_with_customer("acme-2", key, &upstream).await;
+    let value = |text: &str| HeaderValue::from_bytes(text.as_bytes()).expect("value");
+    let request = fixture
+        .client
+        .post(format!("http://{}/stream/a", fixture.listen))
+        .header("host", value(host))
+        .header("t-key", value(key))
+        .header("t-attempt", "r1")
+        .header("t-tokens", SIZE);
+    let response = request.send().await.expect("answer");
+    assert_eq!(response.status(), 200);
+}
+
+/// Guards against connection options that are missed because others beside them are not plain ASCII.
+#[tokio::test]
+async fn options_beside_one_outside_of_ascii_are_missed() {
+    let reply = Reply::AnswerWith(200, "connection: close, é\r\n", "ok");
+    let upstream = FakeUpstream::start(vec![reply.clone(), reply]).await;
+    let options = FixtureOptions::default();
+    let fixture = Fixture::start(&options, &[("plain", &upstream)]).await;
+    for id in ["r1", "r2"] {
+        let connection = HeaderValue::from_bytes("x-hop, é".as_bytes()).expect("value");
+        let request = fixture.post("/again/a", id).header("x-hop", "dropped");
+        let response = request.header("connection", connection).send().await;
+        assert_eq!(response.expect("answer").status(), 200);
+    }
+    assert_eq!(upstream.requests()[0].header("x-hop"), None);
+    assert_eq!(upstream.connections(), 2);
+}
