Streams are not resumed without the id of their last event

A stream breaks off after an event whose id has a control character, or is no text; it is resumed at another upstream without that id, or with an earlier one, and its events come twice.

Cause: a header that cannot carry the id was left out, and an id that is no text counted as none.

Fix: the id is kept as a header value.

--- a/crates/core/src/stream/splitter.rs
+++ b/crates/core/src/stream/splitter.rs
@@ -81,12 +81,12 @@
     }
 }
 
-/// Returns the value of the `id` field of an event, if there is one.
+/// Returns the value of the `id` field of an event, if there is one. It may have any bytes.
 #[must_use]
-pub fn find_event_id(event: &[u8]) -> Option<&str> {
+pub fn find_event_id(event: &[u8]) -> Option<&[u8]> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(id).ok().map(str::trim)
+    Some(id.trim_ascii())
 }
 
 /// Returns the position after the first blank line.
--- a/crates/core/tests/stream.rs
+++ b/crates/core/tests/stream.rs
@@ -173,13 +173,23 @@
             .iter()
             .filter_map(|event| find_event_id(event))
             .collect();
-        assert_eq!(ids, ["1", "2", "3"], "split at {split}");
+        assert_eq!(ids, [b"1", b"2", b"3"], "split at {split}");
         assert!(splitter.has_partial_event());
         let complete: usize = events.iter().map(bytes::Bytes::len).sum();
         assert_eq!(complete, text.find("id: 4").expect("rest"));
     }
 }
 
+/// Guards against a stream that is resumed after an earlier event than its last one, because the id of
+/// that one is no text.
+#[test]
+fn event_id_that_is_no_text_is_missed() {
+    use cornelarch_core::stream::find_event_id;
+
+    let id = find_event_id(b"data: a\nid: \xe9\xff \r\n\r\n");
+    assert_eq!(id, Some(&b"\xe9\xff"[..]));
+}
+
 /// Splits a text that arrives in pieces of one size.
 fn split_events(text: &str, piece_bytes: usize) -> (Vec<bytes::Bytes>, EventSplitter) {
     let mut splitter = EventSplitter::default();
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -58,7 +58,7 @@
     /// Scheduling priority at engines.
     pub(crate) engine_priority: Option<u8>,
     /// Id of the event after which the stream resumes.
-    pub(crate) last_event_id: Option<&'a str>,
+    pub(crate) last_event_id: Option<&'a HeaderValue>,
     /// Deadline stated to the upstream: that of the caller or the route.
     pub(crate) deadline: Instant,
     /// Leaves time for another attempt if one is allowed.
@@ -194,7 +194,7 @@
         set_text(headers, &names.engine_priority, &priority.to_string());
     }
     if let Some(id) = request.last_event_id {
-        set_text(headers, &HeaderName::from_static(LAST_EVENT_ID), id);
+        headers.insert(HeaderName::from_static(LAST_EVENT_ID), id.clone());
     }
     outgoing
 }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -15,6 +15,7 @@
     retry::AttemptOutcome,
     route::{CustomerRecord, RouteDocument, RouteRule, ServiceRecord},
 };
+use http::HeaderValue;
 use tokio::time::Instant;
 
 use crate::{
@@ -198,7 +199,7 @@
     pub(crate) async fn open_response(
         &self,
         history: &mut AttemptHistory,
-        last_event_id: Option<&str>,
+        last_event_id: Option<&HeaderValue>,
     ) -> Result<OpenResponse, RequestRefusal> {
         loop {
             self.check_content(history)?;
@@ -334,7 +335,7 @@
     fn build_attempt<'a>(
         &'a self,
         history: &AttemptHistory,
-        last_event_id: Option<&'a str>,
+        last_event_id: Option<&'a HeaderValue>,
     ) -> AttemptRequest<'a> {
         let now = Instant::now();
         let remaining = self.hard_deadline.saturating_duration_since(now);
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -9,7 +9,7 @@
     stream::{EventSplitter, find_event_id},
 };
 use futures_util::stream;
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout_at};
@@ -86,6 +86,26 @@
     }
 }
 
+/// Where another upstream continues a broken stream.
+#[derive(Clone, Debug)]
+enum ResumePoint {
+    /// Where the request says; no event with an id was received.
+    Start,
+    /// After the event with this id.
+    After(HeaderValue),
+    /// After an event whose id no header can carry.
+    Unknown,
+}
+
+impl ResumePoint {
+    fn after(id: &[u8]) -> Self {
+        match HeaderValue::from_bytes(id) {
+            Ok(id) if !id.is_empty() => Self::After(id),
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Forwards the events of one response. Dropping it closes the connection to the upstream.
 struct EventRelay {
     exchange: Arc<RequestExchange>,
@@ -97,7 +117,7 @@
     /// Memory for the partial event.
     lease: BufferLease,
     ready: VecDeque<Bytes>,
-    last_id: Option<String>,
+    resume_point: ResumePoint,
     /// Size so far of a response that is no event stream, in bytes.
     plain_bytes: usize,
     events: u64,
@@ -131,7 +151,7 @@
             bill,
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
-            last_id: None,
+            resume_point: ResumePoint::Start,
             plain_bytes: 0,
             events: 0,
             last_event: None,
@@ -296,7 +316,7 @@
             self.events += 1;
             self.bill_event();
             if let Some(id) = find_event_id(&event) {
-                self.last_id = Some(id.to_owned());
+                self.resume_point = ResumePoint::after(id);
             }
             self.ready.push_back(event);
         }
@@ -363,13 +383,20 @@
             self.is_finished = true;
             return Err(broken("no"));
         }
+        let last_id = match self.resume_point.clone() {
+            ResumePoint::Start => None,
+            ResumePoint::After(id) => Some(id),
+            ResumePoint::Unknown => {
+                self.is_finished = true;
+                return Err(broken("unusable event id"));
+            }
+        };
         if self.exchange.check_retry(&self.history).is_err() {
             self.is_finished = true;
             return Err(broken("no attempt left"));
         }
         let exchange = Arc::clone(&self.exchange);
-        let last_id = self.last_id.clone();
-        let opened = exchange.open_response(&mut self.history, last_id.as_deref());
+        let opened = exchange.open_response(&mut self.history, last_id.as_ref());
         match opened.await {
             Ok(opened) if opened.attempt.response.status() == StatusCode::OK => {
                 log_event!(
--- a/crates/gateway/tests/names.rs
+++ b/crates/gateway/tests/names.rs
@@ -160,3 +160,43 @@
     assert_eq!(upstream.requests()[0].header("x-hop"), None);
     assert_eq!(upstream.connections(), 2);
 }
+
+/// Guards against a stream that is resumed without the id of its last event, because a header cannot
+/// carry it, so that events come twice.
+#[rstest]
+#[case::control("\u{1}2", None)]
+#[case::delete("2\u{7f}", None)]
+#[case::no_ascii("deux-é", Some("deux-é"))]
+#[tokio::test]
+async fn stream_resumes_without_the_id_of_its_last_event(
+    #[case] id: &str,
+    #[case] resumed_after: Option<&str>,
+) {
+    let upstreams = [
+        FakeUpstream::start(Vec::new()).await,
+        FakeUpstream::start(Vec::new()).await,
+    ];
+    let services = [("engine", &upstreams[0]), ("engine", &upstreams[1])];
+    let fixture = Fixture::start(&FixtureOptions::default(), &services).await;
+    let send = async |id: &str| {
+        let request = fixture.post("/stream/a", id).header("t-tokens", "100,50");
+        let request = request.header("t-parts", "a1:40,b2:40,c3:20");
+        request.send().await.expect("answer").text().await.ok()
+    };
+    for upstream in &upstreams {
+        upstream.set_replies(vec![Reply::Events(events(1..2))]);
+    }
+    // The next request with the same prompt parts goes to the engine that has cached them.
+    send("r0").await;
+    let first = usize::from(upstreams[0].requests().is_empty());
+    let mut begun = events(1..2);
+    begun.push(format!("id: {id}\ndata: t2\n\n"));
+    upstreams[first].set_replies(vec![Reply::Interrupted(begun.clone())]);
+    upstreams[1 - first].set_replies(vec![Reply::Events(events(3..4))]);
+    let text = send("r1").await;
+    let expected = resumed_after.map(|_| begun.concat() + &events(3..4).concat());
+    assert_eq!(text, expected);
+    let resumed = upstreams[1 - first].requests();
+    let last_id = resumed.first().and_then(|r| r.header("last-event-id"));
+    assert_eq!(last_id, resumed_after);
+}
