Connections of requests that were given up are reset

Cause: a connection whose request was given up was closed in the usual way, so that the system went on sending what had been written, and delivered it when a partition healed.

Fix: if a response is due when a connection is dropped, it is reset. Connections without a request, and those whose response is complete, close as before.

--- a/crates/gateway/src/connection/meter.rs
+++ b/crates/gateway/src/connection/meter.rs
@@ -87,6 +87,13 @@
 impl Drop for MeteredStream {
     fn drop(&mut self) {
         self.state.record_undrained();
+        // The system would deliver the rest of a request that was given up when the upstream can be
+        // reached again, seconds later.
+        if self.state.is_busy()
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::debug!("connection is closed without a reset: {error}");
+        }
     }
 }
 
--- a/crates/gateway/src/connection/pool.rs
+++ b/crates/gateway/src/connection/pool.rs
@@ -42,8 +42,8 @@
     expires: Instant,
 }
 
-/// An open connection to an upstream. Dropping it closes the connection, which cancels the request
-/// at the upstream.
+/// An open connection to an upstream. Dropping it closes the connection, and resets it if a response
+/// is due, which cancels the request at the upstream.
 pub(crate) struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -78,6 +78,7 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         self.is_unused = false;
         self.meter.start_response();
+        self.state.record_request();
         let result = self.sender.try_send_request(request).await;
         result.map_err(|mut error| match error.take_message() {
             Some(_) => SendFailure::NotSent,
--- a/crates/gateway/src/connection/state.rs
+++ b/crates/gateway/src/connection/state.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Weak},
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use parking_lot::Mutex;
@@ -22,6 +25,8 @@
 pub(crate) struct ConnectionState {
     opened: Instant,
     read: Mutex<ReadState>,
+    /// Whether a request was sent whose response was not received completely.
+    is_busy: AtomicBool,
     /// Time at which the last response was received completely.
     completed: watch::Sender<Option<Instant>>,
 }
@@ -31,6 +36,7 @@
         Self {
             opened: Instant::now(),
             read: Mutex::default(),
+            is_busy: AtomicBool::new(false),
             completed: watch::Sender::new(None),
         }
     }
@@ -49,8 +55,19 @@
         self.read.lock().is_drained = false;
     }
 
+    /// Records that a request is sent.
+    pub(super) fn record_request(&self) {
+        self.is_busy.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a response is due.
+    pub(super) fn is_busy(&self) -> bool {
+        self.is_busy.load(Ordering::Relaxed)
+    }
+
     /// Records that a response was received completely.
     pub(super) fn record_completed(&self) {
+        self.is_busy.store(false, Ordering::Relaxed);
         self.completed.send_replace(Some(Instant::now()));
     }
 
