--- a/crates/gateway/tests/given_up.rs
+++ b/crates/gateway/tests/given_up.rs
@@ -33,7 +33,7 @@
     let end = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await?;
         let mut buffer = [0; 1024];
-        stream.read(&mut buffer).await?;
+        assert!(stream.read(&mut buffer).await? > 0, "no request");
         let _ = began.send(());
         while stream.read(&mut buffer).await? > 0 {}
         io::Result::Ok(())
