Answers with a status that is none are not passed on

Here 000, 099 and statuses of other lengths are rejected by the HTTP parser and get 502; but 101, though no other protocol was asked for, 600 and 999 reached callers as answers.

Cause: the parser accepts every number of three digits from 100, and the gateway passed each on.

Fix: statuses from 200 to 599 are final; another one makes the response count as lost.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one upstream, up to the response head.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, ops::Range, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cornelarch_core::{
@@ -24,6 +24,9 @@
 /// Connect timeout: allows for several round trips between domains and the handshake of a busy
 /// upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Statuses of final responses. The HTTP parser accepts all numbers of three digits from 100, and no
+/// request asks for another protocol.
+const FINAL_STATUSES: Range<u16> = 200..600;
 /// Connections tried per attempt: idle ones may turn out to be closed before anything was sent.
 const CONNECTION_TRIES_MAX: u32 = 3;
 
@@ -235,6 +238,12 @@
         ));
     }
     let status = response.status();
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(AttemptFailure::new(
+            FlightOutcome::Lost,
+            format!("response has the status {}", status.as_u16()),
+        ));
+    }
     // Another upstream may have answered at the address of the expected one.
     if status != StatusCode::MISDIRECTED_REQUEST {
         flight.record_notice(&read_notice(status, headers, names));
