The router passes on no answers with a status that is none

Fix: one function in the core says which statuses are final; both front ends use it. The tests of the gateway set buffer sizes with the runtime's own sockets.

--- a/crates/core/src/retry/outcome.rs
+++ b/crates/core/src/retry/outcome.rs
@@ -77,3 +77,10 @@
         }
     }
 }
+
+/// Returns whether a status is one of a final response. HTTP parsers accept all numbers of three digits
+/// from 100, and no request asks for another protocol.
+#[must_use]
+pub const fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..600)
+}
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,11 +1,12 @@
 //! One attempt at one upstream, up to the response head.
 
-use std::{io, ops::Range, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cornelarch_core::{
     base::CustomerName,
     placement::{FlightOutcome, Placement},
+    retry::is_final_status,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -24,9 +25,6 @@
 /// Connect timeout: allows for several round trips between domains and the handshake of a busy
 /// upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Statuses of final responses. The HTTP parser accepts all numbers of three digits from 100, and no
-/// request asks for another protocol.
-const FINAL_STATUSES: Range<u16> = 200..600;
 /// Connections tried per attempt: idle ones may turn out to be closed before anything was sent.
 const CONNECTION_TRIES_MAX: u32 = 3;
 
@@ -238,7 +236,7 @@
         ));
     }
     let status = response.status();
-    if !FINAL_STATUSES.contains(&status.as_u16()) {
+    if !is_final_status(status.as_u16()) {
         return Err(AttemptFailure::new(
             FlightOutcome::Lost,
             format!("response has the status {}", status.as_u16()),
--- a/crates/gateway/tests/faulty_answers.rs
+++ b/crates/gateway/tests/faulty_answers.rs
@@ -6,14 +6,13 @@
 
 use common::{FakePlatform, Fixture, FixtureOptions, KEY, document, record, service_of};
 use rstest::rstest;
-use socket2::{Domain, Socket, Type};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 
 /// Receive buffer of an upstream that does not read an upload, in bytes.
-const SMALL_BUFFER: usize = 4 * 1024;
+const SMALL_BUFFER: u32 = 4 * 1024;
 /// Size of an upload that exceeds all buffers on its way, in bytes.
 const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
 /// Time in which the gateway fills the buffers, or notices what was sent.
@@ -21,15 +20,13 @@
 
 /// Starts a listener whose connections have small receive buffers.
 fn listen() -> TcpListener {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+    let socket = TcpSocket::new_v4().expect("socket");
     socket
         .set_recv_buffer_size(SMALL_BUFFER)
         .expect("buffer size");
-    socket.set_nonblocking(true).expect("option");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
-    socket.bind(&any.into()).expect("bind");
-    socket.listen(8).expect("listen");
-    TcpListener::from_std(socket.into()).expect("listener")
+    let any = "127.0.0.1:0".parse().expect("address");
+    socket.bind(any).expect("bind");
+    socket.listen(8).expect("listen")
 }
 
 /// Starts a gateway with one attempt in front of an upstream of each service.
--- a/crates/gateway/tests/slow_peers.rs
+++ b/crates/gateway/tests/slow_peers.rs
@@ -2,14 +2,15 @@
 
 mod common;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use common::{FakeUpstream, Fixture, FixtureOptions, KEY, Reply, service_of};
+use common::{
+    FakePlatform, FakeUpstream, Fixture, FixtureOptions, KEY, Reply, document, record, service_of,
+};
 use rstest::rstest;
-use socket2::{Domain, Socket, Type};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpSocket, TcpStream},
 };
 
 /// Time for which a peer does not read. Its system answers all the same.
@@ -99,24 +100,22 @@
 /// Guards against a request that is lost because its upstream does not read for some seconds.
 #[tokio::test]
 async fn request_that_is_read_late_is_lost() {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+    let socket = TcpSocket::new_v4().expect("socket");
     // Accepted connections have the buffer size of the listener.
     socket
-        .set_recv_buffer_size(SMALL_BUFFER as usize)
+        .set_recv_buffer_size(SMALL_BUFFER)
         .expect("buffer size");
-    socket.set_nonblocking(true).expect("option");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
-    socket.bind(&any.into()).expect("bind");
-    socket.listen(8).expect("listen");
-    let listener = TcpListener::from_std(socket.into()).expect("listener");
+    let any = "127.0.0.1:0".parse().expect("address");
+    socket.bind(any).expect("bind");
+    let listener = socket.listen(8).expect("listen");
     let address = listener.local_addr().expect("address");
     let upstream = tokio::spawn(async move {
         let (stream, _) = listener.accept().await.expect("connection");
         serve_late(stream).await
     });
-    let platform = std::sync::Arc::new(common::FakePlatform::default());
-    platform.publish(common::document(1, &options()));
-    platform.list(common::record("u0", "plain", address));
+    let platform = Arc::new(FakePlatform::default());
+    platform.publish(document(1, &options()));
+    platform.list(record("u0", "plain", address));
     let fixture = Fixture::start_with(&options(), platform).await;
     let request = fixture
         .client
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -8,7 +8,7 @@
     error::{ErrorKind, RunState},
     limit::QueueRequest,
     notice::{UpstreamNotice, parse_delay},
-    retry::{AttemptOutcome, AttemptState, RetryDecision},
+    retry::{AttemptOutcome, AttemptState, RetryDecision, is_final_status},
     routing::RouteRequest,
 };
 use http::{HeaderMap, header::RETRY_AFTER};
@@ -149,6 +149,12 @@
         }
         };
         match result {
+            Ok(Ok(response)) if !is_final_status(response.status().as_u16()) => {
+                let status = response.status().as_u16();
+                log::debug!("response of upstream {address} has the status {status}");
+                attempt.finish(AttemptOutcome::LostBeforeFirst, true);
+                Err(AttemptOutcome::LostBeforeFirst)
+            }
             Ok(Ok(response)) => {
                 attempt.record_notice(&read_notice(&response));
                 Ok((attempt, response))
--- a/crates/router/tests/reports.rs
+++ b/crates/router/tests/reports.rs
@@ -18,7 +18,7 @@
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 
 const PROMPT: &str = "go on [tokens=120]";
@@ -142,6 +142,65 @@
     assert_eq!(run.and_then(|run| run.to_str().ok()), Some("unknown"));
 }
 
+/// Guards against an answer with a status that is none, which reaches the caller.
+#[rstest]
+#[case::zero("HTTP/1.1 000 -\r\ncontent-length: 2\r\n\r\nok")]
+#[case::switching_protocols("HTTP/1.1 101 -\r\n\r\nok")]
+#[case::too_large("HTTP/1.1 600 -\r\ncontent-length: 2\r\n\r\nok")]
+#[case::largest("HTTP/1.1 999 -\r\ncontent-length: 2\r\n\r\nok")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_an_invalid_status_is_passed_on(#[case] answer: &'static str) {
+    let shop = FixedUpstream::start(answer, None).await;
+    let order = send_order(shop.address).await;
+    assert_eq!(order.status(), 502);
+    let run = order.headers().get("x-cornelarch-run");
+    assert_eq!(run.and_then(|run| run.to_str().ok()), Some("unknown"));
+}
+
+/// Size of an upload that exceeds the receive buffer of its service, in bytes.
+const UPLOAD_BYTES: usize = 1_500_000;
+
+/// Guards against a part of an answer that looks complete because the reset which ended it was reported
+/// to the upload that was still being sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_broken_off_in_an_upload_looks_complete() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 * 1024).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, mut uploads) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let sender = sender.clone();
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 1024];
+                let length = stream.read(&mut buffer).await.unwrap_or(0);
+                if buffer[..length].starts_with(b"POST") {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf of").await;
+                    let _ = sender.send(());
+                    // The head has reached the router by then.
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    let _ = stream.set_zero_linger();
+                }
+            });
+        }
+    });
+    let fleet = TestFleet::start(FleetOptions {
+        services: Vec::new(),
+        own_service: Some(address),
+        ..FleetOptions::default()
+    })
+    .await;
+    let order = fleet.order(0, "key-1", "o1").body(vec![b'x'; UPLOAD_BYTES]);
+    let order = order.send().await.unwrap();
+    assert_eq!(order.status(), 502);
+    assert!(
+        uploads.try_recv().is_ok(),
+        "the upload did not reach the service"
+    );
+}
+
 const PAUSE_REFUSAL: &str =
     "HTTP/1.1 503 Busy\r\nretry-after: 20\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
