Names "." and ".." are rejected in documents of the router

Objects of a customer, budget or environment with such a name are at a path that URL libraries shorten, so that another object is read or written.

Evidence: fault_is_reported_with_its_place, the two new cases failed before: the document was accepted. Other names with a meaning in URLs are escaped (key_with_reserved_characters_is_another_one, which passed before) and are not allowed in documents anyway.

Fix: the check of names rejects both, with the line of the document.

--- a/crates/core/src/config/field.rs
+++ b/crates/core/src/config/field.rs
@@ -30,8 +30,12 @@
     fn render(&self) -> Option<String>;
 }
 
-/// Checks that `text` is a valid name.
+/// Checks that `text` is a valid name. Names are segments of the paths of objects, in which `.` and
+/// `..` have a meaning.
 pub(super) fn check_name(text: &str) -> Result<(), String> {
+    if matches!(text, "." | "..") {
+        return Err(format!("name must not be {text:?}"));
+    }
     let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
     if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.chars().all(allowed) {
         return Err(format!(
--- a/crates/core/tests/config_document.rs
+++ b/crates/core/tests/config_document.rs
@@ -165,6 +165,15 @@
     "service",
     "needs its service"
 )]
+#[case(
+    "[upstream engine-1]",
+    "[upstream ..]",
+    30,
+    "upstream ..",
+    "",
+    "must not be"
+)]
+#[case("name = trial", "name = .", 2, "environment", "name", "must not be")]
 #[case("[environment]\nname = trial\n", "", 0, "environment", "", "missing")]
 #[case(
     "POST /lookup",
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -142,6 +142,23 @@
     handle.close().await;
 }
 
+/// Guards against reading or writing another object than the named one.
+#[tokio::test]
+async fn key_with_reserved_characters_is_another_one() {
+    let (handle, store) = start().await;
+    for name in [
+        "r&d", "50%", "%41", "x#y", "x?y=1", "a b", "a+b", "Zürich", "..x", "...",
+    ] {
+        let key = format!("a/{name}/1");
+        store.put(&key, 0, VALUE.into()).await.unwrap();
+        let listed = store.list(&format!("a/{name}/"), "").await.unwrap();
+        assert_eq!(listed.len(), 1, "{key}");
+        assert_eq!(listed[0].0, key);
+        assert_eq!(store.get(&key).await.unwrap().version, listed[0].1);
+    }
+    handle.close().await;
+}
+
 /// Guards against key listings that skip keys or include keys of other prefixes, and against an
 /// instance list that ignores the configured lag.
 #[tokio::test]
