Closed connections are no sign that an upstream runs

Found when the diff was read: a sibling connection that is closed shortly before the decision counted as open until the last time at which it was drained, within 50 ms; and one that received something just then counted from its last event only, so that a whole response could count as broken off. A connection now knows whether it is closed, and counts as open up to the moment at which something arrives.

In the router, a response with a status that is none does not count as a lost connection.

--- a/crates/gateway/src/connection/meter.rs
+++ b/crates/gateway/src/connection/meter.rs
@@ -86,7 +86,7 @@
 
 impl Drop for MeteredStream {
     fn drop(&mut self) {
-        self.state.record_undrained();
+        self.state.record_closed();
         // The system would deliver the rest of a request that was given up when the upstream can be
         // reached again, seconds later.
         if self.state.is_busy()
@@ -106,9 +106,10 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         let bytes = buffer.filled().len() - before;
-        match polled.is_pending() {
-            true => self.state.record_drained(),
-            false => self.state.record_undrained(),
+        match &polled {
+            Poll::Pending => self.state.record_drained(),
+            Poll::Ready(Ok(())) if bytes > 0 => self.state.record_read(),
+            Poll::Ready(_) => self.state.record_closed(),
         }
         if self.meter.record_received(bytes) {
             let error = "upstream sends too many bytes besides the body";
--- a/crates/gateway/src/connection/state.rs
+++ b/crates/gateway/src/connection/state.rs
@@ -12,11 +12,20 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::Instant};
 
-#[derive(Clone, Copy, Debug, Default)]
+/// Progress of reading from a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadPhase {
+    /// Everything that has arrived was read, and the upstream has not closed the connection.
+    Drained,
+    /// More may have arrived. The end of the connection is not seen until all of it is read.
+    Reading,
+    Closed,
+}
+
+#[derive(Clone, Copy, Debug)]
 struct ReadState {
-    /// Whether everything that has arrived was read and the upstream has not closed the connection.
-    is_drained: bool,
-    /// Last time at which that was so.
+    phase: ReadPhase,
+    /// Last time at which everything was read.
     last_drained: Option<Instant>,
 }
 
@@ -35,7 +44,10 @@
     fn new() -> Self {
         Self {
             opened: Instant::now(),
-            read: Mutex::default(),
+            read: Mutex::new(ReadState {
+                phase: ReadPhase::Reading,
+                last_drained: None,
+            }),
             is_busy: AtomicBool::new(false),
             completed: watch::Sender::new(None),
         }
@@ -44,15 +56,23 @@
     /// Records that nothing is left to read on the open connection.
     pub(super) fn record_drained(&self) {
         *self.read.lock() = ReadState {
-            is_drained: true,
+            phase: ReadPhase::Drained,
             last_drained: Some(Instant::now()),
         };
     }
 
-    /// Records that something was read, or that the connection was closed. The end of the connection
-    /// may follow unseen until everything is read.
-    pub(super) fn record_undrained(&self) {
-        self.read.lock().is_drained = false;
+    /// Records that something was read.
+    pub(super) fn record_read(&self) {
+        let mut read = self.read.lock();
+        if read.phase == ReadPhase::Drained {
+            read.last_drained = Some(Instant::now());
+        }
+        read.phase = ReadPhase::Reading;
+    }
+
+    /// Records that either side has closed the connection.
+    pub(super) fn record_closed(&self) {
+        self.read.lock().phase = ReadPhase::Closed;
     }
 
     /// Records that a request is sent.
@@ -71,18 +91,21 @@
         self.completed.send_replace(Some(Instant::now()));
     }
 
-    /// Returns the last time at which the connection was known to be open at the upstream.
+    /// Returns the last time at which a connection that is not closed was known to be open at the
+    /// upstream.
     pub(crate) fn last_open(&self) -> Option<Instant> {
-        let ReadState {
-            is_drained,
-            last_drained,
-        } = *self.read.lock();
-        match is_drained {
-            true => Some(Instant::now()),
-            false => last_drained,
+        let read = *self.read.lock();
+        match read.phase {
+            ReadPhase::Drained => Some(Instant::now()),
+            ReadPhase::Reading => read.last_drained,
+            ReadPhase::Closed => None,
         }
     }
 
+    fn is_drained(&self) -> bool {
+        self.read.lock().phase == ReadPhase::Drained
+    }
+
     /// Waits until a response has been received completely after `since`.
     pub(crate) async fn wait_completed(&self, since: Instant) {
         let mut completed = self.completed.subscribe();
@@ -141,7 +164,7 @@
         let known = connections.get(&self.address).into_iter().flatten();
         known
             .filter_map(Weak::upgrade)
-            .filter(|state| state.opened <= alive && state.read.lock().is_drained)
+            .filter(|state| state.opened <= alive && state.is_drained())
             .collect()
     }
 }
--- a/crates/router/src/request/attempt.rs
+++ b/crates/router/src/request/attempt.rs
@@ -152,7 +152,7 @@
             Ok(Ok(response)) if !is_final_status(response.status().as_u16()) => {
                 let status = response.status().as_u16();
                 log::debug!("response of upstream {address} has the status {status}");
-                attempt.finish(AttemptOutcome::LostBeforeFirst, true);
+                attempt.finish(AttemptOutcome::LostBeforeFirst, false);
                 Err(AttemptOutcome::LostBeforeFirst)
             }
             Ok(Ok(response)) => {
