--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -31,7 +31,7 @@
 use reqwest::{Client, RequestBuilder};
 
 pub(crate) use platform::FakePlatform;
-pub(crate) use upstream::{EndlessStage, FakeUpstream, Reply, UnframedEnd};
+pub(crate) use upstream::{EndlessStage, FakeUpstream, Reply, UnframedEnd, bind_with_buffer};
 
 pub(crate) const KEY: &str = "key-1";
 /// Maximum number of bytes that an instance may accept of an endless response: half of the 32 MB of
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -284,6 +284,16 @@
     }
 }
 
+/// Binds a listener whose connections have a receive buffer of this size, in bytes.
+pub(crate) fn bind_with_buffer(bytes: u32) -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("socket");
+    // Accepted connections have the buffer size of the listener.
+    socket.set_recv_buffer_size(bytes).expect("buffer size");
+    let any = "127.0.0.1:0".parse().expect("address");
+    socket.bind(any).expect("bind");
+    socket.listen(8).expect("listen")
+}
+
 /// Serves connections until the process ends or refuses them.
 async fn accept(listener: TcpListener, state: Arc<UpstreamState>) {
     loop {
--- a/crates/gateway/tests/faulty_answers.rs
+++ b/crates/gateway/tests/faulty_answers.rs
@@ -4,11 +4,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use common::{FakePlatform, Fixture, FixtureOptions, KEY, document, record, service_of};
+use common::{
+    FakePlatform, Fixture, FixtureOptions, bind_with_buffer, document, record, service_of,
+};
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::TcpStream,
 };
 
 /// Receive buffer of an upstream that does not read an upload, in bytes.
@@ -18,17 +20,6 @@
 /// Time in which the gateway fills the buffers, or notices what was sent.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 
-/// Starts a listener whose connections have small receive buffers.
-fn listen() -> TcpListener {
-    let socket = TcpSocket::new_v4().expect("socket");
-    socket
-        .set_recv_buffer_size(SMALL_BUFFER)
-        .expect("buffer size");
-    let any = "127.0.0.1:0".parse().expect("address");
-    socket.bind(any).expect("bind");
-    socket.listen(8).expect("listen")
-}
-
 /// Starts a gateway with one attempt in front of an upstream of each service.
 async fn start(address: SocketAddr) -> Fixture {
     let options = FixtureOptions {
@@ -69,15 +60,8 @@
 
 /// Sends a request and returns the status and the body of a complete answer.
 async fn fetch(fixture: &Fixture, path: &str, body: Vec<u8>) -> Option<(u16, String)> {
-    let request = fixture
-        .client
-        .post(format!("http://{}{path}", fixture.listen))
-        .header("host", "shop.example")
-        .header("t-key", KEY)
-        .header("t-attempt", "r1")
-        .header("t-tokens", "100,50")
-        .body(body);
-    let response = request.send().await.ok()?;
+    let request = fixture.post(path, "r1").header("t-tokens", "100,50");
+    let response = request.body(body).send().await.ok()?;
     let status = response.status().as_u16();
     Some((status, response.text().await.ok()?))
 }
@@ -100,7 +84,7 @@
     #[values(AnswerEnd::Reset, AnswerEnd::Closed)] end: AnswerEnd,
     #[values(0, 100)] pause_ms: u64,
 ) {
-    let listener = listen();
+    let listener = bind_with_buffer(SMALL_BUFFER);
     let address = listener.local_addr().expect("address");
     tokio::spawn(async move {
         loop {
@@ -135,7 +119,7 @@
     )]
     status: &'static str,
 ) {
-    let listener = listen();
+    let listener = bind_with_buffer(SMALL_BUFFER);
     let address = listener.local_addr().expect("address");
     tokio::spawn(async move {
         loop {
--- a/crates/gateway/tests/given_up.rs
+++ b/crates/gateway/tests/given_up.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use common::{FakePlatform, Fixture, FixtureOptions, KEY, document, record};
+use common::{FakePlatform, Fixture, FixtureOptions, document, record};
 use rstest::rstest;
 use tokio::{io::AsyncReadExt, net::TcpListener, sync::oneshot};
 
@@ -47,13 +47,7 @@
     platform.publish(document(1, &options));
     platform.list(record("u0", common::service_of(path), address));
     let fixture = Fixture::start_with(&options, platform).await;
-    let request = fixture
-        .client
-        .post(format!("http://{}{path}", fixture.listen))
-        .header("host", "shop.example")
-        .header("t-key", KEY)
-        .header("t-attempt", "r1")
-        .header("t-tokens", "100,50");
+    let request = fixture.post(path, "r1").header("t-tokens", "100,50");
     let response = tokio::spawn(request.send());
     begun.await.expect("request");
     match cause {
--- a/crates/gateway/tests/slow_peers.rs
+++ b/crates/gateway/tests/slow_peers.rs
@@ -5,7 +5,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use common::{
-    FakePlatform, FakeUpstream, Fixture, FixtureOptions, KEY, Reply, document, record, service_of,
+    FakePlatform, FakeUpstream, Fixture, FixtureOptions, KEY, Reply, bind_with_buffer, document,
+    record, service_of,
 };
 use rstest::rstest;
 use tokio::{
@@ -100,14 +101,7 @@
 /// Guards against a request that is lost because its upstream does not read for some seconds.
 #[tokio::test]
 async fn request_that_is_read_late_is_lost() {
-    let socket = TcpSocket::new_v4().expect("socket");
-    // Accepted connections have the buffer size of the listener.
-    socket
-        .set_recv_buffer_size(SMALL_BUFFER)
-        .expect("buffer size");
-    let any = "127.0.0.1:0".parse().expect("address");
-    socket.bind(any).expect("bind");
-    let listener = socket.listen(8).expect("listen");
+    let listener = bind_with_buffer(SMALL_BUFFER);
     let address = listener.local_addr().expect("address");
     let upstream = tokio::spawn(async move {
         let (stream, _) = listener.accept().await.expect("connection");
