Test of evacuations: requests overlap when it checks which domains are in use

Traced: the end of the evacuation is known after 1 ms, and the domain is a candidate again; but 24 requests that each take 0.1 ms never make the other upstream's expected latency (9 ms) as long as the one that was learned when the tests began beside each other (32 ms), so that all go there, also 2,400 in a row. That is what placement is for; the test asked for more than is promised.

The upstreams are now busy for 50 ms with each request while the test checks, so that one upstream does not serve the requests of a group at once.

--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -23,6 +23,8 @@
 const SPREAD_TIME: Duration = Duration::from_millis(500);
 /// Groups of requests after which an upstream that got none is not in use.
 const USE_TRIES: usize = 10;
+/// Time for which an upstream is busy with a request when it is checked which ones are in use.
+const BUSY_TIME: Duration = Duration::from_millis(50);
 /// Time in which a domain comes back into use.
 const RETURN_TIME: Duration = Duration::from_millis(3_500);
 
@@ -98,15 +100,23 @@
         [after[0] - before[0], after[1] - before[1]]
     }
 
-    /// Returns whether an instance uses the domain `b`. Requests that happen to run one after the other
-    /// all go to one upstream, so that some more are sent in this case.
+    /// Returns whether an instance uses the domain `b` when its requests are more than one upstream
+    /// serves at once. Fewer may all go to the one with the shorter expected latency.
     async fn uses_domain(&self, instance: usize) -> bool {
+        let set_replies = |reply: Reply| {
+            let upstreams = self.upstreams.iter();
+            upstreams.for_each(|upstream| upstream.set_last_reply(reply.clone()));
+        };
+        set_replies(Reply::Paced(vec!["ok".to_owned()], BUSY_TIME));
+        let mut is_used = false;
         for _ in 0..USE_TRIES {
-            if self.count_reached(instance).await[1] > 0 {
-                return true;
+            is_used = self.count_reached(instance).await[1] > 0;
+            if is_used {
+                break;
             }
         }
-        false
+        set_replies(Reply::Answer(200, "ok"));
+        is_used
     }
 }
 
