--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -150,7 +150,7 @@
         "r&d", "50%", "%41", "x#y", "x?y=1", "a b", "a+b", "Zürich", "..x", "...",
     ] {
         let key = format!("a/{name}/1");
-        store.put(&key, 0, VALUE.into()).await.unwrap();
+        store.put(&key, 0, VALUE).await.unwrap();
         let listed = store.list(&format!("a/{name}/"), "").await.unwrap();
         assert_eq!(listed.len(), 1, "{key}");
         assert_eq!(listed[0].0, key);
