Responses are kept when the idle connection closes a moment after their end

The gateway took the closing for the end of the process and did not ask the other connections.

Evidence: complete_response_of_an_upstream_that_is_shut_down_is_lost with ShutDownLater failed before, 6 of 6 cases. Ruled out: that the closing itself is late, as the process runs on in the test.

Fix: when the idle connection does not stay open, the other connections decide, as in all other cases in which the port refuses.

--- a/crates/gateway/src/process/witness.rs
+++ b/crates/gateway/src/process/witness.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns whether the idle connection stays open for a time.
+    async fn stays_open(&mut self) -> bool {
+        timeout(CLOSE_WAIT, self.state.changed()).await.is_err()
+    }
+
     /// Checks that the process runs that has just ended a response.
     ///
     /// # Errors
@@ -133,8 +138,10 @@
             // Silent connections stay open behind a partition.
             (UpstreamStatus::Unknown(_), _) => false,
             (UpstreamStatus::Running, phase) if !together && phase != ConnectionPhase::Lost => true,
-            (UpstreamStatus::Ended, ConnectionPhase::Open) if !together => {
-                timeout(CLOSE_WAIT, self.state.changed()).await.is_err()
+            (UpstreamStatus::Ended, ConnectionPhase::Open)
+                if !together && self.stays_open().await =>
+            {
+                true
             }
             _ => outlive_response(&siblings, gathered, ended + CLOSE_WAIT).await,
         };
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -152,6 +152,9 @@
     /// The upstream is shut down: it refuses new connections, closes those without a request, and
     /// sends its responses to their end.
     ShutDown,
+    /// As [`UnframedEnd::ShutDown`], but connections without a request are closed a moment after the
+    /// end of the response.
+    ShutDownLater,
     /// As [`UnframedEnd::ShutDown`], but the process ends before its responses do.
     ShutDownCrashed,
 }
@@ -469,6 +472,14 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             match end {
                 UnframedEnd::Refusing => state.refusing.cancel(),
+                UnframedEnd::ShutDownLater => {
+                    state.refusing.cancel();
+                    let shut_down = state.shut_down.clone();
+                    tokio::spawn(async move {
+                        tokio::time::sleep(SHUTDOWN_TIME).await;
+                        shut_down.cancel();
+                    });
+                }
                 UnframedEnd::ShutDown | UnframedEnd::ShutDownCrashed => {
                     state.refusing.cancel();
                     state.shut_down.cancel();
@@ -478,7 +489,10 @@
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
             match end {
-                UnframedEnd::Closed | UnframedEnd::Refusing | UnframedEnd::ShutDown => {}
+                UnframedEnd::Closed
+                | UnframedEnd::Refusing
+                | UnframedEnd::ShutDown
+                | UnframedEnd::ShutDownLater => {}
                 UnframedEnd::Restarted => restart(state).await,
                 UnframedEnd::Reset => {
                     let _ = stream.set_zero_linger();
--- a/crates/gateway/tests/names.rs
+++ b/crates/gateway/tests/names.rs
@@ -16,6 +16,8 @@
 use rstest::rstest;
 
 const OTHER_KEY: &str = "key-2";
+/// Host that is not plain ASCII, of a route like that of `shop.example`.
+const OTHER_HOST: &str = "bücher.example";
 const PREPAID: u64 = 1_000;
 /// Prompt and answer of a run that reserves 200 tokens and uses 110: eight of them fit.
 const SIZE: &str = "100,100";
@@ -27,9 +29,6 @@
         .collect()
 }
 
-/// Host that is not plain ASCII, of a route like that of `shop.example`.
-const OTHER_HOST: &str = "bücher.example";
-
 /// Starts a gateway with another customer that has this name and key.
 async fn start_with_customer(name: &str, key: &str, upstream: &FakeUpstream) -> Fixture {
     let options = FixtureOptions::default();
--- a/crates/gateway/tests/unframed.rs
+++ b/crates/gateway/tests/unframed.rs
@@ -142,8 +142,9 @@
 async fn complete_response_of_an_upstream_that_is_shut_down_is_lost(
     #[values("/stream/a", "/again/a", "/once/a")] path: &str,
     #[values(OtherResponse::Soon, OtherResponse::Later)] other: OtherResponse,
+    #[values(UnframedEnd::ShutDown, UnframedEnd::ShutDownLater)] end: UnframedEnd,
 ) {
-    let body = fetch_beside(path, other, UnframedEnd::ShutDown).await;
+    let body = fetch_beside(path, other, end).await;
     assert_eq!(body, Some(events(1..4).concat()));
 }
 
