Test upstream: a reset connection is closed, too

Traced: since given-up requests reset their connections, the upstream of the test, which dropped a waiting request only at the orderly end of its connection, took the error of a reset for none and crashed on a request that the gateway had withdrawn. An upstream sees either as a closed connection. The test itself and its bound are unchanged; it passes again, with the ten others of its file.

--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -453,8 +453,9 @@
         Reply::Crash => {
             let delay = *state.crash_delay.lock();
             let mut byte = [0];
-            // A request whose connection is closed before it begins is dropped.
-            if let Ok(Ok(0)) = tokio::time::timeout(delay, stream.read(&mut byte)).await {
+            // A request whose connection is closed or reset before it begins is dropped.
+            let read = tokio::time::timeout(delay, stream.read(&mut byte)).await;
+            if let Ok(Ok(0) | Err(_)) = read {
                 state.abandoned.fetch_add(1, Ordering::SeqCst);
                 return false;
             }
