Test of limits: another fleet when the share of an instance begins early

Traced: the share of the second instance, 1.5 requests a second divided by eight, begins at a random time within its interval of 5.3 s, and the test asks it 0.3 s after the report: in 5.6% of the runs it may send, and does.

The test now takes another fleet in that case, up to four.

--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -22,6 +22,8 @@
 /// Time in which a gateway learns of a change at the platform.
 const SYNC_TIME: Duration = Duration::from_millis(1_200);
 const REQUEST_PERIOD: Duration = Duration::from_millis(25);
+/// Fleets that are tried until the share of an instance does not begin before it is asked.
+const FLEETS_MAX: usize = 4;
 
 struct LimitedFleet {
     fixture: Fixture,
@@ -116,10 +118,15 @@
     assert_ne!(is_limited, is_ended, "{} requests in 4 s", times.len());
 }
 
-/// Guards against a limit, or its end, that each instance learns only from its own responses, while
-/// the upstream counts the requests of all.
-#[tokio::test]
-async fn instance_learns_a_limit_alone() {
+/// Sends a request to an instance and returns the status of the answer.
+async fn send(fixture: &Fixture) -> u16 {
+    let response = fixture.post("/again/a", "r1").send().await.expect("answer");
+    response.status().as_u16()
+}
+
+/// Starts two instances, lets the first one learn a limit, and returns both with the status of the
+/// answer of the second one.
+async fn learn_limit() -> (LimitedFleet, Fixture, u16) {
     let fleet = LimitedFleet::start(false).await;
     let platform = Arc::clone(&fleet.fixture.platform);
     let options = FixtureOptions {
@@ -129,16 +136,28 @@
     };
     let second = Fixture::start_with(&options, platform).await;
     tokio::time::sleep(SYNC_TIME).await;
-    let send = async |fixture: &Fixture| {
-        let response = fixture.post("/again/a", "r1").send().await.expect("answer");
-        response.status().as_u16()
-    };
     assert_eq!(send(&fleet.fixture).await, 200);
     tokio::time::sleep(SYNC_TIME / 4).await;
-    // The share of the second instance begins some time after the report.
-    assert_eq!(send(&second).await, 503);
-    assert_eq!(fleet.limited.requests().len(), 1);
-    fleet.limited.set_last_reply(Reply::Answer(200, "ok"));
-    fleet.send_for("/again/a", Duration::from_secs(12)).await;
-    assert_eq!(send(&second).await, 200);
+    let status = send(&second).await;
+    (fleet, second, status)
+}
+
+/// Guards against a limit, or its end, that each instance learns only from its own responses, while
+/// the upstream counts the requests of all.
+#[tokio::test]
+async fn instance_learns_a_limit_alone() {
+    // The share of the second instance begins at a random time within its interval of 5.3 s.
+    for _ in 0..FLEETS_MAX {
+        let (fleet, second, status) = learn_limit().await;
+        if status == 200 {
+            continue;
+        }
+        assert_eq!(status, 503);
+        assert_eq!(fleet.limited.requests().len(), 1);
+        fleet.limited.set_last_reply(Reply::Answer(200, "ok"));
+        fleet.send_for("/again/a", Duration::from_secs(12)).await;
+        assert_eq!(send(&second).await, 200);
+        return;
+    }
+    panic!("the second instance does not know the limit");
 }
