--- a/review/standin-3/tests/client.rs
+++ b/review/standin-3/tests/client.rs
@@ -31,6 +31,8 @@
     pub key: String,
     /// Prompt tokens and most tokens of the answer; none for a plain service.
     pub tokens: (u64, u64),
+    /// Events in the answer, of which each request has one number; by `tokens` if there is none.
+    pub pieces: &'static [u64],
     pub parts: String,
     pub limit: Duration,
 }
@@ -260,6 +262,9 @@
             // The first part belongs to what the request is about, the last one to the request.
             let (thing, own) = (spread(THINGS), NEXT_NUMBER.fetch_add(1, Ordering::Relaxed));
             ask.parts = format!("{:x}:6300,{own:x}:2890", 0x5c1e_07a2 + thing);
+            if let Some(pieces) = ask.pieces.get(own as usize * 7 % ask.pieces.len().max(1)) {
+                ask.tokens.1 = pieces * STRIDE;
+            }
             running.push(thread::spawn(move || {
                 send_for(&tenants[index], &fronts, &ask, &record);
             }));
